The whole path, thin: caller to entry VM to backend server and back

Cause: nothing stood yet. This is the first path from end to end as separate processes: a booking (with a ticket that runs once), a rollout (whole and streamed, with weight versions) and samples reaching a trainer. Not done: routing is least in flight, tickets live in one VM only, samples are kept in memory.

--- /dev/null
+++ b/cmake/programs.cmake
@@ -0,0 +1,20 @@
+# The programs: apps/NAME/*.cpp makes the executable NAME.
+
+function(topaztack_program name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/apps/${name}/*.cpp")
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(${name} ${sources})
+    target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/apps/${name}")
+    target_compile_definitions(${name} PRIVATE TOPAZTACK_VERSION="${PROJECT_VERSION}")
+    target_link_libraries(${name} PRIVATE CLI11::CLI11 ${ARG_DEPENDS})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
+endfunction()
+
+topaztack_program(topaztackd DEPENDS topaztack-node)
+topaztack_program(topaztack DEPENDS topaztack-wire)
+topaztack_program(topaztack-standin DEPENDS topaztack-wire)
+topaztack_program(topaztack-bench DEPENDS topaztack-node)
+topaztack_program(topaztack-console DEPENDS topaztack-wire)
--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,32 @@
+# One test program for each library: tests/src/<library>/unit-<subject>.cpp.
+
+enable_testing()
+add_custom_target(unit-tests)
+
+function(topaztack_test_program library)
+    file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/src/${library}/unit-*.cpp")
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(test-${library} ${sources} "${PROJECT_SOURCE_DIR}/tests/src/main.cpp")
+    target_include_directories(test-${library} PRIVATE "${PROJECT_SOURCE_DIR}/tests/src")
+    target_compile_definitions(test-${library} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED TOPAZTACK_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+    target_link_libraries(test-${library} PRIVATE topaztack-${library} PkgConfig::CPPUTEST rapidcheck)
+    set_target_properties(test-${library} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
+    add_dependencies(unit-tests test-${library})
+    add_test(NAME unit-${library} COMMAND test-${library} -v)
+    set_tests_properties(unit-${library} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
+endfunction()
+
+foreach(library base policy samples control wire node)
+    topaztack_test_program(${library})
+endforeach()
+
+file(GLOB functional CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/functional/test_*.py")
+foreach(script ${functional})
+    get_filename_component(name "${script}" NAME_WE)
+    string(REPLACE "test_" "functional-" name "${name}")
+    add_test(NAME ${name} COMMAND python3 -B "${script}" -v WORKING_DIRECTORY "${PROJECT_SOURCE_DIR}")
+    set_tests_properties(${name} PROPERTIES
+        ENVIRONMENT "TOPAZTACK_BIN=${PROJECT_BINARY_DIR}/bin" PROCESSORS 3 TIMEOUT 240)
+endforeach()
--- /dev/null
+++ b/include/topaztack/base/time.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+/// @file
+/// The clocks that signatures name. Decisions are given the time; only daemons read a clock.
+
+namespace topaztack {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+using WallClock = std::chrono::system_clock;
+using WallTime = WallClock::time_point;
+
+/// @brief Whole milliseconds of a duration, rounded down.
+inline std::chrono::milliseconds toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/include/topaztack/control/settings.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <topaztack/base/ids.hpp>
+#include <topaztack/base/ini.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// The settings file of one VM.
+
+namespace topaztack {
+
+/// @brief `[peer NAME]`: another VM, a seed of membership.
+struct PeerSettings {
+    VmName name;
+    DataCentre dataCentre;
+    /// Where it takes calls from other VMs, TCP and UDP.
+    Endpoint endpoint;
+};
+
+/// @brief `[vm NAME]`, `[platform]`, `[tls]` and `[peer NAME]` of one settings file.
+struct VmSettings {
+    VmName name;
+    DataCentre dataCentre;
+    Region region;
+    Endpoint callers;
+    Endpoint operators;
+    Endpoint peers;
+    std::uint64_t threads { 0 };
+    /// Document used until a newer one is known; empty for none.
+    std::string documentFile;
+    /// Operator token file; empty lets every caller on the operators' port in.
+    std::string operatorTokenFile;
+    /// Key shared by all VMs that authenticates their frames; empty for none.
+    std::string peerKeyFile;
+    Endpoint platform;
+    std::chrono::microseconds platformTimeout { 0 };
+    std::string certificateFile;
+    std::string privateKeyFile;
+    std::string authorityFile;
+    std::vector<PeerSettings> peerList;
+};
+
+/// @brief Reads and validates a VM's settings.
+/// @param problems everything found wrong is appended; the settings may be used only if nothing was.
+VmSettings parseVmSettings(std::string_view text, std::string_view fileName, std::vector<IniProblem>& problems);
+
+/// @name The rules by which sections are read, for docs/SETTINGS.md.
+/// @{
+const std::vector<KeyRule<VmSettings>>& vmRules();
+const std::vector<KeyRule<VmSettings>>& platformRules();
+const std::vector<KeyRule<VmSettings>>& tlsRules();
+const std::vector<KeyRule<PeerSettings>>& peerRules();
+/// @}
+
+} // namespace topaztack
--- /dev/null
+++ b/include/topaztack/wire/io_threads.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <thread>
+#include <vector>
+
+/// @file
+/// A fixed set of threads, each with an event loop of its own; a connection stays on one of them.
+
+namespace topaztack {
+
+class IoThreads {
+public:
+    explicit IoThreads(std::size_t count);
+    ~IoThreads();
+    IoThreads(const IoThreads&) = delete;
+    IoThreads& operator=(const IoThreads&) = delete;
+
+    void start();
+
+    /// @brief Ends every loop and joins the threads; what still ran on them is dropped.
+    void stop();
+
+    std::size_t size() const { return this->loops.size(); }
+    boost::asio::io_context& at(std::size_t index) { return this->loops[index]->context; }
+
+    /// @brief Index of the calling thread; 0 on a thread that isn't one of these.
+    static std::size_t here();
+
+private:
+    struct Loop {
+        boost::asio::io_context context { 1 };
+        boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
+        std::thread thread;
+    };
+
+    std::vector<std::unique_ptr<Loop>> loops;
+};
+
+} // namespace topaztack
--- /dev/null
+++ b/src/control/settings.cpp
@@ -0,0 +1,121 @@
+#include <topaztack/control/settings.hpp>
+
+namespace topaztack {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    template <typename Id> std::string readId(std::string_view text, Id& id)
+    {
+        std::string name;
+        auto wrong = readName(text, name);
+        id = Id(std::move(name));
+        return wrong;
+    }
+
+    std::string readFileName(std::string_view text, std::string& value)
+    {
+        value = text == "none" ? std::string {} : std::string(text);
+        return {};
+    }
+
+} // namespace
+
+const std::vector<KeyRule<VmSettings>>& vmRules()
+{
+    static const std::vector<KeyRule<VmSettings>> rules {
+        { "data_centre", requiredKey, "data centre of this VM",
+            [](VmSettings& vm, std::string_view text) { return readId(text, vm.dataCentre); } },
+        { "region", "default", "region of this VM",
+            [](VmSettings& vm, std::string_view text) { return readId(text, vm.region); } },
+        { "callers", requiredKey, "IP:PORT for callers",
+            [](VmSettings& vm, std::string_view text) { return readEndpoint(text, vm.callers); } },
+        { "operators", requiredKey, "IP:PORT for operators",
+            [](VmSettings& vm, std::string_view text) { return readEndpoint(text, vm.operators); } },
+        { "peers", requiredKey, "IP:PORT for other VMs, TCP and UDP",
+            [](VmSettings& vm, std::string_view text) { return readEndpoint(text, vm.peers); } },
+        { "threads", "2", "threads that serve callers, 1..64",
+            [](VmSettings& vm, std::string_view text) { return readWhole(text, 1, 64, vm.threads); } },
+        { "document", "none", "document to use until a newer one is known: a file, or none",
+            [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.documentFile); } },
+        { "operator_token", "none", "file with the operators' token, or none to let everyone on the operators' port in",
+            [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.operatorTokenFile); } },
+        { "peer_key", "none", "file with the key that authenticates frames between VMs, or none",
+            [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.peerKeyFile); } },
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<VmSettings>>& platformRules()
+{
+    static const std::vector<KeyRule<VmSettings>> rules {
+        { "address", requiredKey, "IP:PORT of the platform's service",
+            [](VmSettings& vm, std::string_view text) { return readEndpoint(text, vm.platform); } },
+        { "timeout", "2s", "time allowed for one call, 10ms..1min",
+            [](VmSettings& vm, std::string_view text) { return readDuration(text, 10ms, 1min, vm.platformTimeout); } },
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<VmSettings>>& tlsRules()
+{
+    static const std::vector<KeyRule<VmSettings>> rules {
+        { "certificate", "none", "PEM file with this VM's certificate chain, or none",
+            [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.certificateFile); } },
+        { "key", "none", "PEM file with the certificate's private key, or none",
+            [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.privateKeyFile); } },
+        { "authority", "none", "PEM file with the authority that signs VMs' certificates, or none",
+            [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.authorityFile); } },
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<PeerSettings>>& peerRules()
+{
+    static const std::vector<KeyRule<PeerSettings>> rules {
+        { "data_centre", requiredKey, "data centre of that VM",
+            [](PeerSettings& peer, std::string_view text) { return readId(text, peer.dataCentre); } },
+        { "address", requiredKey, "IP:PORT on which it takes calls from other VMs",
+            [](PeerSettings& peer, std::string_view text) { return readEndpoint(text, peer.endpoint); } },
+    };
+    return rules;
+}
+
+VmSettings parseVmSettings(std::string_view text, std::string_view fileName, std::vector<IniProblem>& problems)
+{
+    const auto file = parseIni(text, fileName, problems);
+    VmSettings settings;
+    bool hasVm = false;
+    bool hasPlatform = false;
+    IniSection tls { "tls", "", 1, {} };
+    for (const auto& section : file.sections) {
+        if (section.kind == "vm" && !section.name.empty() && !hasVm) {
+            settings.name = VmName(section.name);
+            bindSection(section, fileName, vmRules(), settings, problems);
+            hasVm = true;
+        } else if (section.kind == "platform" && section.name.empty()) {
+            bindSection(section, fileName, platformRules(), settings, problems);
+            hasPlatform = true;
+        } else if (section.kind == "tls" && section.name.empty()) {
+            tls = section;
+        } else if (section.kind == "peer" && !section.name.empty()) {
+            PeerSettings peer;
+            peer.name = VmName(section.name);
+            bindSection(section, fileName, peerRules(), peer, problems);
+            settings.peerList.push_back(std::move(peer));
+        } else {
+            problems.push_back({ std::string(fileName), section.line, section.kind, "unknown section",
+                "use one [vm NAME], [platform], [tls] and [peer NAME]" });
+        }
+    }
+    bindSection(tls, fileName, tlsRules(), settings, problems);
+    if (!hasVm)
+        problems.push_back({ std::string(fileName), 1, "vm", "no [vm NAME] section", "add one" });
+    if (!hasPlatform)
+        problems.push_back(
+            { std::string(fileName), 1, "platform", "no [platform] section", "add one with address = IP:PORT" });
+    return settings;
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,164 @@
+#include <topaztack/node/node.hpp>
+
+#include <topaztack/base/log.hpp>
+#include <topaztack/base/random.hpp>
+#include <topaztack/node/completion_relay.hpp>
+#include <topaztack/node/config_keeper.hpp>
+#include <topaztack/node/service_relay.hpp>
+#include <topaztack/node/ticket_desk.hpp>
+#include <topaztack/node/trainer_desk.hpp>
+
+#include <boost/json.hpp>
+
+#include <thread>
+
+namespace topaztack {
+
+namespace json = boost::json;
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr auto defaultDrainTime = 30s;
+    constexpr auto drainCheckInterval = 10ms;
+    constexpr std::size_t operatorBodyLimit = 4 * 1024 * 1024;
+
+} // namespace
+
+struct Node::Parts {
+    Parts(VmSettings settings, VmIdentity identity);
+
+    void addOperatorRoutes();
+    asio::awaitable<void> answerText(HttpExchange& exchange, std::string contentType, std::string body);
+    json::value dump() const;
+    HttpServerLimits callerLimits() const;
+
+    NodeContext context;
+    ConfigKeeper config;
+    BackendTable backends;
+    TicketDesk tickets;
+    ServiceRelay services;
+    CompletionRelay completions;
+    TrainerDesk trainers;
+    HttpRouter callerRoutes;
+    HttpRouter operatorRoutes;
+    HttpServer callerServer;
+    HttpServer operatorServer;
+};
+
+Node::Parts::Parts(VmSettings settings, VmIdentity identity)
+    : context(std::move(settings), std::move(identity))
+    , config(this->context)
+    , backends(this->context)
+    , tickets(this->context)
+    , services(this->context, this->backends, this->tickets)
+    , completions(this->context, this->backends)
+    , trainers(this->context, this->completions)
+    , callerServer(
+          this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
+          [this](HttpExchange& exchange) { return this->callerRoutes.handle(exchange); }, this->context.metrics,
+          "callers")
+    , operatorServer(
+          this->context.threads, this->context.settings.operators,
+          [] { return HttpServerLimits { .maxBody = operatorBodyLimit }; },
+          [this](HttpExchange& exchange) { return this->operatorRoutes.handle(exchange); }, this->context.metrics,
+          "operators")
+{
+    this->tickets.addRoutes(this->callerRoutes);
+    this->services.addRoutes(this->callerRoutes);
+    this->completions.addRoutes(this->callerRoutes);
+    this->trainers.addRoutes(this->callerRoutes);
+    this->config.addRoutes(this->operatorRoutes);
+    this->addOperatorRoutes();
+}
+
+HttpServerLimits Node::Parts::callerLimits() const
+{
+    HttpServerLimits limits;
+    const auto accepted = this->context.document();
+    if (!accepted)
+        return limits;
+    limits.maxBody = accepted->document.limits.maxBody;
+    limits.maxConnections = accepted->document.limits.callerConnections;
+    limits.idle = accepted->document.limits.callerIdle;
+    return limits;
+}
+
+asio::awaitable<void> Node::Parts::answerText(HttpExchange& exchange, std::string contentType, std::string body)
+{
+    HttpResponse response;
+    response.headers.push_back({ "Content-Type", std::move(contentType) });
+    response.body = std::move(body);
+    co_await exchange.respond(std::move(response));
+}
+
+void Node::Parts::addOperatorRoutes()
+{
+    this->operatorRoutes.add("GET", "/healthz",
+        [this](HttpExchange& exchange) { return this->answerText(exchange, "text/plain", "alive\n"); });
+    this->operatorRoutes.add("GET", "/readyz", [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        if (this->context.document() && !this->context.isDraining)
+            co_await this->answerText(exchange, "text/plain", "ready\n");
+        else
+            co_await exchange.respond(
+                errorResponse(makeError(ErrorKind::NotReady, "no document in force, or draining")));
+    });
+    this->operatorRoutes.add("GET", "/metrics", [this](HttpExchange& exchange) {
+        return this->answerText(exchange, "text/plain; version=0.0.4", this->context.metrics.prometheusText());
+    });
+    this->operatorRoutes.add("GET", "/debug/state", [this](HttpExchange& exchange) {
+        return this->answerText(exchange, "application/json", json::serialize(this->dump()));
+    });
+}
+
+json::value Node::Parts::dump() const
+{
+    return json::object {
+        { "vm", this->context.identity.name.value() },
+        { "incarnation", toHex(this->context.identity.incarnation.value()) },
+        { "data_centre", this->context.settings.dataCentre.value() },
+        { "draining", this->context.isDraining.load() },
+        { "config", this->config.dump() },
+        { "tickets", this->tickets.dump() },
+        { "trainers", this->trainers.dump() },
+        { "in_flight", this->callerServer.inFlight() },
+    };
+}
+
+Node::Node(VmSettings settings, VmIdentity identity)
+    : parts(std::make_unique<Parts>(std::move(settings), std::move(identity)))
+{
+}
+
+Node::~Node() = default;
+
+Result<void> Node::start()
+{
+    this->parts->config.start();
+    BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
+    BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
+    this->parts->context.threads.start();
+    logEvent(LogLevel::Info, "serving",
+        { { "callers", toText(this->parts->context.settings.callers) },
+            { "operators", toText(this->parts->context.settings.operators) } });
+    return boost::outcome_v2::success();
+}
+
+void Node::shutDown()
+{
+    auto& context = this->parts->context;
+    context.isDraining = true;
+    this->parts->callerServer.stopAccepting();
+    const auto accepted = context.document();
+    const auto drainTime = accepted ? std::chrono::microseconds(accepted->document.limits.drainTime)
+                                    : std::chrono::microseconds(defaultDrainTime);
+    const auto end = Clock::now() + drainTime;
+    while (this->parts->callerServer.inFlight() > 0 && Clock::now() < end)
+        std::this_thread::sleep_for(drainCheckInterval);
+    logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(this->parts->callerServer.inFlight()) } });
+    this->parts->operatorServer.stopAccepting();
+    context.threads.stop();
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/wire/http_client.cpp
@@ -0,0 +1,275 @@
+#include <topaztack/wire/http_client.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr std::size_t pieceSize = 16 * 1024;
+    constexpr std::uint64_t longestAnswer = 64ULL * 1024 * 1024;
+    constexpr std::uint32_t longestAnswerHeader = 64 * 1024;
+
+    /// A connection to a backend server and what was read beyond the last answer.
+    struct Link {
+        explicit Link(asio::io_context& loop)
+            : stream(loop)
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+    };
+
+    using LinkPtr = std::unique_ptr<Link>;
+
+    CallFailure failure(const boost::system::error_code& problem, const Endpoint& endpoint, AttemptProgress progress)
+    {
+        ErrorKind kind = ErrorKind::BackendBroke;
+        if (progress == AttemptProgress::NothingWritten)
+            kind = ErrorKind::BackendUnreachable;
+        else if (problem == beast::error::timeout)
+            kind = ErrorKind::BackendTimeout;
+        return { makeError(kind, toText(endpoint) + ": " + problem.message()), progress };
+    }
+
+    /// A kept connection may have been closed by the other side; such a one is not used again.
+    bool isStillOpen(Link& link)
+    {
+        auto& socket = link.stream.socket();
+        char byte = 0;
+        boost::system::error_code problem;
+        socket.non_blocking(true, problem);
+        if (problem)
+            return false;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, problem);
+        return problem == asio::error::would_block;
+    }
+
+    http::request<http::string_body> toMessage(HttpRequest request, const Endpoint& endpoint)
+    {
+        const auto verb = http::string_to_verb(request.method);
+        http::request<http::string_body> message;
+        message.version(11);
+        if (verb == http::verb::unknown)
+            message.method_string(request.method);
+        else
+            message.method(verb);
+        message.target(request.target);
+        for (const auto& header : request.headers)
+            message.insert(header.name, header.value);
+        message.set(http::field::host, toText(endpoint));
+        message.body() = std::move(request.body);
+        message.prepare_payload();
+        return message;
+    }
+
+    template <typename Message> HttpResponse toResponse(const Message& message)
+    {
+        HttpResponse response;
+        response.status = message.result_int();
+        for (const auto& field : message)
+            response.headers.push_back({ std::string(field.name_string().data(), field.name_string().size()),
+                std::string(field.value().data(), field.value().size()) });
+        return response;
+    }
+
+} // namespace
+
+struct HttpClient::State {
+    State(asio::io_context& loop, std::size_t idlePerEndpoint)
+        : loop(loop)
+        , idlePerEndpoint(idlePerEndpoint)
+    {
+    }
+
+    LinkPtr takeIdle(const Endpoint& endpoint)
+    {
+        auto& links = this->idle[endpoint];
+        while (!links.empty()) {
+            auto link = std::move(links.back());
+            links.pop_back();
+            if (isStillOpen(*link))
+                return link;
+        }
+        return nullptr;
+    }
+
+    void keep(const Endpoint& endpoint, LinkPtr link)
+    {
+        auto& links = this->idle[endpoint];
+        link->stream.expires_never();
+        if (links.size() < this->idlePerEndpoint && link->buffer.size() == 0)
+            links.push_back(std::move(link));
+    }
+
+    asio::awaitable<CallResult<LinkPtr>> connect(Endpoint endpoint, TimePoint deadline)
+    {
+        auto kept = this->takeIdle(endpoint);
+        if (kept)
+            co_return std::move(kept);
+        auto link = std::make_unique<Link>(this->loop);
+        boost::system::error_code problem;
+        const tcp::endpoint address(asio::ip::make_address(endpoint.address, problem), endpoint.port);
+        if (problem)
+            co_return failure(problem, endpoint, AttemptProgress::NothingWritten);
+        link->stream.expires_at(deadline);
+        const auto [connectProblem] = co_await link->stream.async_connect(address, asTuple);
+        if (connectProblem)
+            co_return failure(connectProblem, endpoint, AttemptProgress::NothingWritten);
+        link->stream.socket().set_option(tcp::no_delay(true), problem);
+        co_return std::move(link);
+    }
+
+    /// Connects and writes the request.
+    asio::awaitable<CallResult<LinkPtr>> send(Endpoint endpoint, HttpRequest request, TimePoint deadline)
+    {
+        auto connected = co_await this->connect(endpoint, deadline);
+        if (!connected)
+            co_return std::move(connected).error();
+        auto link = std::move(connected).value();
+        const auto message = toMessage(std::move(request), endpoint);
+        link->stream.expires_at(deadline);
+        const auto [problem, size] = co_await http::async_write(link->stream, message, asTuple);
+        if (problem)
+            co_return failure(
+                problem, endpoint, size == 0 ? AttemptProgress::NothingWritten : AttemptProgress::Written);
+        co_return std::move(link);
+    }
+
+    asio::io_context& loop;
+    std::size_t idlePerEndpoint;
+    std::map<Endpoint, std::vector<LinkPtr>> idle;
+};
+
+namespace {
+
+    class Stream final : public HttpStream {
+    public:
+        Stream(std::shared_ptr<HttpClient::State> client, Endpoint endpoint, LinkPtr link,
+            std::unique_ptr<http::response_parser<http::buffer_body>> parser)
+            : client(std::move(client))
+            , endpoint(std::move(endpoint))
+            , link(std::move(link))
+            , parser(std::move(parser))
+            , answer(toResponse(this->parser->get()))
+        {
+        }
+
+        const HttpResponse& head() const override { return this->answer; }
+
+        asio::awaitable<CallResult<std::string>> read(TimePoint deadline) override
+        {
+            if (!this->link)
+                co_return std::string {};
+            auto& body = this->parser->get().body();
+            std::string piece(pieceSize, '\0');
+            std::size_t filled = 0;
+            while (filled == 0 && !this->parser->is_done()) {
+                body.data = piece.data();
+                body.size = piece.size();
+                this->link->stream.expires_at(deadline);
+                auto [problem, size]
+                    = co_await http::async_read_some(this->link->stream, this->link->buffer, *this->parser, asTuple);
+                if (problem == http::error::need_buffer)
+                    problem = {};
+                if (problem) {
+                    this->link.reset();
+                    co_return failure(problem, this->endpoint, AttemptProgress::Written);
+                }
+                filled = piece.size() - body.size;
+            }
+            if (filled == 0)
+                this->finish();
+            piece.resize(filled);
+            co_return std::move(piece);
+        }
+
+        void cancel() override
+        {
+            if (this->link)
+                this->link->stream.close();
+        }
+
+    private:
+        void finish()
+        {
+            if (this->parser->get().keep_alive())
+                this->client->keep(this->endpoint, std::move(this->link));
+            this->link.reset();
+        }
+
+        std::shared_ptr<HttpClient::State> client;
+        Endpoint endpoint;
+        LinkPtr link;
+        std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+        HttpResponse answer;
+    };
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context& loop, std::size_t idlePerEndpoint)
+    : state(std::make_shared<State>(loop, idlePerEndpoint))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<CallResult<HttpResponse>> HttpClient::call(Endpoint endpoint, HttpRequest request, TimePoint deadline)
+{
+    const auto client = this->state;
+    const bool isHead = request.method == "HEAD";
+    auto sent = co_await client->send(endpoint, std::move(request), deadline);
+    if (!sent)
+        co_return std::move(sent).error();
+    auto link = std::move(sent).value();
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(longestAnswerHeader);
+    parser.body_limit(longestAnswer);
+    parser.skip(isHead);
+    const auto [problem, size] = co_await http::async_read(link->stream, link->buffer, parser, asTuple);
+    if (problem)
+        co_return failure(problem, endpoint, AttemptProgress::Written);
+    auto response = toResponse(parser.get());
+    response.body = std::move(parser.get().body());
+    if (parser.get().keep_alive())
+        client->keep(endpoint, std::move(link));
+    co_return std::move(response);
+}
+
+asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> HttpClient::open(
+    Endpoint endpoint, HttpRequest request, TimePoint deadline)
+{
+    const auto client = this->state;
+    auto sent = co_await client->send(endpoint, std::move(request), deadline);
+    if (!sent)
+        co_return std::move(sent).error();
+    auto link = std::move(sent).value();
+    auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
+    parser->header_limit(longestAnswerHeader);
+    parser->body_limit(boost::none);
+    const auto [problem, size] = co_await http::async_read_header(link->stream, link->buffer, *parser, asTuple);
+    if (problem)
+        co_return failure(problem, endpoint, AttemptProgress::Written);
+    std::unique_ptr<HttpStream> stream
+        = std::make_unique<Stream>(client, std::move(endpoint), std::move(link), std::move(parser));
+    co_return std::move(stream);
+}
+
+} // namespace topaztack
