--- a/include/topaztack/node/completion_relay.hpp
+++ b/include/topaztack/node/completion_relay.hpp
@@ -6,6 +6,7 @@
 #include <topaztack/wire/http_router.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,13 @@
 
 namespace topaztack {
 
+/// @brief Lets another part end a generation; used on the generation's own thread.
+struct GenerationControl {
+    bool isCancelled { false };
+    /// Set while the generation runs; ends it at once.
+    std::function<void()> cancel;
+};
+
 /// @brief What to generate.
 struct GenerationRequest {
     RequestId id;
@@ -22,6 +30,19 @@
     std::string prompt;
     std::uint64_t maxTokens { 16 };
     TimePoint deadline;
+    /// For whom; empty for a caller's own completion. Trainers share a pool by weight.
+    TrainerName trainer;
+    CallerName caller;
+    /// Tokens made before, to go on from; their spans are in `spansBefore`.
+    std::vector<std::uint32_t> tokensBefore;
+    VersionSpans spansBefore;
+    /// Engines whose version is known to be older are passed over.
+    WeightVersion oldestVersion;
+    /// Engines not to use, such as the one that runs the other copy of a hedge.
+    std::vector<BackendName> avoid;
+    /// Handle of an exported KV cache to import first; empty for none.
+    std::string keyValueCache;
+    std::shared_ptr<GenerationControl> control;
 };
 
 /// @brief One event of an engine's stream, read: its text, tokens, and the version that the engine reports for them.
@@ -45,6 +66,8 @@
 struct GenerationFailure {
     Error error;
     Outcome outcome { Outcome::Unknown };
+    /// What had been made, with its spans: another engine can go on from it.
+    Generation partial;
 };
 
 using GenerationResult
--- a/include/topaztack/node/context.hpp
+++ b/include/topaztack/node/context.hpp
@@ -4,7 +4,9 @@
 #include <topaztack/base/metrics.hpp>
 #include <topaztack/base/rcu_cell.hpp>
 #include <topaztack/control/document.hpp>
+#include <topaztack/control/membership.hpp>
 #include <topaztack/control/settings.hpp>
+#include <topaztack/control/weight_view.hpp>
 #include <topaztack/wire/http_client.hpp>
 #include <topaztack/wire/io_threads.hpp>
 #include <topaztack/wire/platform_client.hpp>
@@ -52,6 +54,10 @@
     const VmIdentity identity;
     MetricsRegistry metrics;
     RcuCell<AcceptedDocument> inForce;
+    /// Published by membership; empty until it has started.
+    RcuCell<MembershipView> members;
+    /// Published by the weight rollout; empty until engines were read.
+    RcuCell<WeightView> weights;
     IoThreads threads;
     std::atomic<bool> isDraining { false };
 
--- a/src/node/completion_relay.cpp
+++ b/src/node/completion_relay.cpp
@@ -129,7 +129,7 @@
     GenerationFailure failed(const CallFailure& failure)
     {
         const bool isProvedNotRun = failure.progress == AttemptProgress::NothingWritten;
-        return { failure.error, isProvedNotRun ? Outcome::NotRun : Outcome::Unknown };
+        return { failure.error, isProvedNotRun ? Outcome::NotRun : Outcome::Unknown, {} };
     }
 
 } // namespace
@@ -149,10 +149,10 @@
 {
     const auto accepted = this->context.document();
     if (!accepted)
-        co_return GenerationFailure { makeError(ErrorKind::NotReady, "no document is in force"), Outcome::NotRun };
+        co_return GenerationFailure { makeError(ErrorKind::NotReady, "no document is in force"), Outcome::NotRun, {} };
     auto chosen = this->backends.choose(accepted->document, request.pool);
     if (!chosen)
-        co_return GenerationFailure { chosen.error(), Outcome::NotRun };
+        co_return GenerationFailure { chosen.error(), Outcome::NotRun, {} };
     auto opened = co_await this->context.clients().backends.open(
         chosen.value().backend.endpoint, engineRequest(request), request.deadline);
     if (!opened)
@@ -174,7 +174,7 @@
                 co_return generation;
             auto chunk = parseChunk(*data);
             if (!chunk)
-                co_return GenerationFailure { chunk.error(), Outcome::Unknown };
+                co_return GenerationFailure { chunk.error(), Outcome::Unknown, {} };
             appendChunk(
                 generation.spans, chunk.value().version, static_cast<std::uint32_t>(chunk.value().tokens.size()));
             generation.text += chunk.value().text;
@@ -185,7 +185,8 @@
                 continue;
             const bool goesOn = co_await sink(chunk.value());
             if (!goesOn)
-                co_return GenerationFailure { makeError(ErrorKind::SlowCaller, "caller is gone"), Outcome::Unknown };
+                co_return GenerationFailure { makeError(ErrorKind::SlowCaller, "caller is gone"), Outcome::Unknown,
+                    {} };
         }
     }
 }
