--- a/apps/topaztack/main.cpp
+++ b/apps/topaztack/main.cpp
@@ -1,5 +1,6 @@
 #include <topaztack/base/random.hpp>
 #include <topaztack/control/document.hpp>
+#include <topaztack/control/settings_page.hpp>
 #include <topaztack/wire/http_client.hpp>
 
 #include <CLI/CLI.hpp>
@@ -123,8 +124,13 @@
     auto* dumpCommand = app.add_subcommand("dump", "print a VM's state");
     for (auto* command : { acceptCommand, showCommand, statusCommand, dumpCommand })
         command->add_option("--node", node, "IP:PORT of a VM's operators' port")->required();
+    auto* pageCommand = app.add_subcommand("settings-page", "print docs/SETTINGS.md");
     CLI11_PARSE(app, argc, argv);
 
+    if (pageCommand->parsed()) {
+        std::cout << topaztack::settingsPage();
+        return 0;
+    }
     if (checkCommand->parsed())
         return check(file);
     if (acceptCommand->parsed())
--- /dev/null
+++ b/src/control/settings_page.cpp
@@ -0,0 +1,44 @@
+#include <topaztack/control/settings_page.hpp>
+
+#include <topaztack/control/document.hpp>
+#include <topaztack/control/settings.hpp>
+
+namespace topaztack {
+
+namespace {
+
+    constexpr std::string_view introduction = "# Settings\n\n"
+                                              "Made from the rules by which the code reads the files "
+                                              "(`topaztack settings-page`); a test compares the two.\n"
+                                              "Unknown sections and keys are errors.\n";
+
+    template <typename Target>
+    void printSection(
+        std::string_view header, std::string_view about, const std::vector<KeyRule<Target>>& rules, std::string& page)
+    {
+        page += "\n### `" + std::string(header) + "`\n\n" + std::string(about) + "\n\n";
+        page += "| key | default | meaning |\n|---|---|---|\n";
+        for (const auto& rule : rules)
+            page += "| `" + std::string(rule.key) + "` | " + std::string(rule.fallback) + " | "
+                + std::string(rule.meaning) + " |\n";
+    }
+
+} // namespace
+
+std::string settingsPage()
+{
+    std::string page(introduction);
+    page += "\n## A VM's settings file\n";
+    printSection("[vm NAME]", "This VM. Exactly one.", vmRules(), page);
+    printSection("[platform]", "The platform's table service, object store and VM list.", platformRules(), page);
+    printSection("[tls]", "Keys of this VM; read again when the files change.", tlsRules(), page);
+    printSection("[peer NAME]", "Another VM, a seed of membership.", peerRules(), page);
+    page += "\n## The accepted document\n";
+    printSection("[pool NAME]", "Backend servers that serve the same requests.", poolRules(), page);
+    printSection("[backend NAME]", "A backend server.", backendRules(), page);
+    printSection("[trainer NAME]", "A trainer that is given samples.", trainerRules(), page);
+    printSection("[limits]", "Limits of every VM.", limitsRules(), page);
+    return page;
+}
+
+} // namespace topaztack
