Fault switches of the platform and service stand-ins, set at start and at run time

Cause: the promises must be proved under outages, lost answers, rate limits and services that fail before, during and after a run, and the stand-ins had no way to provoke any of them.

--- a/apps/topaztack-standin/standin.cpp
+++ b/apps/topaztack-standin/standin.cpp
@@ -49,6 +49,30 @@
     co_await exchange.respond(jsonResponse(status, boost::json::serialize(body)));
 }
 
+asio::awaitable<void> answerChange(
+    HttpExchange& exchange, std::function<Result<void>(const boost::json::value&)> change)
+{
+    boost::system::error_code problem;
+    const auto request = boost::json::parse(exchange.request().body, problem);
+    if (problem) {
+        co_await exchange.respond(
+            errorResponse(makeError(ErrorKind::BadRequest, "body is no JSON: " + problem.message())));
+        co_return;
+    }
+    const auto changed = change(request);
+    if (changed)
+        co_await exchange.respond(jsonResponse(200, "{}"));
+    else
+        co_await exchange.respond(errorResponse(changed.error()));
+}
+
+bool accepted(const Result<void>& result)
+{
+    if (!result)
+        std::cerr << toText(result.error()) << "\n";
+    return result.has_value();
+}
+
 asio::awaitable<void> pause(IoThreads& threads, std::chrono::microseconds time)
 {
     asio::steady_timer timer(threads.at(IoThreads::here()), time);
--- a/apps/topaztack-standin/standin.hpp
+++ b/apps/topaztack-standin/standin.hpp
@@ -3,6 +3,7 @@
 #include <topaztack/base/metrics.hpp>
 #include <topaztack/wire/http_router.hpp>
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
 #include <functional>
@@ -26,8 +27,21 @@
 /// @brief Waits on the calling thread's event loop.
 boost::asio::awaitable<void> pause(IoThreads& threads, std::chrono::microseconds time);
 
-int runPlatform(const std::string& address);
-int runService(const std::string& address);
+/// @brief Hands the request's JSON to `change`; answers 200, or 400 with what is wrong.
+boost::asio::awaitable<void> answerChange(
+    HttpExchange& exchange, std::function<Result<void>(const boost::json::value&)> change);
+
+/// @brief Whether a start option was taken; if not, says on standard error what is wrong with it.
+bool accepted(const Result<void>& result);
+
+struct StandinOptions {
+    std::string address;
+    /// Faults set from the start.
+    boost::json::object faults;
+};
+
+int runPlatform(const StandinOptions& options);
+int runService(const StandinOptions& options);
 
 struct EngineOptions {
     std::string address;
