Leases: a holder automaton and the keeper that carries out its steps

Cause: the header of leases stood without a body, so no part could be sure of being the only one to give orders.

The automaton (Boost.MSM, table in src/control/lease.cpp) is told what was read and how commits ended. A holder counts from before its request was sent and stops a margin early; a rival waits a full duration and a margin after the last change it saw itself; an ambiguous write counts only once it was read back by its operation id. The keeper renews all held leases of a VM in one commit; a lost condition takes only its own lease out. A dead holder's lease is asked for after at most 8.5 s (watch 2 s + duration 6 s + margin 0.5 s).

Ruled out: removing the row on release, since the fencing number would start again at 1; treating a read-back that shows the old version as proof that the write is gone, since it may still arrive: its condition makes it harmless.

Before: no exclusion at all.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,10 +4,13 @@
 #include <topaztack/base/random.hpp>
 #include <topaztack/node/completion_relay.hpp>
 #include <topaztack/node/config_keeper.hpp>
+#include <topaztack/node/lease_keeper.hpp>
 #include <topaztack/node/service_relay.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 
 #include <thread>
@@ -36,6 +39,7 @@
 
     NodeContext context;
     ConfigKeeper config;
+    LeaseKeeper leases;
     BackendTable backends;
     TicketDesk tickets;
     ServiceRelay services;
@@ -50,6 +54,7 @@
 Node::Parts::Parts(VmSettings settings, VmIdentity identity)
     : context(std::move(settings), std::move(identity))
     , config(this->context)
+    , leases(this->context)
     , backends(this->context)
     , tickets(this->context)
     , services(this->context, this->backends, this->tickets)
@@ -120,6 +125,7 @@
         { "data_centre", this->context.settings.dataCentre.value() },
         { "draining", this->context.isDraining.load() },
         { "config", this->config.dump() },
+        { "leases", this->leases.dump() },
         { "tickets", this->tickets.dump() },
         { "trainers", this->trainers.dump() },
         { "in_flight", this->callerServer.inFlight() },
@@ -136,6 +142,7 @@
 Result<void> Node::start()
 {
     this->parts->config.start();
+    this->parts->leases.start();
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
     BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
     this->parts->context.threads.start();
@@ -156,6 +163,7 @@
     const auto end = Clock::now() + drainTime;
     while (this->parts->callerServer.inFlight() > 0 && Clock::now() < end)
         std::this_thread::sleep_for(drainCheckInterval);
+    asio::co_spawn(context.threads.at(0), this->parts->leases.releaseAll(), asio::use_future).wait();
     logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(this->parts->callerServer.inFlight()) } });
     this->parts->operatorServer.stopAccepting();
     context.threads.stop();
