--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -12,6 +12,7 @@
 #include <topaztack/base/rcu_cell.hpp>
 #include <topaztack/base/time.hpp>
 #include <topaztack/control/document.hpp>
+#include <topaztack/control/lease.hpp>
 #include <topaztack/control/membership.hpp>
 #include <topaztack/control/settings.hpp>
 #include <topaztack/control/settings_page.hpp>
