Outcomes derived from an automaton; tickets in blocks, kept answers, repeats that wait

Cause: the thin version answered `unknown` to a repeat while the first request ran, took a ticket with any body, kept answers for ever, and never repeated an attempt although nothing had been written. Keyed requests are refused only by their ticket's home: a refusal `not-run` elsewhere could be false. Forwarding answers `unknown, ask again` until links between VMs are there.

--- a/include/topaztack/base/error.hpp
+++ b/include/topaztack/base/error.hpp
@@ -49,6 +49,7 @@
     IncarnationGone = 502,
     RetentionOver = 503,
     PeerUnreachable = 504,
+    StillRunning = 505,
     // 6xx: control
     ConfigConflict = 601,
     LeaseLost = 602,
--- a/include/topaztack/node/backend_table.hpp
+++ b/include/topaztack/node/backend_table.hpp
@@ -1,14 +1,18 @@
 #pragma once
 
 #include <topaztack/node/context.hpp>
+#include <topaztack/policy/outcome.hpp>
 
-#include <atomic>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 /// @file
-/// This VM's own view of each backend server: requests in flight.
+/// Slots at backend servers: admission, queues and the choice of the backend server.
 
 namespace topaztack {
 
@@ -38,19 +42,41 @@
     std::shared_ptr<BackendLoad> load;
 };
 
-/// @brief A chosen backend server and the count it is under.
+/// @brief A chosen backend server and the slot held there.
 struct ChosenBackend {
     BackendSettings backend;
     InFlightHold hold;
 };
 
+/// @brief What a request asks of a pool.
+struct SlotRequest {
+    PoolName pool;
+    RequestClass requestClass { RequestClass::Rollout };
+    /// Empty for a caller's own request.
+    TrainerName trainer;
+    CallerName caller;
+    TimePoint deadline;
+    /// Prompt's blocks, for the prefix cache.
+    std::vector<std::uint64_t> blocks;
+    std::vector<BackendName> avoid;
+    WeightVersion oldestVersion;
+};
+
+/// @brief Why no slot is given, and when to come back.
+struct SlotRefusal {
+    Error error;
+    std::chrono::milliseconds retryAfter { std::chrono::seconds(1) };
+};
+
+using SlotResult = boost::outcome_v2::basic_result<ChosenBackend, SlotRefusal, boost::outcome_v2::policy::terminate>;
+
 class BackendTable {
 public:
     explicit BackendTable(NodeContext& context);
 
-    /// @brief Chooses the backend server of a pool with the least in flight here, own data centre first.
-    /// @return NoBackendServer if the pool has none in use.
-    Result<ChosenBackend> choose(const Document& document, const PoolName& pool);
+    /// @brief Waits for a slot at a backend server of the pool.
+    /// @return NoBackendServer, QueueFull, Overloaded or DeadlineTooShort, at once when it is decided.
+    boost::asio::awaitable<SlotResult> acquire(SlotRequest request);
 
 private:
     std::shared_ptr<BackendLoad> loadOf(const BackendName& name);
--- /dev/null
+++ b/include/topaztack/node/retry_desk.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <topaztack/node/context.hpp>
+#include <topaztack/policy/retry.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <mutex>
+
+/// @file
+/// The retry budget of one VM, shared by its threads.
+
+namespace topaztack {
+
+class RetryDesk {
+public:
+    explicit RetryDesk(NodeContext& context);
+
+    /// @brief Counts a first attempt.
+    void earn();
+
+    /// @brief Decides on a further attempt and, if there is to be one, waits its pause.
+    /// @return false if no further attempt may be made.
+    boost::asio::awaitable<bool> waitForRetry(RetryFacts facts);
+
+private:
+    std::chrono::microseconds decide(const RetryFacts& facts);
+
+    NodeContext& context;
+    std::mutex lock;
+    RetryBudget budget;
+    Random random;
+    Counter& retries;
+    Counter& refused;
+};
+
+} // namespace topaztack
--- a/include/topaztack/node/service_relay.hpp
+++ b/include/topaztack/node/service_relay.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/forwarder.hpp>
+#include <topaztack/node/request_path.hpp>
+#include <topaztack/node/retry_desk.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/wire/http_router.hpp>
 
@@ -9,26 +12,38 @@
 
 namespace topaztack {
 
+class RequestMachine;
+
 class ServiceRelay {
 public:
-    ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets);
+    ServiceRelay(
+        NodeContext& context, BackendTable& backends, TicketDesk& tickets, Forwarder& forwarder, RetryDesk& retries);
 
     void addRoutes(HttpRouter& callers);
 
+    /// @brief Settles a request that another VM sent here because this one issued its ticket.
+    boost::asio::awaitable<HttpResponse> handleForwarded(ForwardedCall forwarded);
+
 private:
+    /// What one attempt came to.
+    struct Attempt {
+        HttpResponse response;
+        bool wasFree { false };
+    };
+
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
-    boost::asio::awaitable<HttpResponse> relay(const HttpRequest& request, RequestId id);
-    boost::asio::awaitable<HttpResponse> relayOnce(const HttpRequest& request, RequestId id, TicketId ticket);
+    boost::asio::awaitable<HttpResponse> answer(CallInHand call);
+    boost::asio::awaitable<HttpResponse> relay(CallInHand call);
+    boost::asio::awaitable<HttpResponse> attemptAll(CallInHand call, AcceptedDocumentPtr accepted, PoolName poolName);
+    boost::asio::awaitable<Attempt> attempt(
+        const CallInHand& call, const PoolSettings& pool, const ChosenBackend& chosen, RequestMachine& machine);
+    boost::asio::awaitable<HttpResponse> settleTicket(TicketId ticket, CallInHand call);
 
     NodeContext& context;
     BackendTable& backends;
     TicketDesk& tickets;
+    Forwarder& forwarder;
+    RetryDesk& retries;
 };
 
-/// @brief Adds the outcome header to an answer.
-HttpResponse withOutcome(HttpResponse response, Outcome outcome);
-
-/// @brief The answer for an error, with its outcome and, where asking again is the remedy, `Retry-After`.
-HttpResponse errorWithOutcome(const Error& error, const RequestId& id, Outcome outcome);
-
 } // namespace topaztack
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -65,6 +65,8 @@
             ErrorKind::RetentionOver, "retention-over", "asking again can't settle it; the outcome is no longer kept" },
         KindDescription { ErrorKind::PeerUnreachable, "peer-unreachable",
             "check the peer VM and the network between the data centres" },
+        KindDescription { ErrorKind::StillRunning, "still-running",
+            "ask again with the same key; the first request with it has no answer yet" },
         KindDescription { ErrorKind::ConfigConflict, "config-conflict",
             "look at the newest document (`topaztack show`), merge your change and accept it on that version" },
         KindDescription { ErrorKind::LeaseLost, "lease-lost", "wait for the new holder of the lease" },
--- a/src/node/backend_table.cpp
+++ b/src/node/backend_table.cpp
@@ -1,5 +1,7 @@
 #include <topaztack/node/backend_table.hpp>
 
+#include <algorithm>
+
 namespace topaztack {
 
 BackendTable::BackendTable(NodeContext& context)
@@ -16,13 +18,16 @@
     return load;
 }
 
-Result<ChosenBackend> BackendTable::choose(const Document& document, const PoolName& pool)
+boost::asio::awaitable<SlotResult> BackendTable::acquire(SlotRequest request)
 {
+    const auto accepted = this->context.document();
     const BackendSettings* best = nullptr;
     std::shared_ptr<BackendLoad> bestLoad;
     std::pair<std::uint32_t, bool> bestCost;
-    for (const auto& backend : document.backends) {
-        if (backend.pool != pool || backend.draining)
+    for (const auto& backend : accepted->document.backends) {
+        const bool isAvoided
+            = std::find(request.avoid.begin(), request.avoid.end(), backend.name) != request.avoid.end();
+        if (backend.pool != request.pool || backend.draining || isAvoided)
             continue;
         auto load = this->loadOf(backend.name);
         const std::pair cost { load->inFlight.load(std::memory_order_relaxed),
@@ -34,8 +39,9 @@
         bestCost = cost;
     }
     if (!best)
-        return makeError(ErrorKind::NoBackendServer, "pool `" + pool.value() + "` has no backend server in use");
-    return ChosenBackend { *best, InFlightHold(std::move(bestLoad)) };
+        co_return SlotRefusal { makeError(
+            ErrorKind::NoBackendServer, "pool `" + request.pool.value() + "` has no backend server in use") };
+    co_return ChosenBackend { *best, InFlightHold(std::move(bestLoad)) };
 }
 
 } // namespace topaztack
--- a/src/node/completion_relay.cpp
+++ b/src/node/completion_relay.cpp
@@ -150,9 +150,12 @@
     const auto accepted = this->context.document();
     if (!accepted)
         co_return GenerationFailure { makeError(ErrorKind::NotReady, "no document is in force"), Outcome::NotRun, {} };
-    auto chosen = this->backends.choose(accepted->document, request.pool);
+    SlotRequest slot;
+    slot.pool = request.pool;
+    slot.deadline = request.deadline;
+    auto chosen = co_await this->backends.acquire(std::move(slot));
     if (!chosen)
-        co_return GenerationFailure { chosen.error(), Outcome::NotRun, {} };
+        co_return GenerationFailure { chosen.error().error, Outcome::NotRun, {} };
     auto opened = co_await this->context.clients().backends.open(
         chosen.value().backend.endpoint, engineRequest(request), request.deadline);
     if (!opened)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,7 +4,9 @@
 #include <topaztack/base/random.hpp>
 #include <topaztack/node/completion_relay.hpp>
 #include <topaztack/node/config_keeper.hpp>
+#include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/lease_keeper.hpp>
+#include <topaztack/node/retry_desk.hpp>
 #include <topaztack/node/service_relay.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
@@ -27,6 +29,12 @@
     constexpr auto drainCheckInterval = 10ms;
     constexpr std::size_t operatorBodyLimit = 4 * 1024 * 1024;
 
+    asio::awaitable<CallResult<PeerAnswer>> callPeer(Endpoint endpoint, PeerCall /*call*/, TimePoint /*deadline*/)
+    {
+        co_return CallFailure { makeError(ErrorKind::PeerUnreachable, "no link to " + toText(endpoint)),
+            AttemptProgress::NothingWritten };
+    }
+
 } // namespace
 
 struct Node::Parts {
@@ -42,6 +50,8 @@
     LeaseKeeper leases;
     BackendTable backends;
     TicketDesk tickets;
+    RetryDesk retries;
+    Forwarder forwarder;
     ServiceRelay services;
     CompletionRelay completions;
     TrainerDesk trainers;
@@ -57,7 +67,9 @@
     , leases(this->context)
     , backends(this->context)
     , tickets(this->context)
-    , services(this->context, this->backends, this->tickets)
+    , retries(this->context)
+    , forwarder(this->context, callPeer)
+    , services(this->context, this->backends, this->tickets, this->forwarder, this->retries)
     , completions(this->context, this->backends)
     , trainers(this->context, this->completions)
     , callerServer(
--- /dev/null
+++ b/src/node/request_path.cpp
@@ -0,0 +1,116 @@
+#include <topaztack/node/request_path.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace topaztack {
+
+namespace {
+
+    constexpr std::uint64_t longestDeadlineMs = 86'400'000;
+
+    bool sameName(std::string_view left, std::string_view right)
+    {
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char one, char other) {
+            return std::tolower(static_cast<unsigned char>(one)) == std::tolower(static_cast<unsigned char>(other));
+        });
+    }
+
+    bool isHopHeader(std::string_view name)
+    {
+        static constexpr std::array<std::string_view, 12> hopHeaders { "connection", "keep-alive", "transfer-encoding",
+            "content-length", "host", "te", "trailer", "upgrade", "proxy-connection", ticketHeader, outcomeHeader,
+            settlingHeader };
+        return std::any_of(
+            hopHeaders.begin(), hopHeaders.end(), [name](std::string_view hop) { return sameName(name, hop); });
+    }
+
+    std::string wholeSeconds(std::chrono::milliseconds time)
+    {
+        return std::to_string(std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(time).count()));
+    }
+
+} // namespace
+
+HttpResponse withOutcome(HttpResponse response, Outcome outcome)
+{
+    setHeader(response.headers, outcomeHeader, std::string(outcomeName(outcome)));
+    return response;
+}
+
+HttpResponse errorWithOutcome(
+    const Error& error, const RequestId& id, Outcome outcome, std::chrono::milliseconds retryAfter)
+{
+    auto response = errorResponse(error, id.value());
+    if (response.status == 503 || response.status == 429)
+        response.headers.push_back({ "Retry-After", wholeSeconds(retryAfter) });
+    return withOutcome(std::move(response), outcome);
+}
+
+HttpResponse unknownAnswer(const Error& error, const RequestId& id, Settling settling)
+{
+    auto response = errorWithOutcome(error, id, Outcome::Unknown);
+    setHeader(response.headers, settlingHeader, settling == Settling::AskAgain ? "ask-again" : "never");
+    return response;
+}
+
+Outcome statedOutcome(const HttpResponse& response)
+{
+    return parseOutcome(findHeader(response.headers, outcomeHeader)).value_or(Outcome::Unknown);
+}
+
+std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader>& headers)
+{
+    std::vector<HttpHeader> kept;
+    for (const auto& header : headers) {
+        if (!isHopHeader(header.name))
+            kept.push_back(header);
+    }
+    return kept;
+}
+
+void setHeader(std::vector<HttpHeader>& headers, std::string_view name, std::string value)
+{
+    std::erase_if(headers, [name](const HttpHeader& header) { return sameName(header.name, name); });
+    headers.push_back({ std::string(name), std::move(value) });
+}
+
+Result<Duration> allowedTime(const HttpRequest& request, std::chrono::microseconds poolDeadline)
+{
+    const auto text = findHeader(request.headers, deadlineHeader);
+    if (text.empty())
+        return Duration(poolDeadline);
+    std::uint64_t milliseconds = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    const bool isWhole = problem == std::errc {} && end == text.data() + text.size();
+    if (!isWhole || milliseconds == 0 || milliseconds > longestDeadlineMs)
+        return makeError(ErrorKind::BadRequest, std::string(deadlineHeader) + " is not in 1..86400000",
+            "send whole milliseconds, or leave the header out");
+    return Duration(std::chrono::milliseconds(milliseconds));
+}
+
+bool isReadOnly(std::string_view method) { return method == "GET" || method == "HEAD"; }
+
+KeptAnswerPtr toKept(const HttpResponse& response)
+{
+    boost::intrusive_ptr<KeptAnswer> kept(new KeptAnswer);
+    kept->status = response.status;
+    for (const auto& header : response.headers)
+        kept->headers.push_back({ header.name, header.value });
+    kept->body = response.body;
+    return kept;
+}
+
+HttpResponse fromKept(const KeptAnswer& answer)
+{
+    HttpResponse response;
+    response.status = answer.status;
+    for (const auto& header : answer.headers)
+        response.headers.push_back({ header.name, header.value });
+    response.body = answer.body;
+    return response;
+}
+
+} // namespace topaztack
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/node/service_relay.hpp>
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/request_machine.hpp>
 
 namespace topaztack {
 
@@ -9,53 +10,68 @@
 namespace {
 
     constexpr std::string_view servicesPrefix = "/v1/services/";
+    constexpr std::string_view saidNotRun = "1";
 
-    bool isHopHeader(std::string_view name)
+    PoolName poolOf(const HttpRequest& request)
     {
-        static constexpr std::string_view hopHeaders[] = { "connection", "keep-alive", "transfer-encoding",
-            "content-length", "host", "te", "trailer", "upgrade", "proxy-connection" };
-        std::string lower(name);
-        for (auto& character : lower)
-            character = static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
-        for (const auto hop : hopHeaders) {
-            if (lower == hop)
-                return true;
-        }
-        return false;
+        return PoolName(std::string(pathSegment(targetPath(request.target), 2)));
     }
 
-    std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader>& headers)
+    HttpRequest backendRequest(const CallInHand& call, const PoolName& pool)
     {
-        std::vector<HttpHeader> kept;
-        for (const auto& header : headers) {
-            if (!isHopHeader(header.name))
-                kept.push_back(header);
-        }
-        return kept;
+        HttpRequest http;
+        http.method = call.request.method;
+        http.target = call.request.target.substr(servicesPrefix.size() + pool.value().size());
+        if (http.target.empty() || http.target.front() != '/')
+            http.target.insert(http.target.begin(), '/');
+        http.headers = endToEndHeaders(call.request.headers);
+        setHeader(http.headers, requestIdHeader, call.id.value());
+        const auto left = std::max<std::int64_t>(1, toMilliseconds(call.deadline - Clock::now()).count());
+        setHeader(http.headers, deadlineHeader, std::to_string(left));
+        http.body = call.request.body;
+        return http;
     }
 
-    bool isReadOnly(std::string_view method) { return method == "GET" || method == "HEAD"; }
+    bool saysNotRun(const PoolSettings& pool, const HttpResponse& response)
+    {
+        return pool.notRunSign == NotRunSign::Header && response.status == 503
+            && findHeader(response.headers, notRunHeader) == saidNotRun;
+    }
 
-} // namespace
+    CallerName callerOf(const HttpExchange& exchange)
+    {
+        const auto named = findHeader(exchange.request().headers, callerHeader);
+        return CallerName(named.empty() ? exchange.caller().address : std::string(named));
+    }
 
-HttpResponse withOutcome(HttpResponse response, Outcome outcome)
-{
-    response.headers.push_back({ std::string(outcomeHeader), std::string(outcomeName(outcome)) });
-    return response;
-}
+    SlotRequest slotFor(const CallInHand& call, const PoolName& pool, const std::vector<BackendName>& failedAt)
+    {
+        SlotRequest slot;
+        slot.pool = pool;
+        slot.requestClass = RequestClass::Booking;
+        slot.caller = call.caller;
+        slot.deadline = call.deadline;
+        slot.avoid = failedAt;
+        return slot;
+    }
 
-HttpResponse errorWithOutcome(const Error& error, const RequestId& id, Outcome outcome)
-{
-    auto response = errorResponse(error, id.value());
-    if (response.status == 503 || response.status == 429)
-        response.headers.push_back({ "Retry-After", "1" });
-    return withOutcome(std::move(response), outcome);
-}
+    /// Nobody keeps the outcome of a request for longer than its home does: asking again settles nothing.
+    HttpResponse finalAnswer(HttpResponse response, Outcome outcome)
+    {
+        if (outcome == Outcome::Unknown)
+            setHeader(response.headers, settlingHeader, "never");
+        return withOutcome(std::move(response), outcome);
+    }
+
+} // namespace
 
-ServiceRelay::ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets)
+ServiceRelay::ServiceRelay(
+    NodeContext& context, BackendTable& backends, TicketDesk& tickets, Forwarder& forwarder, RetryDesk& retries)
     : context(context)
     , backends(backends)
     , tickets(tickets)
+    , forwarder(forwarder)
+    , retries(retries)
 {
 }
 
@@ -66,79 +82,131 @@
 
 asio::awaitable<void> ServiceRelay::handle(HttpExchange& exchange)
 {
-    const auto id = this->context.newRequestId();
-    const auto& request = exchange.request();
-    const auto key = findHeader(request.headers, keyHeader);
-    const auto ticket = parseTicketId(key);
+    CallInHand call;
+    call.id = this->context.newRequestId();
+    call.caller = callerOf(exchange);
+    call.request = exchange.request();
+    const auto id = call.id;
+    const auto accepted = this->context.document();
+    const auto* pool = accepted ? findPool(accepted->document, poolOf(call.request)) : nullptr;
+    const auto allowed = allowedTime(call.request, pool ? pool->deadline : std::chrono::seconds(1));
     HttpResponse response;
-    if (ticket)
-        response = co_await this->relayOnce(request, id, *ticket);
-    else if (key.empty())
-        response = co_await this->relay(request, id);
-    else
-        response = errorWithOutcome(
-            makeError(ErrorKind::PlatformUnreachable, "keys of the caller's own are not taken"), id, Outcome::NotRun);
-    response.headers.push_back({ std::string(requestIdHeader), id.value() });
+    if (allowed) {
+        call.deadline = Clock::now() + allowed.value();
+        response = co_await this->answer(std::move(call));
+    } else {
+        response = errorWithOutcome(allowed.error(), id, Outcome::NotRun);
+    }
+    setHeader(response.headers, requestIdHeader, id.value());
     co_await exchange.respond(std::move(response));
 }
 
-asio::awaitable<HttpResponse> ServiceRelay::relayOnce(const HttpRequest& request, RequestId id, TicketId ticket)
+asio::awaitable<HttpResponse> ServiceRelay::answer(CallInHand call)
 {
-    HttpResponse kept;
-    switch (this->tickets.claim(ticket, kept)) {
-    case TicketDesk::Claim::Foreign:
-        co_return errorWithOutcome(
-            makeError(ErrorKind::IncarnationGone, "ticket of another VM or incarnation"), id, Outcome::Unknown);
-    case TicketDesk::Claim::InFlight:
-        co_return errorWithOutcome(
-            makeError(ErrorKind::HomeUnreachable, "the first request with this ticket is still running"), id,
-            Outcome::Unknown);
-    case TicketDesk::Claim::Finished:
-        co_return kept;
-    case TicketDesk::Claim::Dispatch:
-        break;
-    }
-    auto response = co_await this->relay(request, id);
-    if (findHeader(response.headers, outcomeHeader) == outcomeName(Outcome::NotRun))
-        this->tickets.release(ticket);
-    else
-        this->tickets.finish(ticket, response);
-    co_return response;
+    const std::string key(findHeader(call.request.headers, keyHeader));
+    if (key.empty())
+        co_return co_await this->relay(std::move(call));
+    const auto ticket = parseTicketId(key);
+    if (ticket)
+        co_return co_await this->settleTicket(*ticket, std::move(call));
+    co_return errorWithOutcome(
+        makeError(ErrorKind::PlatformUnreachable, "keys of the caller's own are not taken"), call.id, Outcome::NotRun);
 }
 
-asio::awaitable<HttpResponse> ServiceRelay::relay(const HttpRequest& request, RequestId id)
+/// A keyed request is refused only by its ticket's home: an earlier one with the same key may have run.
+asio::awaitable<HttpResponse> ServiceRelay::settleTicket(TicketId ticket, CallInHand call)
 {
-    const auto accepted = this->context.document();
+    if (ticket.home == this->context.identity)
+        co_return co_await this->tickets.runOnce(
+            ticket.counter, std::move(call), [this](CallInHand mine) { return this->relay(std::move(mine)); });
+    co_return co_await this->forwarder.forward(std::move(ticket), std::move(call));
+}
+
+asio::awaitable<HttpResponse> ServiceRelay::handleForwarded(ForwardedCall forwarded)
+{
+    const auto ticket = parseTicketId(findHeader(forwarded.request.headers, ticketHeader));
+    if (!ticket || ticket->home != this->context.identity)
+        co_return incarnationGone(forwarded.id);
+    CallInHand call;
+    call.id = forwarded.id;
+    call.caller = CallerName(std::string(findHeader(forwarded.request.headers, callerHeader)));
+    call.deadline = Clock::now() + forwarded.remaining;
+    call.request = std::move(forwarded.request);
+    co_return co_await this->settleTicket(*ticket, std::move(call));
+}
+
+asio::awaitable<HttpResponse> ServiceRelay::relay(CallInHand call)
+{
+    auto accepted = this->context.document();
     if (!accepted)
-        co_return errorWithOutcome(makeError(ErrorKind::NotReady, "no document is in force"), id, Outcome::NotRun);
-    const PoolName poolName(std::string(pathSegment(targetPath(request.target), 2)));
+        co_return errorWithOutcome(makeError(ErrorKind::NotReady, "no document is in force"), call.id, Outcome::NotRun);
+    if (this->context.isDraining)
+        co_return errorWithOutcome(makeError(ErrorKind::ShuttingDown, "this VM is leaving"), call.id, Outcome::NotRun);
+    auto poolName = poolOf(call.request);
     const auto* pool = findPool(accepted->document, poolName);
     if (!pool || pool->kind != PoolKind::Service)
         co_return errorWithOutcome(
-            makeError(ErrorKind::UnknownPool, "no service pool `" + poolName.value() + "`"), id, Outcome::NotRun);
-    auto chosen = this->backends.choose(accepted->document, poolName);
-    if (!chosen)
-        co_return errorWithOutcome(chosen.error(), id, Outcome::NotRun);
-    HttpRequest forwarded;
-    forwarded.method = request.method;
-    forwarded.target = request.target.substr(servicesPrefix.size() + poolName.value().size());
-    forwarded.headers = endToEndHeaders(request.headers);
-    forwarded.headers.push_back({ std::string(requestIdHeader), id.value() });
-    forwarded.body = request.body;
-    auto answer = co_await this->context.clients().backends.call(
-        chosen.value().backend.endpoint, std::move(forwarded), Clock::now() + pool->deadline);
-    if (answer) {
-        auto response = std::move(answer).value();
-        response.headers = endToEndHeaders(response.headers);
-        co_return withOutcome(std::move(response), Outcome::Ran);
+            makeError(ErrorKind::UnknownPool, "no service pool `" + poolName.value() + "`"), call.id, Outcome::NotRun);
+    co_return co_await this->attemptAll(std::move(call), std::move(accepted), std::move(poolName));
+}
+
+asio::awaitable<HttpResponse> ServiceRelay::attemptAll(CallInHand call, AcceptedDocumentPtr accepted, PoolName poolName)
+{
+    const auto& pool = *findPool(accepted->document, poolName);
+    RequestMachine machine(isReadOnly(call.request.method) || !pool.nonIdempotent);
+    std::vector<BackendName> failedAt;
+    this->retries.earn();
+    while (true) {
+        auto chosen = co_await this->backends.acquire(slotFor(call, poolName, failedAt));
+        if (!chosen) {
+            machine.process(RequestEvent::GivenUp);
+            co_return errorWithOutcome(chosen.error().error, call.id, machine.outcome(), chosen.error().retryAfter);
+        }
+        failedAt.push_back(chosen.value().backend.name);
+        auto attempted = co_await this->attempt(call, pool, chosen.value(), machine);
+        if (machine.outcome() == Outcome::Ran)
+            co_return std::move(attempted.response);
+        RetryFacts facts;
+        facts.attempts = static_cast<std::uint32_t>(failedAt.size());
+        facts.isSafe = machine.mayAttempt();
+        facts.wasFree = attempted.wasFree;
+        facts.remaining = call.deadline - Clock::now();
+        if (!co_await this->retries.waitForRetry(facts)) {
+            machine.process(RequestEvent::GivenUp);
+            co_return finalAnswer(std::move(attempted.response), machine.outcome());
+        }
+    }
+}
+
+asio::awaitable<ServiceRelay::Attempt> ServiceRelay::attempt(
+    const CallInHand& call, const PoolSettings& pool, const ChosenBackend& chosen, RequestMachine& machine)
+{
+    machine.process(RequestEvent::AttemptStarted);
+    auto answered = co_await this->context.clients().backends.call(
+        chosen.backend.endpoint, backendRequest(call, pool.name), call.deadline);
+    Attempt attempt;
+    if (answered && !saysNotRun(pool, answered.value())) {
+        machine.process(RequestEvent::Answered);
+        attempt.response = std::move(answered).value();
+        attempt.response.headers = endToEndHeaders(attempt.response.headers);
+        attempt.response = withOutcome(std::move(attempt.response), Outcome::Ran);
+        co_return attempt;
+    }
+    if (answered) {
+        machine.process(RequestEvent::SaidNotRun);
+        attempt.response
+            = errorWithOutcome(makeError(ErrorKind::Overloaded, "backend server said that it did not run the request"),
+                call.id, Outcome::NotRun);
+        co_return attempt;
     }
-    const auto& failure = answer.error();
-    const bool isProvedNotRun = failure.progress == AttemptProgress::NothingWritten;
-    const bool mayRepeat = isReadOnly(request.method) || !pool->nonIdempotent;
+    const auto& failure = answered.error();
+    attempt.wasFree = failure.progress == AttemptProgress::NothingWritten;
+    machine.process(attempt.wasFree ? RequestEvent::NothingWritten : RequestEvent::AnswerLost);
+    attempt.response = errorWithOutcome(failure.error, call.id, machine.outcome());
     logEvent(LogLevel::Warning, "attempt-failed",
-        { { "request", id.value() }, { "backend", chosen.value().backend.name.value() },
-            { "error", failure.error.message }, { "may_repeat", mayRepeat ? "yes" : "no" } });
-    co_return errorWithOutcome(failure.error, id, isProvedNotRun ? Outcome::NotRun : Outcome::Unknown);
+        { { "request", call.id.value() }, { "backend", chosen.backend.name.value() },
+            { "error", failure.error.message }, { "may_repeat", machine.mayAttempt() ? "yes" : "no" } });
+    co_return attempt;
 }
 
 } // namespace topaztack
--- /dev/null
+++ b/tests/src/policy/unit-retry.cpp
@@ -0,0 +1,54 @@
+#include <topaztack/policy/retry.hpp>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RetryTest) {};
+
+TEST(RetryTest, ExtraAttemptsStayWithinTheirShare)
+{
+    CHECK_TRUE(rc::check("extra attempts", [](std::uint64_t seed, std::uint8_t share) {
+        const std::uint64_t percent = share % 101;
+        RetryBudget budget;
+        Random random(seed);
+        std::uint64_t extra = 0;
+        for (std::uint64_t first = 1; first <= 500; ++first) {
+            earnRetry(budget, percent);
+            RetryFacts facts { 1, true, false, 30s };
+            while (random.below(2) == 0 && decideRetry(budget, facts, random) >= 0us)
+                ++extra;
+            RC_ASSERT(extra * 100 <= first * percent);
+        }
+    }));
+}
+
+TEST(RetryTest, NoneWhenUnsafeTooManyOrTooLate)
+{
+    RetryBudget budget { 10000 };
+    Random random(1);
+    CHECK_TRUE(decideRetry(budget, { 1, false, true, 30s }, random) < 0us);
+    CHECK_TRUE(decideRetry(budget, { mostAttempts, true, true, 30s }, random) < 0us);
+    CHECK_TRUE(decideRetry(budget, { 1, true, true, 0s }, random) < 0us);
+    CHECK_TRUE(decideRetry(budget, { 1, true, false, 30s }, random) >= 0us);
+}
+
+TEST(RetryTest, FreeFailuresAreNotCharged)
+{
+    RetryBudget budget;
+    Random random(1);
+    CHECK_TRUE(decideRetry(budget, { 1, true, true, 30s }, random) >= 0us);
+    CHECK_TRUE(decideRetry(budget, { 1, true, false, 30s }, random) < 0us);
+}
+
+TEST(RetryTest, BackoffGrowsToItsCap)
+{
+    Random random(7);
+    for (std::uint32_t attempt = 1; attempt < 100; ++attempt) {
+        CHECK_TRUE(backoff(1, random) < 5ms);
+        CHECK_TRUE(backoff(attempt, random) < 1s);
+    }
+}
