Callers' own keys: a claim binds a key to a ticket by a conditional row, many in one commit

Cause: keys that are no tickets were refused. Conclusion on the way: the row names a ticket of the VM that claimed it, so that a claimed request is settled by the ticket's rules (home, incarnation, ledger) and needs none of its own. Commits are paced to the data centre's 10 a second; an ambiguous one is settled by reading the rows back; rows in conflict are read and drop out of the batch. Ruled out: `not-run` on this VM's word alone while the table is out, since an earlier request with the key may have run at another VM. All known VMs are asked; if one is lost or can't be asked the answer is `unknown, ask again`. Before: with an ambiguous commit taken for a success, ClaimBatchTest.AKeyIsBoundToOneTicketUnderRandomFaults fails.

--- a/include/topaztack/node/service_relay.hpp
+++ b/include/topaztack/node/service_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/request_path.hpp>
 #include <topaztack/node/retry_desk.hpp>
@@ -16,8 +17,8 @@
 
 class ServiceRelay {
 public:
-    ServiceRelay(
-        NodeContext& context, BackendTable& backends, TicketDesk& tickets, Forwarder& forwarder, RetryDesk& retries);
+    ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets, ClaimDesk& claims,
+        Forwarder& forwarder, RetryDesk& retries);
 
     void addRoutes(HttpRouter& callers);
 
@@ -37,11 +38,14 @@
     boost::asio::awaitable<HttpResponse> attemptAll(CallInHand call, AcceptedDocumentPtr accepted, PoolName poolName);
     boost::asio::awaitable<Attempt> attempt(
         const CallInHand& call, const PoolSettings& pool, const ChosenBackend& chosen, RequestMachine& machine);
+    boost::asio::awaitable<HttpResponse> settleOwnKey(IdempotencyKey key, CallInHand call);
+    boost::asio::awaitable<HttpResponse> answerStoreOut(RowKey row, CallInHand call);
     boost::asio::awaitable<HttpResponse> settleTicket(TicketId ticket, CallInHand call);
 
     NodeContext& context;
     BackendTable& backends;
     TicketDesk& tickets;
+    ClaimDesk& claims;
     Forwarder& forwarder;
     RetryDesk& retries;
 };
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -18,6 +18,7 @@
 #include <topaztack/control/settings_page.hpp>
 #include <topaztack/control/weight_view.hpp>
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/completion_relay.hpp>
 #include <topaztack/node/config_keeper.hpp>
 #include <topaztack/node/context.hpp>
@@ -29,6 +30,7 @@
 #include <topaztack/node/service_relay.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
+#include <topaztack/policy/claim_batch.hpp>
 #include <topaztack/policy/home.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/prefix.hpp>
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/base/log.hpp>
 #include <topaztack/base/random.hpp>
+#include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/completion_relay.hpp>
 #include <topaztack/node/config_keeper.hpp>
 #include <topaztack/node/forwarder.hpp>
@@ -52,6 +53,7 @@
     TicketDesk tickets;
     RetryDesk retries;
     Forwarder forwarder;
+    ClaimDesk claims;
     ServiceRelay services;
     CompletionRelay completions;
     TrainerDesk trainers;
@@ -69,7 +71,8 @@
     , tickets(this->context)
     , retries(this->context)
     , forwarder(this->context, callPeer)
-    , services(this->context, this->backends, this->tickets, this->forwarder, this->retries)
+    , claims(this->context, this->tickets, callPeer)
+    , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries)
     , completions(this->context, this->backends)
     , trainers(this->context, this->completions)
     , callerServer(
@@ -139,6 +142,7 @@
         { "config", this->config.dump() },
         { "leases", this->leases.dump() },
         { "tickets", this->tickets.dump() },
+        { "claims", this->claims.dump() },
         { "trainers", this->trainers.dump() },
         { "in_flight", this->callerServer.inFlight() },
     };
@@ -154,6 +158,7 @@
 Result<void> Node::start()
 {
     this->parts->config.start();
+    this->parts->claims.start();
     this->parts->leases.start();
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
     BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -65,11 +65,12 @@
 
 } // namespace
 
-ServiceRelay::ServiceRelay(
-    NodeContext& context, BackendTable& backends, TicketDesk& tickets, Forwarder& forwarder, RetryDesk& retries)
+ServiceRelay::ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets, ClaimDesk& claims,
+    Forwarder& forwarder, RetryDesk& retries)
     : context(context)
     , backends(backends)
     , tickets(tickets)
+    , claims(claims)
     , forwarder(forwarder)
     , retries(retries)
 {
@@ -109,8 +110,40 @@
     const auto ticket = parseTicketId(key);
     if (ticket)
         co_return co_await this->settleTicket(*ticket, std::move(call));
-    co_return errorWithOutcome(
-        makeError(ErrorKind::PlatformUnreachable, "keys of the caller's own are not taken"), call.id, Outcome::NotRun);
+    co_return co_await this->settleOwnKey(IdempotencyKey(key), std::move(call));
+}
+
+asio::awaitable<HttpResponse> ServiceRelay::settleOwnKey(IdempotencyKey key, CallInHand call)
+{
+    const auto pool = poolOf(call.request);
+    const auto accepted = this->context.document();
+    if (!accepted)
+        co_return unknownAnswer(makeError(ErrorKind::NotReady, "no document is in force"), call.id, Settling::AskAgain);
+    if (!findPool(accepted->document, pool))
+        co_return co_await this->relay(std::move(call));
+    const auto binding = co_await this->claims.bind(pool, key, call.deadline);
+    if (binding.verdict == ClaimVerdict::Open)
+        co_return unknownAnswer(makeError(ErrorKind::PlatformAmbiguous, "the table service has not answered in time"),
+            call.id, Settling::AskAgain);
+    if (binding.verdict == ClaimVerdict::StoreOut)
+        co_return co_await this->answerStoreOut(claimRowKey(pool, key), std::move(call));
+    co_return co_await this->settleTicket(binding.ticket, std::move(call));
+}
+
+/// An earlier request with the key may have run at another VM: `not-run` needs the word of all of them.
+asio::awaitable<HttpResponse> ServiceRelay::answerStoreOut(RowKey row, CallInHand call)
+{
+    TicketId ticket;
+    const auto knowledge = co_await this->claims.askPeers(std::move(row), ticket, call.deadline);
+    if (knowledge == KeyKnowledge::Seen)
+        co_return co_await this->settleTicket(std::move(ticket), std::move(call));
+    const auto error = makeError(ErrorKind::PlatformUnreachable, "the table service is out: the key can't be claimed");
+    if (knowledge == KeyKnowledge::NeverSeen)
+        co_return errorWithOutcome(error, call.id, Outcome::NotRun);
+    co_return unknownAnswer(makeError(ErrorKind::PlatformUnreachable,
+                                "the table service is out, and a VM that may have taken this key can't be asked",
+                                "ask again with the same key; for a new request use a ticket (POST /v1/tickets)"),
+        call.id, Settling::AskAgain);
 }
 
 /// A keyed request is refused only by its ticket's home: an earlier one with the same key may have run.
