--- a/include/topaztack/wire/messages.hpp
+++ b/include/topaztack/wire/messages.hpp
@@ -2,7 +2,7 @@
 
 #include <topaztack/base/error.hpp>
 #include <topaztack/base/ids.hpp>
-#include <topaztack/control/membership.hpp>
+#include <topaztack/control/gossip.hpp>
 #include <topaztack/wire/http.hpp>
 
 #include <chrono>
@@ -17,27 +17,6 @@
 
 namespace topaztack {
 
-enum class GossipKind : std::uint8_t {
-    Probe,
-    Ack,
-    /// Asks the receiver to probe `subject` in the sender's place.
-    IndirectProbe,
-    /// Carries updates only.
-    Push,
-};
-
-/// @brief One UDP datagram of membership.
-struct GossipDatagram {
-    GossipKind kind { GossipKind::Probe };
-    MemberUpdate sender;
-    /// Returned in the ack.
-    std::uint64_t nonce { 0 };
-    /// Whom an indirect probe is for.
-    VmName subject;
-    Endpoint subjectEndpoint;
-    std::vector<MemberUpdate> updates;
-};
-
 /// @brief A caller's request, sent on to the VM that issued its ticket.
 struct ForwardedCall {
     RequestId id;
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -228,6 +228,7 @@
 
         // Of two rows with the same state and event, the lower one's guard is asked first.
         // clang-format off
+        // NOLINTNEXTLINE(readability-identifier-naming): MSM looks for this name
         struct transition_table : boost::mpl::vector<
             //  from                event            to                  action       guard
             Row<Idle,               WantChanged,     Unread,             GiveUp,      IsWanted>,
@@ -355,7 +356,7 @@
     const auto number = step == LeaseStep::Acquire ? lastNumber + 1 : facts.number.value();
     facts.written = { facts.self, FencingNumber(number), facts.timing.duration, operation, step == LeaseStep::Release };
     remember(facts, operation, sentAt);
-    const LeaseWrite write { facts.version, facts.written };
+    LeaseWrite write { facts.version, facts.written };
     if (step == LeaseStep::Acquire)
         this->machine->process_event(SentAcquisition {});
     else if (step == LeaseStep::Renew)
