--- a/src/base/rcu_cell.cpp
+++ b/src/base/rcu_cell.cpp
@@ -26,12 +26,12 @@
 
 RcuPointer::ReadLock::~ReadLock() { urcu_memb_read_unlock(); }
 
-const void* RcuPointer::read() const { return rcu_dereference(this->pointer); }
+const void* RcuPointer::read() const { return this->pointer.load(std::memory_order_acquire); }
 
 const void* RcuPointer::exchange(const void* fresh)
 {
     const std::lock_guard guard(this->writers);
-    const void* old = rcu_xchg_pointer(&this->pointer, fresh);
+    const void* old = this->pointer.exchange(fresh, std::memory_order_acq_rel);
     urcu_memb_synchronize_rcu();
     return old;
 }
