Slots, queues, routing, ejection, retry budget and resumed generations

Cause: each VM sent what came to the backend server with the least in flight of its own; nothing bounded the number in flight, nothing was shed, a refused connection failed the request, and a broken stream lost what had been made. Now: equal slot shares by rendezvous among the VMs (near ones first, sum never above the document's limit) with what a fresh report shows unused lent out; class queues, trainers by weight inside a class, an eighth of the slots kept free while bookings come; what can't be done by its deadline is refused at once with when to come back; a few random candidates plus those that cache the prefix, weighed by load; at most a third of a pool ejected, probed back in; no work to leaving or draining backend servers, no rollouts to an engine of unknown version; streams that break off or are interrupted go on elsewhere from the tokens made. Ruled out: giving each VM the whole limit (the engine's own queue knows no classes), and charging a resumed stream to the retry budget (it repeats no token). Not shown here: resume through daemons (needs the engine stand-in's resume), measurements.

--- a/include/topaztack/node/backend_table.hpp
+++ b/include/topaztack/node/backend_table.hpp
@@ -1,51 +1,25 @@
 #pragma once
 
-#include <topaztack/node/context.hpp>
-#include <topaztack/policy/outcome.hpp>
+#include <topaztack/node/slot_pool.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
 
-#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <unordered_map>
 #include <vector>
 
 /// @file
-/// Slots at backend servers: admission, queues and the choice of the backend server.
+/// Slots at the backend servers of all pools, and what the backend servers report of themselves.
 
 namespace topaztack {
 
-struct BackendLoad {
-    std::atomic<std::uint32_t> inFlight { 0 };
-};
-
-/// @brief Counts one request in flight at a backend server for as long as it lives.
-class InFlightHold {
-public:
-    explicit InFlightHold(std::shared_ptr<BackendLoad> load)
-        : load(std::move(load))
-    {
-        this->load->inFlight.fetch_add(1, std::memory_order_relaxed);
-    }
-    ~InFlightHold()
-    {
-        if (this->load)
-            this->load->inFlight.fetch_sub(1, std::memory_order_relaxed);
-    }
-    InFlightHold(InFlightHold&&) = default;
-    InFlightHold& operator=(InFlightHold&&) = delete;
-    InFlightHold(const InFlightHold&) = delete;
-    InFlightHold& operator=(const InFlightHold&) = delete;
-
-private:
-    std::shared_ptr<BackendLoad> load;
-};
-
 /// @brief A chosen backend server and the slot held there.
 struct ChosenBackend {
     BackendSettings backend;
-    InFlightHold hold;
+    SlotHold hold;
 };
 
 /// @brief What a request asks of a pool.
@@ -54,36 +28,47 @@
     RequestClass requestClass { RequestClass::Rollout };
     /// Empty for a caller's own request.
     TrainerName trainer;
-    CallerName caller;
     TimePoint deadline;
     /// Prompt's blocks, for the prefix cache.
     std::vector<std::uint64_t> blocks;
     std::vector<BackendName> avoid;
+    bool mayUseAvoided { false };
     WeightVersion oldestVersion;
+    bool isRollout { false };
 };
 
-/// @brief Why no slot is given, and when to come back.
-struct SlotRefusal {
-    Error error;
-    std::chrono::milliseconds retryAfter { std::chrono::seconds(1) };
-};
-
-using SlotResult = boost::outcome_v2::basic_result<ChosenBackend, SlotRefusal, boost::outcome_v2::policy::terminate>;
+using SlotResult = boost::outcome_v2::basic_result<ChosenBackend, NoSlot, boost::outcome_v2::policy::terminate>;
 
 class BackendTable {
 public:
     explicit BackendTable(NodeContext& context);
 
+    /// @brief Starts to follow the document and the engines' reports, on thread 0.
+    void start();
+
     /// @brief Waits for a slot at a backend server of the pool.
     /// @return NoBackendServer, QueueFull, Overloaded or DeadlineTooShort, at once when it is decided.
     boost::asio::awaitable<SlotResult> acquire(SlotRequest request);
 
+    boost::json::value dump() const;
+
 private:
-    std::shared_ptr<BackendLoad> loadOf(const BackendName& name);
+    std::shared_ptr<SlotPool> poolOf(const PoolName& name);
+    void refreshAll();
+    std::vector<std::shared_ptr<SlotPool>> allPools() const;
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> pollEngines();
+    boost::asio::awaitable<void> pollEngine(std::shared_ptr<SlotPool> pool, BackendSettings backend);
+    boost::asio::awaitable<void> pollEvents(std::shared_ptr<SlotPool> pool, BackendSettings backend);
+    boost::asio::awaitable<void> pollVmList();
 
     NodeContext& context;
-    std::mutex lock;
-    std::map<BackendName, std::shared_ptr<BackendLoad>> loads;
+    mutable std::mutex lock;
+    std::map<PoolName, std::shared_ptr<SlotPool>> pools;
+    ConfigVersion refreshedFor;
+    /// Used on thread 0 only: where each engine's events go on, and engines with a poll under way.
+    std::unordered_map<BackendName, std::uint64_t> nextEvent;
+    std::unordered_map<BackendName, bool> isPolled;
 };
 
 } // namespace topaztack
--- a/include/topaztack/node/completion_relay.hpp
+++ b/include/topaztack/node/completion_relay.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/caller_limits.hpp>
+#include <topaztack/node/retry_desk.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/samples/version_span.hpp>
 #include <topaztack/wire/http_router.hpp>
@@ -28,6 +30,7 @@
     PoolName pool;
     RequestClass requestClass { RequestClass::Rollout };
     std::string prompt;
+    /// Tokens of the whole answer at most, `tokensBefore` included.
     std::uint64_t maxTokens { 16 };
     TimePoint deadline;
     /// For whom; empty for a caller's own completion. Trainers share a pool by weight.
@@ -53,7 +56,7 @@
     std::string finishReason;
 };
 
-/// @brief A generation that came to its end.
+/// @brief A generation that came to its end. Tokens and spans include those made before; the text does not.
 struct Generation {
     std::string text;
     std::vector<std::uint32_t> tokens;
@@ -68,6 +71,8 @@
     Outcome outcome { Outcome::Unknown };
     /// What had been made, with its spans: another engine can go on from it.
     Generation partial;
+    /// When asking again is worth while, if the request was refused.
+    std::chrono::milliseconds retryAfter { 1000 };
 };
 
 using GenerationResult
@@ -76,23 +81,32 @@
 /// @brief Called for each chunk in order; false stops the generation.
 using ChunkSink = std::function<boost::asio::awaitable<bool>(const GenerationChunk&)>;
 
+enum class AttemptEnd : std::uint8_t;
+
 class CompletionRelay {
 public:
-    CompletionRelay(NodeContext& context, BackendTable& backends);
+    CompletionRelay(NodeContext& context, BackendTable& backends, RetryDesk& retries, CallerLimits& callerLimits);
 
     void addRoutes(HttpRouter& callers);
 
-    /// @brief Generates at one engine of the pool.
+    /// @brief Generates at an engine of the pool; a stream that breaks off or is interrupted goes on at another one
+    /// without repeated or missing tokens.
     /// @param sink may be empty.
     boost::asio::awaitable<GenerationResult> generate(GenerationRequest request, ChunkSink sink);
 
 private:
+    Result<GenerationRequest> admit(const HttpExchange& exchange, const RequestId& id) const;
+    boost::asio::awaitable<bool> mayGoOn(
+        const GenerationRequest& request, AttemptEnd end, bool hasMade, std::uint32_t fruitless);
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
     boost::asio::awaitable<void> answerWhole(HttpExchange& exchange, GenerationRequest request);
     boost::asio::awaitable<void> answerStreamed(HttpExchange& exchange, GenerationRequest request);
 
     NodeContext& context;
     BackendTable& backends;
+    RetryDesk& retries;
+    CallerLimits& callerLimits;
+    Counter& resumes;
 };
 
 } // namespace topaztack
--- a/include/topaztack/node/request_path.hpp
+++ b/include/topaztack/node/request_path.hpp
@@ -5,6 +5,7 @@
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/ticket_ledger.hpp>
 #include <topaztack/wire/http.hpp>
+#include <topaztack/wire/http_server.hpp>
 
 #include <chrono>
 #include <optional>
@@ -53,6 +54,9 @@
 /// @return BadRequest if the header is not a number of milliseconds in 1..86400000.
 Result<Duration> allowedTime(const HttpRequest& request, std::chrono::microseconds poolDeadline);
 
+/// @brief Who sent a request: the name in `Topaztack-Caller`, else the address.
+CallerName callerOf(const HttpExchange& exchange);
+
 /// @brief Whether a method may be repeated by its meaning.
 bool isReadOnly(std::string_view method);
 
--- a/include/topaztack/node/service_relay.hpp
+++ b/include/topaztack/node/service_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/caller_limits.hpp>
 #include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/request_path.hpp>
@@ -18,7 +19,7 @@
 class ServiceRelay {
 public:
     ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets, ClaimDesk& claims,
-        Forwarder& forwarder, RetryDesk& retries);
+        Forwarder& forwarder, RetryDesk& retries, CallerLimits& callerLimits);
 
     void addRoutes(HttpRouter& callers);
 
@@ -37,7 +38,7 @@
     boost::asio::awaitable<HttpResponse> relay(CallInHand call);
     boost::asio::awaitable<HttpResponse> attemptAll(CallInHand call, AcceptedDocumentPtr accepted, PoolName poolName);
     boost::asio::awaitable<Attempt> attempt(
-        const CallInHand& call, const PoolSettings& pool, const ChosenBackend& chosen, RequestMachine& machine);
+        const CallInHand& call, const PoolSettings& pool, ChosenBackend& chosen, RequestMachine& machine);
     boost::asio::awaitable<HttpResponse> settleOwnKey(IdempotencyKey key, CallInHand call);
     boost::asio::awaitable<HttpResponse> answerStoreOut(RowKey row, CallInHand call);
     boost::asio::awaitable<HttpResponse> settleTicket(TicketId ticket, CallInHand call);
@@ -48,6 +49,7 @@
     ClaimDesk& claims;
     Forwarder& forwarder;
     RetryDesk& retries;
+    CallerLimits& callerLimits;
 };
 
 } // namespace topaztack
--- a/src/node/claim_desk.cpp
+++ b/src/node/claim_desk.cpp
@@ -126,7 +126,7 @@
 
 ClaimDesk::PendingPtr ClaimDesk::enqueue(const RowKey& row)
 {
-    const auto pending = std::make_shared<Pending>(this->context.threads.at(IoThreads::here()));
+    auto pending = std::make_shared<Pending>(this->context.threads.at(IoThreads::here()));
     const std::lock_guard guard(this->lock);
     if (Clock::now() < this->storeOutUntil || this->queue.size() >= mostClaimsWaiting)
         return nullptr;
--- a/src/node/completion_relay.cpp
+++ b/src/node/completion_relay.cpp
@@ -1,7 +1,10 @@
 #include <topaztack/node/completion_relay.hpp>
 
 #include <topaztack/base/log.hpp>
-#include <topaztack/node/service_relay.hpp>
+#include <topaztack/node/generation_attempt.hpp>
+#include <topaztack/node/request_path.hpp>
+#include <topaztack/policy/prefix.hpp>
+#include <topaztack/policy/request_machine.hpp>
 #include <topaztack/wire/sse.hpp>
 
 #include <boost/json.hpp>
@@ -16,24 +19,6 @@
     constexpr std::string_view streamEnd = "[DONE]";
     constexpr std::uint64_t mostTokens = 1'000'000;
 
-    Result<GenerationChunk> parseChunk(std::string_view data)
-    {
-        try {
-            const auto value = json::parse(data);
-            const auto& choice = value.at("choices").at(0);
-            GenerationChunk chunk;
-            chunk.text = json::value_to<std::string>(choice.at("text"));
-            chunk.tokens = json::value_to<std::vector<std::uint32_t>>(choice.at("token_ids"));
-            chunk.version = WeightVersion(value.at("weight_version").to_number<std::uint64_t>());
-            if (choice.at("finish_reason").is_string())
-                chunk.finishReason = json::value_to<std::string>(choice.at("finish_reason"));
-            return chunk;
-        } catch (const std::exception& problem) {
-            return makeError(
-                ErrorKind::BackendAnswerMalformed, std::string("engine's event not understood: ") + problem.what());
-        }
-    }
-
     json::array spansJson(const VersionSpans& spans)
     {
         json::array list;
@@ -86,17 +71,6 @@
         return json::serialize(event);
     }
 
-    HttpRequest engineRequest(const GenerationRequest& request)
-    {
-        HttpRequest http;
-        http.method = "POST";
-        http.target = "/v1/completions";
-        http.headers.push_back({ "Content-Type", "application/json" });
-        http.body = json::serialize(json::object { { "request_id", request.id.value() }, { "prompt", request.prompt },
-            { "max_tokens", request.maxTokens }, { "stream", true } });
-        return http;
-    }
-
     Result<GenerationRequest> parseRequest(const HttpRequest& http)
     {
         try {
@@ -126,17 +100,85 @@
         return stream && stream->is_bool() && stream->as_bool();
     }
 
-    GenerationFailure failed(const CallFailure& failure)
+    SlotRequest slotFor(const GenerationRequest& request, const std::vector<BackendName>& failedAt)
     {
-        const bool isProvedNotRun = failure.progress == AttemptProgress::NothingWritten;
-        return { failure.error, isProvedNotRun ? Outcome::NotRun : Outcome::Unknown, {} };
+        SlotRequest slot;
+        slot.pool = request.pool;
+        slot.requestClass = request.requestClass;
+        slot.trainer = request.trainer;
+        slot.deadline = request.deadline;
+        slot.blocks = prefixBlocks(request.prompt);
+        slot.avoid = request.avoid;
+        slot.avoid.insert(slot.avoid.end(), failedAt.begin(), failedAt.end());
+        slot.mayUseAvoided = request.avoid.empty();
+        slot.oldestVersion = request.oldestVersion;
+        slot.isRollout = true;
+        return slot;
+    }
+
+    RequestEvent eventOf(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::Finished:
+            return RequestEvent::Answered;
+        case AttemptEnd::Unreachable:
+            return RequestEvent::NothingWritten;
+        default:
+            return RequestEvent::AnswerLost;
+        }
+    }
+
+    void noteEnd(SlotHold& hold, const GenerationAttempt& attempt)
+    {
+        if (attempt.isLeaving)
+            hold.noteLeaving();
+        if (attempt.end == AttemptEnd::Finished)
+            hold.note(HealthSign::Answered);
+        else if (attempt.end == AttemptEnd::Unreachable)
+            hold.note(HealthSign::Unreachable);
+        else if (attempt.end == AttemptEnd::Broken)
+            hold.note(HealthSign::Failed);
+    }
+
+    /// A stream may break off after its last token: nothing is missing then.
+    bool isWhole(AttemptEnd end, Generation& whole, std::uint64_t maxTokens)
+    {
+        if (end == AttemptEnd::Finished || end == AttemptEnd::Cancelled)
+            return end == AttemptEnd::Finished;
+        if (whole.finishReason.empty() && !whole.tokens.empty() && whole.tokens.size() >= maxTokens)
+            whole.finishReason = "length";
+        return !whole.finishReason.empty();
+    }
+
+    GenerationFailure failure(Error error, Outcome outcome, Generation partial)
+    {
+        GenerationFailure made;
+        made.error = std::move(error);
+        made.outcome = outcome;
+        made.partial = std::move(partial);
+        return made;
+    }
+
+    std::shared_ptr<GenerationControl> cancelWithCaller(HttpExchange& exchange)
+    {
+        auto control = std::make_shared<GenerationControl>();
+        exchange.onCallerGone([control] {
+            control->isCancelled = true;
+            if (control->cancel)
+                control->cancel();
+        });
+        return control;
     }
 
 } // namespace
 
-CompletionRelay::CompletionRelay(NodeContext& context, BackendTable& backends)
+CompletionRelay::CompletionRelay(
+    NodeContext& context, BackendTable& backends, RetryDesk& retries, CallerLimits& callerLimits)
     : context(context)
     , backends(backends)
+    , retries(retries)
+    , callerLimits(callerLimits)
+    , resumes(context.metrics.counter("topaztack_generations_resumed_total", "Generations gone on with elsewhere"))
 {
 }
 
@@ -147,80 +189,109 @@
 
 asio::awaitable<GenerationResult> CompletionRelay::generate(GenerationRequest request, ChunkSink sink)
 {
+    Generation whole;
+    whole.tokens = request.tokensBefore;
+    whole.spans = request.spansBefore;
     const auto accepted = this->context.document();
     if (!accepted)
-        co_return GenerationFailure { makeError(ErrorKind::NotReady, "no document is in force"), Outcome::NotRun, {} };
-    SlotRequest slot;
-    slot.pool = request.pool;
-    slot.deadline = request.deadline;
-    auto chosen = co_await this->backends.acquire(std::move(slot));
-    if (!chosen)
-        co_return GenerationFailure { chosen.error().error, Outcome::NotRun, {} };
-    auto opened = co_await this->context.clients().backends.open(
-        chosen.value().backend.endpoint, engineRequest(request), request.deadline);
-    if (!opened)
-        co_return failed(opened.error());
-    const auto stream = std::move(opened).value();
-    Generation generation;
-    generation.backend = chosen.value().backend.name;
-    SseReader events;
+        co_return failure(makeError(ErrorKind::NotReady, "no document is in force"), Outcome::NotRun, std::move(whole));
+    RequestMachine machine(true);
+    std::vector<BackendName> failedAt;
+    std::uint32_t fruitless = 0;
+    this->retries.earn();
     while (true) {
-        auto piece = co_await stream->read(request.deadline);
-        if (!piece)
-            co_return failed(piece.error());
-        if (piece.value().empty())
-            co_return GenerationFailure { makeError(ErrorKind::BackendBroke, "engine ended its stream early"),
-                Outcome::Unknown };
-        events.feed(piece.value());
-        while (auto data = events.next()) {
-            if (*data == streamEnd)
-                co_return generation;
-            auto chunk = parseChunk(*data);
-            if (!chunk)
-                co_return GenerationFailure { chunk.error(), Outcome::Unknown, {} };
-            appendChunk(
-                generation.spans, chunk.value().version, static_cast<std::uint32_t>(chunk.value().tokens.size()));
-            generation.text += chunk.value().text;
-            generation.tokens.insert(generation.tokens.end(), chunk.value().tokens.begin(), chunk.value().tokens.end());
-            if (!chunk.value().finishReason.empty())
-                generation.finishReason = chunk.value().finishReason;
-            if (!sink)
-                continue;
-            const bool goesOn = co_await sink(chunk.value());
-            if (!goesOn)
-                co_return GenerationFailure { makeError(ErrorKind::SlowCaller, "caller is gone"), Outcome::Unknown,
-                    {} };
+        auto chosen = co_await this->backends.acquire(slotFor(request, failedAt));
+        if (!chosen) {
+            machine.process(RequestEvent::GivenUp);
+            auto refused = failure(std::move(chosen.error().error), machine.outcome(), std::move(whole));
+            refused.retryAfter = chosen.error().retryAfter;
+            co_return refused;
+        }
+        const auto madeBefore = whole.tokens.size();
+        whole.backend = chosen.value().backend.name;
+        machine.process(RequestEvent::AttemptStarted);
+        const auto attempt
+            = co_await attemptGeneration(this->context, chosen.value().backend.endpoint, request, sink, whole);
+        noteEnd(chosen.value().hold, attempt);
+        machine.process(eventOf(attempt.end));
+        if (isWhole(attempt.end, whole, request.maxTokens))
+            co_return whole;
+        failedAt.push_back(whole.backend);
+        const bool hasMade = whole.tokens.size() > madeBefore;
+        fruitless = hasMade ? 0 : fruitless + 1;
+        const bool goesOn = co_await this->mayGoOn(request, attempt.end, hasMade, fruitless);
+        if (!goesOn) {
+            machine.process(RequestEvent::GivenUp);
+            co_return failure(attempt.error, machine.outcome(), std::move(whole));
         }
+        logEvent(LogLevel::Info, "generation-resumed",
+            { { "request", request.id.value() }, { "from", whole.backend.value() },
+                { "tokens", std::to_string(whole.tokens.size()) } });
     }
 }
 
+/// Going on after tokens were made repeats none of them, so it is not charged to the retry budget.
+asio::awaitable<bool> CompletionRelay::mayGoOn(
+    const GenerationRequest& request, AttemptEnd end, bool hasMade, std::uint32_t fruitless)
+{
+    const bool isWanted = end != AttemptEnd::Cancelled && end != AttemptEnd::TimedOut
+        && !(request.control && request.control->isCancelled);
+    RetryFacts facts;
+    facts.attempts = fruitless + 1;
+    facts.isSafe = isWanted;
+    facts.wasFree = hasMade || end != AttemptEnd::Broken;
+    facts.remaining = request.deadline - Clock::now();
+    const bool goesOn = co_await this->retries.waitForRetry(facts);
+    if (goesOn)
+        this->resumes.add();
+    co_return goesOn && !(request.control && request.control->isCancelled);
+}
+
 asio::awaitable<void> CompletionRelay::handle(HttpExchange& exchange)
 {
     const auto id = this->context.newRequestId();
-    auto request = parseRequest(exchange.request());
-    const auto accepted = this->context.document();
-    const auto* pool = request && accepted ? findPool(accepted->document, request.value().pool) : nullptr;
+    auto request = this->admit(exchange, id);
     if (!request) {
         co_await exchange.respond(errorWithOutcome(request.error(), id, Outcome::NotRun));
-    } else if (!pool || pool->kind != PoolKind::Engine) {
-        co_await exchange.respond(
-            errorWithOutcome(makeError(ErrorKind::UnknownPool, "no engine pool `" + request.value().pool.value() + "`"),
-                id, Outcome::NotRun));
-    } else {
-        request.value().id = id;
-        request.value().deadline = Clock::now() + pool->deadline;
-        if (wantsStream(exchange.request()))
-            co_await this->answerStreamed(exchange, std::move(request).value());
-        else
-            co_await this->answerWhole(exchange, std::move(request).value());
+        co_return;
+    }
+    const auto hold = this->callerLimits.enter(request.value().caller);
+    if (!hold) {
+        co_await exchange.respond(errorWithOutcome(
+            makeError(ErrorKind::CallerLimit, "caller has too many requests in hand"), id, Outcome::NotRun));
+        co_return;
     }
+    request.value().control = cancelWithCaller(exchange);
+    if (wantsStream(exchange.request()))
+        co_await this->answerStreamed(exchange, std::move(request).value());
+    else
+        co_await this->answerWhole(exchange, std::move(request).value());
+}
+
+Result<GenerationRequest> CompletionRelay::admit(const HttpExchange& exchange, const RequestId& id) const
+{
+    const auto accepted = this->context.document();
+    if (!accepted)
+        return makeError(ErrorKind::NotReady, "no document is in force");
+    if (this->context.isDraining)
+        return makeError(ErrorKind::ShuttingDown, "this VM is leaving");
+    BOOST_OUTCOME_TRY(auto request, parseRequest(exchange.request()));
+    const auto* pool = findPool(accepted->document, request.pool);
+    if (!pool || pool->kind != PoolKind::Engine)
+        return makeError(ErrorKind::UnknownPool, "no engine pool `" + request.pool.value() + "`");
+    BOOST_OUTCOME_TRY(const auto allowed, allowedTime(exchange.request(), pool->deadline));
+    request.id = id;
+    request.caller = callerOf(exchange);
+    request.deadline = Clock::now() + allowed;
+    return request;
 }
 
 asio::awaitable<void> CompletionRelay::answerWhole(HttpExchange& exchange, GenerationRequest request)
 {
     const auto result = co_await this->generate(request, {});
     if (!result) {
-        co_await exchange.respond(errorWithOutcome(result.error().error, request.id, result.error().outcome));
+        co_await exchange.respond(
+            errorWithOutcome(result.error().error, request.id, result.error().outcome, result.error().retryAfter));
         co_return;
     }
     co_await exchange.respond(
@@ -245,7 +316,8 @@
     };
     const auto result = co_await this->generate(request, relayChunk);
     if (!result && !hasBegun) {
-        co_await exchange.respond(errorWithOutcome(result.error().error, request.id, result.error().outcome));
+        co_await exchange.respond(
+            errorWithOutcome(result.error().error, request.id, result.error().outcome, result.error().retryAfter));
         co_return;
     }
     auto text = sseEvent(lastEventData(request, result));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,6 +52,7 @@
     BackendTable backends;
     TicketDesk tickets;
     RetryDesk retries;
+    CallerLimits inHand;
     Forwarder forwarder;
     ClaimDesk claims;
     ServiceRelay services;
@@ -70,10 +71,11 @@
     , backends(this->context)
     , tickets(this->context)
     , retries(this->context)
+    , inHand(this->context)
     , forwarder(this->context, callPeer)
     , claims(this->context, this->tickets, callPeer)
-    , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries)
-    , completions(this->context, this->backends)
+    , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries, this->inHand)
+    , completions(this->context, this->backends, this->retries, this->inHand)
     , trainers(this->context, this->completions)
     , callerServer(
           this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
@@ -143,6 +145,7 @@
         { "leases", this->leases.dump() },
         { "tickets", this->tickets.dump() },
         { "claims", this->claims.dump() },
+        { "pools", this->backends.dump() },
         { "trainers", this->trainers.dump() },
         { "in_flight", this->callerServer.inFlight() },
     };
@@ -159,6 +162,7 @@
 {
     this->parts->config.start();
     this->parts->claims.start();
+    this->parts->backends.start();
     this->parts->leases.start();
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
     BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -91,6 +91,12 @@
     return Duration(std::chrono::milliseconds(milliseconds));
 }
 
+CallerName callerOf(const HttpExchange& exchange)
+{
+    const auto named = findHeader(exchange.request().headers, callerHeader);
+    return CallerName(named.empty() ? exchange.caller().address : std::string(named));
+}
+
 bool isReadOnly(std::string_view method) { return method == "GET" || method == "HEAD"; }
 
 KeptAnswerPtr toKept(const HttpResponse& response)
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -38,23 +38,29 @@
             && findHeader(response.headers, notRunHeader) == saidNotRun;
     }
 
-    CallerName callerOf(const HttpExchange& exchange)
-    {
-        const auto named = findHeader(exchange.request().headers, callerHeader);
-        return CallerName(named.empty() ? exchange.caller().address : std::string(named));
-    }
-
     SlotRequest slotFor(const CallInHand& call, const PoolName& pool, const std::vector<BackendName>& failedAt)
     {
         SlotRequest slot;
         slot.pool = pool;
         slot.requestClass = RequestClass::Booking;
-        slot.caller = call.caller;
         slot.deadline = call.deadline;
         slot.avoid = failedAt;
+        slot.mayUseAvoided = true;
         return slot;
     }
 
+    void noteAnswer(SlotHold& hold, const CallResult<HttpResponse>& answered)
+    {
+        if (!answered) {
+            const bool isUnreachable = answered.error().progress == AttemptProgress::NothingWritten;
+            hold.note(isUnreachable ? HealthSign::Unreachable : HealthSign::Failed);
+            return;
+        }
+        hold.note(HealthSign::Answered);
+        if (!findHeader(answered.value().headers, leavingHeader).empty())
+            hold.noteLeaving();
+    }
+
     /// Nobody keeps the outcome of a request for longer than its home does: asking again settles nothing.
     HttpResponse finalAnswer(HttpResponse response, Outcome outcome)
     {
@@ -66,13 +72,14 @@
 } // namespace
 
 ServiceRelay::ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets, ClaimDesk& claims,
-    Forwarder& forwarder, RetryDesk& retries)
+    Forwarder& forwarder, RetryDesk& retries, CallerLimits& callerLimits)
     : context(context)
     , backends(backends)
     , tickets(tickets)
     , claims(claims)
     , forwarder(forwarder)
     , retries(retries)
+    , callerLimits(callerLimits)
 {
 }
 
@@ -180,6 +187,10 @@
     if (!pool || pool->kind != PoolKind::Service)
         co_return errorWithOutcome(
             makeError(ErrorKind::UnknownPool, "no service pool `" + poolName.value() + "`"), call.id, Outcome::NotRun);
+    const auto hold = this->callerLimits.enter(call.caller);
+    if (!hold)
+        co_return errorWithOutcome(
+            makeError(ErrorKind::CallerLimit, "caller has too many requests in hand"), call.id, Outcome::NotRun);
     co_return co_await this->attemptAll(std::move(call), std::move(accepted), std::move(poolName));
 }
 
@@ -212,12 +223,13 @@
 }
 
 asio::awaitable<ServiceRelay::Attempt> ServiceRelay::attempt(
-    const CallInHand& call, const PoolSettings& pool, const ChosenBackend& chosen, RequestMachine& machine)
+    const CallInHand& call, const PoolSettings& pool, ChosenBackend& chosen, RequestMachine& machine)
 {
     machine.process(RequestEvent::AttemptStarted);
     auto answered = co_await this->context.clients().backends.call(
         chosen.backend.endpoint, backendRequest(call, pool.name), call.deadline);
     Attempt attempt;
+    noteAnswer(chosen.hold, answered);
     if (answered && !saysNotRun(pool, answered.value())) {
         machine.process(RequestEvent::Answered);
         attempt.response = std::move(answered).value();
--- /dev/null
+++ b/src/policy/routing.cpp
@@ -0,0 +1,175 @@
+#include <topaztack/policy/routing.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace {
+
+    constexpr std::size_t sampledServers = 4;
+    constexpr std::size_t samplingAttempts = 8;
+    /// A cached block is worth this share of a slot's load.
+    constexpr double blockWorth = 0.08;
+    /// However long the prefix, it outweighs no more load than this.
+    constexpr double mostPrefixWorth = 0.75;
+    constexpr double remoteCost = 0.25;
+
+    struct Candidate {
+        ServerIndex server { 0 };
+        double cost { 0 };
+    };
+
+    bool isUsable(const RoutingTable& table, ServerIndex index, const RouteQuery& query, TimePoint now)
+    {
+        const auto& server = table.servers[index];
+        return isEligible(server, index, query) && freeSlots(server, table.limit, now) > 0;
+    }
+
+    /// Share of the backend server's slots in use: own requests, and what others had there by the last report.
+    double loadOf(const ServerState& server, std::uint64_t limit, TimePoint now)
+    {
+        const auto own = static_cast<double>(server.inFlight);
+        const auto share = static_cast<double>(std::max<std::uint32_t>(1, server.share.slots));
+        const auto reported = static_cast<double>(server.report.running + server.report.queued);
+        const auto weight = reportWeight(server.report, now) / 2;
+        return (1 - weight) * own / share + weight * std::max(reported, own) / static_cast<double>(limit);
+    }
+
+    std::uint32_t cachedBlocks(std::span<const PrefixMatch> matches, ServerIndex server)
+    {
+        for (const auto& match : matches) {
+            if (match.server == server)
+                return match.blocks;
+        }
+        return 0;
+    }
+
+    double costOf(const RoutingTable& table, ServerIndex index, std::span<const PrefixMatch> matches, TimePoint now)
+    {
+        const auto& server = table.servers[index];
+        const auto worth = std::min(mostPrefixWorth, blockWorth * cachedBlocks(matches, index));
+        return loadOf(server, table.limit, now) + (server.isLocal ? 0 : remoteCost) - worth;
+    }
+
+    /// Random candidates, then those that cache the prompt's prefix.
+    std::vector<ServerIndex> drawCandidates(const RoutingTable& table, const RouteQuery& query,
+        std::span<const PrefixMatch> matches, TimePoint now, Random& random)
+    {
+        std::vector<ServerIndex> drawn;
+        drawn.reserve(sampledServers + mostHoldersOfBlock);
+        for (std::size_t attempt = 0; attempt < samplingAttempts && drawn.size() < sampledServers; ++attempt) {
+            const auto index = static_cast<ServerIndex>(random.below(table.servers.size()));
+            if (isUsable(table, index, query, now))
+                drawn.push_back(index);
+        }
+        for (const auto& match : matches) {
+            if (match.server < table.servers.size() && isUsable(table, match.server, query, now))
+                drawn.push_back(match.server);
+        }
+        return drawn;
+    }
+
+    /// The first usable server from a random place on, a local one if there is any.
+    std::optional<ServerIndex> scanForFree(
+        const RoutingTable& table, const RouteQuery& query, TimePoint now, Random& random)
+    {
+        const auto count = table.servers.size();
+        const auto start = random.below(count);
+        std::optional<ServerIndex> remote;
+        for (std::size_t step = 0; step < count; ++step) {
+            const auto index = static_cast<ServerIndex>((start + step) % count);
+            if (!isUsable(table, index, query, now))
+                continue;
+            if (table.servers[index].isLocal)
+                return index;
+            if (!remote)
+                remote = index;
+        }
+        return remote;
+    }
+
+    std::optional<ServerIndex> chooseWeighed(
+        const RoutingTable& table, const RouteQuery& query, TimePoint now, Random& random)
+    {
+        const auto matches = findPrefix(table.prefixes, query.blocks);
+        std::optional<Candidate> best;
+        for (const auto index : drawCandidates(table, query, matches, now, random)) {
+            const Candidate candidate { index, costOf(table, index, matches, now) };
+            if (!best || candidate.cost < best->cost)
+                best = candidate;
+        }
+        if (!best)
+            return scanForFree(table, query, now, random);
+        return best->server;
+    }
+
+    std::optional<ServerIndex> chooseLeastInFlight(const RoutingTable& table, const RouteQuery& query, TimePoint now)
+    {
+        std::optional<ServerIndex> best;
+        for (ServerIndex index = 0; index < table.servers.size(); ++index) {
+            if (isUsable(table, index, query, now)
+                && (!best || table.servers[index].inFlight < table.servers[*best].inFlight))
+                best = index;
+        }
+        return best;
+    }
+
+    std::optional<ServerIndex> chooseInTurn(RoutingTable& table, const RouteQuery& query, TimePoint now)
+    {
+        for (std::size_t step = 0; step < table.servers.size(); ++step) {
+            const auto index = static_cast<ServerIndex>(table.nextInTurn++ % table.servers.size());
+            if (isUsable(table, index, query, now))
+                return index;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<ServerIndex> chooseAtRandom(
+        const RoutingTable& table, const RouteQuery& query, TimePoint now, Random& random)
+    {
+        const auto start = random.below(table.servers.size());
+        for (std::size_t step = 0; step < table.servers.size(); ++step) {
+            const auto index = static_cast<ServerIndex>((start + step) % table.servers.size());
+            if (isUsable(table, index, query, now))
+                return index;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::uint32_t freeSlots(const ServerState& server, std::uint64_t limit, TimePoint now)
+{
+    const auto allowed = healthyAllowance(server.health, slotAllowance(server.share, limit, server.report, now), now);
+    return allowed > server.inFlight ? allowed - server.inFlight : 0;
+}
+
+bool isEligible(const ServerState& server, ServerIndex index, const RouteQuery& query)
+{
+    if (server.isDraining)
+        return false;
+    const bool takesRollouts = server.takesRollouts && server.reportsReady;
+    const bool isOld = server.version && *server.version < query.oldestVersion;
+    if (query.isRollout && (!takesRollouts || isOld))
+        return false;
+    return std::find(query.avoid.begin(), query.avoid.end(), index) == query.avoid.end();
+}
+
+std::optional<ServerIndex> chooseServer(RoutingTable& table, const RouteQuery& query, TimePoint now, Random& random)
+{
+    if (table.servers.empty())
+        return std::nullopt;
+    switch (table.rule) {
+    case RoutingRule::LeastInFlight:
+        return chooseLeastInFlight(table, query, now);
+    case RoutingRule::RoundRobin:
+        return chooseInTurn(table, query, now);
+    case RoutingRule::RandomChoice:
+        return chooseAtRandom(table, query, now, random);
+    case RoutingRule::Weighed:
+        break;
+    }
+    return chooseWeighed(table, query, now, random);
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/tests/src/policy/unit-routing.cpp
@@ -0,0 +1,232 @@
+#include <topaztack/policy/prefix.hpp>
+#include <topaztack/policy/routing.hpp>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace topaztack;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<SlotHolder> vmsOf(std::size_t count, std::size_t dataCentres)
+{
+    std::vector<SlotHolder> vms;
+    for (std::size_t index = 0; index < count; ++index)
+        vms.push_back(
+            { VmName("vm-" + std::to_string(index)), DataCentre("dc-" + std::to_string(index % dataCentres)), false });
+    return vms;
+}
+
+} // namespace
+
+TEST_GROUP(SlotShareTest) {};
+
+TEST(SlotShareTest, SharesOfAllVmsAddUpToTheLimit)
+{
+    CHECK_TRUE(rc::check("sum of shares", [](std::uint8_t vmCount, std::uint16_t someLimit, std::uint8_t which) {
+        const auto vms = vmsOf(1 + vmCount % 40, 3);
+        const std::uint64_t limit = 1 + someLimit % 64;
+        const BackendName backend("b-" + std::to_string(which));
+        std::uint64_t sum = 0;
+        for (const auto& vm : vms) {
+            const auto share = slotShare(backend, DataCentre("dc-1"), limit, vm, vms);
+            sum += share.slots;
+            RC_ASSERT(share.slots == 0 || share.slots >= std::min<std::uint64_t>(limit, leastSlotsAtBackend));
+        }
+        RC_ASSERT(sum == limit);
+    }));
+}
+
+TEST(SlotShareTest, NearVmsComeFirst)
+{
+    const auto vms = vmsOf(30, 3);
+    for (const auto& vm : vms) {
+        const auto share = slotShare(BackendName("b"), DataCentre("dc-2"), 8, vm, vms);
+        CHECK_TRUE(share.slots == 0 || vm.dataCentre == DataCentre("dc-2"));
+    }
+}
+
+TEST(SlotShareTest, LendsOnlyWhatAFreshReportShowsUnused)
+{
+    const SlotShare share { 2, 3 };
+    const TimePoint now { 1h };
+    LONGS_EQUAL(2, slotAllowance(share, 8, {}, now));
+    LONGS_EQUAL(4, slotAllowance(share, 8, { 0, 0, now, true }, now));
+    LONGS_EQUAL(2, slotAllowance(share, 8, { 0, 0, now - reportLifetime, true }, now));
+    LONGS_EQUAL(2, slotAllowance(share, 8, { 7, 1, now, true }, now));
+    LONGS_EQUAL(0, slotAllowance({ 0, 3 }, 8, { 0, 0, now, true }, now));
+}
+
+TEST_GROUP(ServerHealthTest)
+{
+    PoolHealth pool { 6, 0, 0 };
+    Random random { 3 };
+    TimePoint now { 1h };
+
+    void sign(ServerHealth & health, HealthSign what, std::chrono::microseconds took = 10ms)
+    {
+        onHealthSign(health, this->pool, what, took, this->now, this->random);
+    }
+};
+
+TEST(ServerHealthTest, FailingServerIsEjectedProbedAndTakenBack)
+{
+    ServerHealth health;
+    sign(health, HealthSign::Failed);
+    sign(health, HealthSign::Failed);
+    LONGS_EQUAL(8, healthyAllowance(health, 8, now));
+    sign(health, HealthSign::Failed);
+    LONGS_EQUAL(0, healthyAllowance(health, 8, now));
+    now = health.ejectedUntil;
+    LONGS_EQUAL(1, healthyAllowance(health, 8, now));
+    sign(health, HealthSign::Answered);
+    LONGS_EQUAL(8, healthyAllowance(health, 8, now));
+    LONGS_EQUAL(0, pool.ejected);
+}
+
+TEST(ServerHealthTest, FailedProbeEjectsForLonger)
+{
+    ServerHealth health;
+    sign(health, HealthSign::Unreachable);
+    const auto first = health.ejectedUntil - now;
+    now = health.ejectedUntil;
+    sign(health, HealthSign::Failed);
+    CHECK_TRUE(health.ejectedUntil - now > first);
+}
+
+TEST(ServerHealthTest, SlowServerIsEjected)
+{
+    std::vector<ServerHealth> servers(6);
+    for (int round = 0; round < 40; ++round) {
+        for (std::size_t index = 0; index < servers.size(); ++index)
+            sign(servers[index], HealthSign::Answered, index == 0 ? 200ms : 10ms);
+    }
+    CHECK_TRUE(servers[0].ejections > 0);
+    for (std::size_t index = 1; index < servers.size(); ++index)
+        CHECK_FALSE(servers[index].isEjected);
+}
+
+TEST(ServerHealthTest, AThirdAtMostIsOutAtOnce)
+{
+    std::vector<ServerHealth> servers(6);
+    for (auto& health : servers)
+        sign(health, HealthSign::Unreachable);
+    LONGS_EQUAL(2, pool.ejected);
+    LONGS_EQUAL(1, mostEjected(2));
+    LONGS_EQUAL(0, mostEjected(1));
+}
+
+TEST_GROUP(PrefixViewTest)
+{
+    PrefixView view;
+    std::vector<std::uint64_t> blocks = prefixBlocks(std::string(6 * prefixBlockSize, 'p'));
+};
+
+TEST(PrefixViewTest, FindsTheLongestCachedPart)
+{
+    for (std::size_t index = 0; index < 4; ++index)
+        noteStored(view, blocks[index], 7);
+    noteStored(view, blocks[0], 9);
+    const auto matches = findPrefix(view, blocks);
+    CHECK_TRUE(matches.size() == 1 && matches[0].server == 7 && matches[0].blocks == 4);
+    noteEvicted(view, blocks[3], 7);
+    CHECK_TRUE(findPrefix(view, blocks).at(0).blocks == 3);
+}
+
+TEST(PrefixViewTest, StaysWithinItsBound)
+{
+    CHECK_TRUE(rc::check("bounded", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& events) {
+        PrefixView small;
+        small.mostBlocks = 16;
+        for (const auto& [block, server] : events) {
+            if (server % 4 == 0)
+                noteEvicted(small, block, server);
+            else
+                noteStored(small, block, server);
+            RC_ASSERT(small.blocks.size() <= 16U);
+            RC_ASSERT(small.order.size() <= 64U);
+        }
+        for (const auto& [block, holders] : small.blocks)
+            RC_ASSERT(holders.servers.size() <= mostHoldersOfBlock);
+    }));
+}
+
+TEST_GROUP(RoutingTest)
+{
+    RoutingTable table;
+    Random random { 5 };
+    TimePoint now { 1h };
+
+    void setup() override
+    {
+        this->table.limit = 8;
+        this->table.servers.resize(8);
+        for (std::size_t index = 0; index < this->table.servers.size(); ++index) {
+            this->table.servers[index].isLocal = index < 4;
+            this->table.servers[index].share = { 8, 1 };
+        }
+    }
+
+    std::map<ServerIndex, int> choose(int times, const RouteQuery& query = {})
+    {
+        std::map<ServerIndex, int> counts;
+        for (int turn = 0; turn < times; ++turn)
+            ++counts[chooseServer(this->table, query, this->now, this->random).value()];
+        return counts;
+    }
+};
+
+TEST(RoutingTest, OwnDataCentreComesFirstAndSpillsOverWhenFull)
+{
+    int remote = 0;
+    for (const auto& [server, count] : choose(1000))
+        remote += server >= 4 ? count : 0;
+    CHECK_TRUE(remote < 100);
+    for (ServerIndex index = 0; index < 4; ++index)
+        table.servers[index].inFlight = 8;
+    for (const auto& [server, count] : choose(100))
+        CHECK_TRUE(server >= 4);
+}
+
+TEST(RoutingTest, PrefixDrawsUntilTheLoadOutweighsIt)
+{
+    const auto blocks = prefixBlocks(std::string(8 * prefixBlockSize, 'p'));
+    for (const auto block : blocks)
+        noteStored(table.prefixes, block, 2);
+    RouteQuery query;
+    query.blocks = blocks;
+    LONGS_EQUAL(100, choose(100, query)[2]);
+    table.servers[2].inFlight = 7;
+    CHECK_TRUE(choose(100, query)[2] < 50);
+}
+
+TEST(RoutingTest, LateReportsDoNotMakeAHerd)
+{
+    for (auto& server : table.servers) {
+        server.isLocal = true;
+        server.report = { 6, 0, now - 1s, true };
+    }
+    table.servers[5].report.running = 0;
+    CHECK_TRUE(choose(1000)[5] < 700);
+}
+
+TEST(RoutingTest, EveryRuleKeepsToSlotsAndAvoidance)
+{
+    for (const auto rule :
+        { RoutingRule::Weighed, RoutingRule::LeastInFlight, RoutingRule::RoundRobin, RoutingRule::RandomChoice }) {
+        table.rule = rule;
+        table.servers[7].inFlight = 0;
+        for (ServerIndex index = 0; index < 6; ++index)
+            table.servers[index].inFlight = 8;
+        const std::vector<ServerIndex> avoid { 6 };
+        RouteQuery query;
+        query.avoid = avoid;
+        LONGS_EQUAL(50, choose(50, query)[7]);
+        table.servers[7].inFlight = 8;
+        CHECK_FALSE(chooseServer(table, query, now, random).has_value());
+    }
+}
