Bench: play, the main job as a bounded load with an audit

Cause: the examples call `topaztack-bench play`, which did not exist, so nobody saw the main job run or its promises checked.

--- a/apps/topaztack-bench/main.cpp
+++ b/apps/topaztack-bench/main.cpp
@@ -5,7 +5,11 @@
 namespace topaztack::bench {
 
 /// One line for each experiment: `void addName(CLI::App&, std::function<int()>&);` in its own source file.
-const std::vector<AddCommand> commands {};
+void addPlay(CLI::App& app, std::function<int()>& run);
+
+const std::vector<AddCommand> commands {
+    addPlay,
+};
 
 } // namespace topaztack::bench
 
