Configuration: truth about each acceptance, polls by few VMs, status asked of each VM, operators' tokens

Cause: an accept whose answer was lost was reported as an error though it may have taken effect, the loser of a race was not told what had changed, every VM polled the whole document twice a second, a fresh VM used its static document before it had asked anyone, and everyone could change everything on the operators' port.

The loser gets the changed keys. Two VMs of a data centre, chosen from membership, poll the small version row; the others poll every 10 s in case that gossip fails them. A VM that just started asks platform and peers for up to 3 s before it uses its static document, and says which source it has. Status asks every VM and names the unreachable. Tokens carry a role and are compared in constant time; each change leaves an audit line.

--- a/apps/topaztackd/main.cpp
+++ b/apps/topaztackd/main.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <unistd.h>
 
 namespace {
 
@@ -50,6 +51,7 @@
     topaztack::openLog(identity.name.value(), identity.incarnation);
     const auto signals = blockSignals();
     topaztack::Node node(std::move(settings), identity);
+    node.onDrainRequested([] { ::kill(::getpid(), SIGTERM); });
     const auto started = node.start();
     if (!started) {
         topaztack::logEvent(
--- /dev/null
+++ b/include/topaztack/control/document_diff.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// The difference of two documents by section and key.
+
+namespace topaztack {
+
+/// @brief One key that differs. An absent value is empty; a section that appears or goes is a change of its own with
+/// an empty key.
+struct DocumentChange {
+    /// As written in the header, such as `pool lm-rollout`.
+    std::string section;
+    std::string key;
+    std::string before;
+    std::string after;
+    bool wasPresent { true };
+    bool isPresent { true };
+
+    bool operator==(const DocumentChange&) const = default;
+};
+
+/// @brief All changes from one document to another, in the order of the sections; comments and order do not count.
+/// @complexity n log n in the entries.
+std::vector<DocumentChange> diffDocuments(std::string_view before, std::string_view after);
+
+/// @brief Prints one line a change: `- [section] key = before` and `+ [section] key = after`.
+std::string toText(const std::vector<DocumentChange>& changes);
+
+/// @brief Names each changed key once, as `[section] key`, separated by commas.
+std::string changedKeys(const std::vector<DocumentChange>& changes);
+
+} // namespace topaztack
--- a/include/topaztack/node/node.hpp
+++ b/include/topaztack/node/node.hpp
@@ -3,6 +3,7 @@
 #include <topaztack/base/ids.hpp>
 #include <topaztack/control/settings.hpp>
 
+#include <functional>
 #include <memory>
 
 /// @file
@@ -18,6 +19,10 @@
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
 
+    /// @brief Sets what an operator's `POST /v1/drain` calls, on a thread of the node; it must not block. Set before
+    /// start().
+    void onDrainRequested(std::function<void()> notify);
+
     /// @brief Listens and serves.
     /// @return ErrorKind::BadSettings if an address can't be bound.
     Result<void> start();
--- /dev/null
+++ b/src/control/document_diff.cpp
@@ -0,0 +1,102 @@
+#include <topaztack/control/document_diff.hpp>
+
+#include <topaztack/base/ini.hpp>
+
+#include <map>
+#include <optional>
+
+namespace topaztack {
+
+namespace {
+
+    using Entries = std::map<std::string, std::string>;
+    using Sections = std::map<std::string, Entries>;
+
+    Sections readSections(std::string_view text)
+    {
+        std::vector<IniProblem> problems;
+        Sections sections;
+        for (const auto& section : parseIni(text, "document", problems).sections) {
+            const auto header = section.name.empty() ? section.kind : section.kind + " " + section.name;
+            auto& entries = sections[header];
+            for (const auto& entry : section.entries)
+                entries[entry.key] = entry.value;
+        }
+        return sections;
+    }
+
+    template <typename Map> auto findIn(const Map& map, const std::string& key)
+    {
+        const auto place = map.find(key);
+        return place == map.end() ? nullptr : &place->second;
+    }
+
+    template <typename Map> std::map<std::string, bool> allKeys(const Map& left, const Map& right)
+    {
+        std::map<std::string, bool> keys;
+        for (const auto& [key, value] : left)
+            keys[key] = true;
+        for (const auto& [key, value] : right)
+            keys[key] = true;
+        return keys;
+    }
+
+    void diffEntries(
+        const std::string& section, const Entries& before, const Entries& after, std::vector<DocumentChange>& changes)
+    {
+        for (const auto& [key, isThere] : allKeys(before, after)) {
+            const auto* old = findIn(before, key);
+            const auto* fresh = findIn(after, key);
+            if (old && fresh && *old == *fresh)
+                continue;
+            changes.push_back({ section, key, old ? *old : std::string {}, fresh ? *fresh : std::string {},
+                old != nullptr, fresh != nullptr });
+        }
+    }
+
+} // namespace
+
+std::vector<DocumentChange> diffDocuments(std::string_view before, std::string_view after)
+{
+    const auto old = readSections(before);
+    const auto fresh = readSections(after);
+    const Entries none;
+    std::vector<DocumentChange> changes;
+    for (const auto& [section, isThere] : allKeys(old, fresh)) {
+        const auto* oldEntries = findIn(old, section);
+        const auto* freshEntries = findIn(fresh, section);
+        if (!oldEntries || !freshEntries)
+            changes.push_back({ section, {}, {}, {}, oldEntries != nullptr, freshEntries != nullptr });
+        diffEntries(section, oldEntries ? *oldEntries : none, freshEntries ? *freshEntries : none, changes);
+    }
+    return changes;
+}
+
+std::string toText(const std::vector<DocumentChange>& changes)
+{
+    const auto line = [](char sign, const DocumentChange& change, const std::string& value) {
+        const auto entry = change.key.empty() ? std::string {} : " " + change.key + " = " + value;
+        return std::string(1, sign) + " [" + change.section + "]" + entry + "\n";
+    };
+    std::string text;
+    for (const auto& change : changes) {
+        if (change.wasPresent)
+            text += line('-', change, change.before);
+        if (change.isPresent)
+            text += line('+', change, change.after);
+    }
+    return text;
+}
+
+std::string changedKeys(const std::vector<DocumentChange>& changes)
+{
+    std::string text;
+    for (const auto& change : changes) {
+        if (change.key.empty())
+            continue;
+        text += (text.empty() ? "[" : ", [") + change.section + "] " + change.key;
+    }
+    return text;
+}
+
+} // namespace topaztack
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,11 +4,14 @@
 #include <topaztack/base/random.hpp>
 #include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/completion_relay.hpp>
+#include <topaztack/node/config_desk.hpp>
 #include <topaztack/node/config_keeper.hpp>
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/lease_keeper.hpp>
+#include <topaztack/node/operator_gate.hpp>
 #include <topaztack/node/retry_desk.hpp>
 #include <topaztack/node/service_relay.hpp>
+#include <topaztack/node/status_desk.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
 
@@ -48,6 +51,9 @@
 
     NodeContext context;
     ConfigKeeper config;
+    ConfigDesk configDesk;
+    StatusDesk statusDesk;
+    OperatorGate gate;
     LeaseKeeper leases;
     BackendTable backends;
     TicketDesk tickets;
@@ -62,11 +68,15 @@
     HttpRouter operatorRoutes;
     HttpServer callerServer;
     HttpServer operatorServer;
+    std::function<void()> drainRequested;
 };
 
 Node::Parts::Parts(VmSettings settings, VmIdentity identity)
     : context(std::move(settings), std::move(identity))
-    , config(this->context)
+    , config(this->context, callPeer)
+    , configDesk(this->context, this->config)
+    , statusDesk(this->context, this->config, callPeer)
+    , gate(this->context)
     , leases(this->context)
     , backends(this->context)
     , tickets(this->context)
@@ -84,14 +94,15 @@
     , operatorServer(
           this->context.threads, this->context.settings.operators,
           [] { return HttpServerLimits { .maxBody = operatorBodyLimit }; },
-          [this](HttpExchange& exchange) { return this->operatorRoutes.handle(exchange); }, this->context.metrics,
-          "operators")
+          [this](HttpExchange& exchange) { return this->gate.handle(exchange, this->operatorRoutes); },
+          this->context.metrics, "operators")
 {
     this->tickets.addRoutes(this->callerRoutes);
     this->services.addRoutes(this->callerRoutes);
     this->completions.addRoutes(this->callerRoutes);
     this->trainers.addRoutes(this->callerRoutes);
-    this->config.addRoutes(this->operatorRoutes);
+    this->configDesk.addRoutes(this->operatorRoutes);
+    this->statusDesk.addRoutes(this->operatorRoutes);
     this->addOperatorRoutes();
 }
 
@@ -129,6 +140,11 @@
     this->operatorRoutes.add("GET", "/metrics", [this](HttpExchange& exchange) {
         return this->answerText(exchange, "text/plain; version=0.0.4", this->context.metrics.prometheusText());
     });
+    this->operatorRoutes.add("POST", "/v1/drain", [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.respond(jsonResponse(202, R"({"draining":true})"));
+        if (this->drainRequested)
+            this->drainRequested();
+    });
     this->operatorRoutes.add("GET", "/debug/state", [this](HttpExchange& exchange) {
         return this->answerText(exchange, "application/json", json::serialize(this->dump()));
     });
@@ -158,8 +174,11 @@
 
 Node::~Node() = default;
 
+void Node::onDrainRequested(std::function<void()> notify) { this->parts->drainRequested = std::move(notify); }
+
 Result<void> Node::start()
 {
+    BOOST_OUTCOME_TRYV(this->parts->gate.start());
     this->parts->config.start();
     this->parts->claims.start();
     this->parts->backends.start();
