Callers' own keys with the table out: nobody vouches for keys that a VM now gone may have claimed

Cause: found in review. With the table out, not-run for an own key rested on every VM's word that it never saw the key. A VM's word covered its own process only: a VM that was replaced, a member that was forgotten, or a key whose answer was past its retention (10 min, while its row stands 24 h) gave a false not-run. Ruled out: reading all claims at start (84,000 rows at the budgeted rate); trusting that members are never forgotten. Conclusion: a VM vouches only while nothing happened within the rows' 24 h that could hide a claim; a process that saw the table without claims starts without doubt. Otherwise the answer is unknown, ask again. The new test of a replaced VM passes on the old code too as long as VMs have no links; it is to be seen failing once they do.

--- a/include/topaztack/node/claim_desk.hpp
+++ b/include/topaztack/node/claim_desk.hpp
@@ -4,6 +4,7 @@
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/policy/claim_batch.hpp>
+#include <topaztack/policy/claim_witness.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,7 +45,7 @@
 public:
     ClaimDesk(NodeContext& context, TicketDesk& tickets, PeerCaller caller);
 
-    /// @brief Starts to remove rows whose retention is over.
+    /// @brief Starts to look for claims of earlier processes and to remove rows whose retention is over.
     void start();
 
     /// @brief Binds a pool's key to a ticket; waits for the table service until the deadline.
@@ -55,11 +56,8 @@
     boost::asio::awaitable<KeyKnowledge> askPeers(RowKey row, TicketId& ticket, TimePoint deadline);
 
     /// @brief Answers another VM's question of `claimsPart`.
-    PartAnswer handlePart(const PartCall& call)
-    {
-        const auto ticket = this->known(RowKey(call.body));
-        return { ticket ? toText(*ticket) : std::string {} };
-    }
+    /// @return the ticket as text, nothing if this VM vouches that the key is new, or `doubtAnswer`.
+    PartAnswer handlePart(const PartCall& call);
 
     /// @brief The ticket that this VM knows a row to name; nothing if it knows none.
     std::optional<TicketId> known(const RowKey& row);
@@ -93,6 +91,9 @@
     void remember(const RowKey& row, const TicketId& ticket);
     boost::asio::awaitable<void> pauseUntil(TimePoint time);
     boost::asio::awaitable<void> cleanUp();
+    boost::asio::awaitable<void> lookForClaims();
+    boost::asio::awaitable<void> watchMembers();
+    bool vouches(const RowKey& row);
     boost::asio::awaitable<void> removeExpired(std::vector<TableRow> rows);
     boost::asio::awaitable<KeyKnowledge> askOne(Endpoint endpoint, RowKey row, TicketId& ticket, TimePoint deadline);
 
@@ -104,6 +105,7 @@
     std::deque<Claim> queue;
     std::unordered_map<std::string, Remembered> remembered;
     std::deque<std::pair<TimePoint, std::string>> expiries;
+    ClaimWitness witness { makeClaimWitness(Clock::now()) };
     bool isFlushing { false };
     TimePoint nextCommit;
     TimePoint storeOutUntil;
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -36,6 +36,7 @@
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
 #include <topaztack/policy/claim_batch.hpp>
+#include <topaztack/policy/claim_witness.hpp>
 #include <topaztack/policy/class_queue.hpp>
 #include <topaztack/policy/home.hpp>
 #include <topaztack/policy/outcome.hpp>
--- a/src/node/claim_desk.cpp
+++ b/src/node/claim_desk.cpp
@@ -29,6 +29,12 @@
     constexpr std::size_t mostPeersAsked = 64;
     constexpr auto peerAnswerTime = 300ms;
     constexpr std::size_t mostRemembered = 300'000;
+    constexpr std::string_view claimsPrefix = "claim/";
+    /// Answers a question about a key that this VM can neither name a ticket for nor vouch for.
+    constexpr std::string_view doubtAnswer = "doubt";
+    constexpr auto memberWatchInterval = 500ms;
+    constexpr auto firstLookInterval = 100ms;
+    constexpr auto longestLookInterval = 10s;
 
     StoreAnswer storeAnswer(const Result<CommitAnswer>& answer)
     {
@@ -37,6 +43,16 @@
         return answer.error().kind == ErrorKind::PlatformAmbiguous ? StoreAnswer::Ambiguous : StoreAnswer::Refused;
     }
 
+    std::vector<VmIdentity> livingMembers(const MembershipView& view)
+    {
+        std::vector<VmIdentity> living;
+        for (const auto& member : view.members) {
+            if (member.state != MemberState::Dead)
+                living.push_back(member.identity);
+        }
+        return living;
+    }
+
     std::uint32_t vmsInDataCentre(const NodeContext& context)
     {
         const auto view = context.members.load();
@@ -107,7 +123,58 @@
 {
 }
 
-void ClaimDesk::start() { asio::co_spawn(this->context.threads.at(0), this->cleanUp(), asio::detached); }
+void ClaimDesk::start()
+{
+    asio::co_spawn(this->context.threads.at(0), this->cleanUp(), asio::detached);
+    asio::co_spawn(this->context.threads.at(0), this->lookForClaims(), asio::detached);
+    asio::co_spawn(this->context.threads.at(0), this->watchMembers(), asio::detached);
+}
+
+/// A process that sees the table without claims knows that no earlier one hides any.
+asio::awaitable<void> ClaimDesk::lookForClaims()
+{
+    Random random(systemSeed());
+    std::chrono::milliseconds interval = firstLookInterval;
+    while (true) {
+        const auto rows = co_await this->context.clients().platform.scan(std::string(claimsPrefix), {}, 1);
+        if (rows && rows.value().empty()) {
+            const std::lock_guard guard(this->lock);
+            onNoClaims(this->witness);
+        }
+        if (rows)
+            co_return;
+        co_await this->pauseUntil(
+            Clock::now() + interval / 2 + std::chrono::milliseconds(random.below(interval.count())));
+        interval = std::min<std::chrono::milliseconds>(interval * 2, longestLookInterval);
+    }
+}
+
+asio::awaitable<void> ClaimDesk::watchMembers()
+{
+    while (true) {
+        const auto view = this->context.members.load();
+        if (view) {
+            const std::lock_guard guard(this->lock);
+            onMembers(this->witness, livingMembers(*view), Clock::now());
+        }
+        co_await this->pauseUntil(Clock::now() + memberWatchInterval);
+    }
+}
+
+bool ClaimDesk::vouches(const RowKey& row)
+{
+    const std::lock_guard guard(this->lock);
+    return canVouch(this->witness, stableHash(row.value()), Clock::now(), claimRetention);
+}
+
+PartAnswer ClaimDesk::handlePart(const PartCall& call)
+{
+    const RowKey row(call.body);
+    const auto ticket = this->known(row);
+    if (ticket)
+        return { toText(*ticket) };
+    return { this->vouches(row) ? std::string {} : std::string(doubtAnswer) };
+}
 
 asio::awaitable<Binding> ClaimDesk::bind(PoolName pool, IdempotencyKey key, TimePoint deadline)
 {
@@ -247,7 +314,9 @@
     const auto now = Clock::now();
     const auto until = now + (accepted ? accepted->document.limits.retention : std::chrono::microseconds(0));
     while (!this->expiries.empty() && this->expiries.front().first <= now) {
-        this->remembered.erase(this->expiries.front().second);
+        const auto& key = this->expiries.front().second;
+        this->remembered.erase(key);
+        onForgotten(this->witness, stableHash(key), now + claimRetention, now);
         this->expiries.pop_front();
     }
     if (ticket.home != this->context.identity && this->remembered.size() >= mostRemembered)
@@ -270,7 +339,7 @@
     const auto peers = peersToAsk(this->context);
     if (!peers)
         co_return KeyKnowledge::Uncertain;
-    auto knowledge = KeyKnowledge::NeverSeen;
+    auto knowledge = this->vouches(row) ? KeyKnowledge::NeverSeen : KeyKnowledge::Uncertain;
     for (const auto& peer : *peers) {
         const auto one = co_await this->askOne(peer, row, ticket, std::min(deadline, Clock::now() + peerAnswerTime));
         if (one == KeyKnowledge::Seen)
@@ -307,7 +376,7 @@
         co_await this->pauseUntil(Clock::now() + cleanUpInterval / 2 + jitter);
         if (random.below(vmCount(this->context)) != 0)
             continue;
-        auto rows = co_await this->context.clients().platform.scan("claim/", after, rowsPerCleanUp);
+        auto rows = co_await this->context.clients().platform.scan(std::string(claimsPrefix), after, rowsPerCleanUp);
         if (!rows)
             continue;
         after = rows.value().size() < rowsPerCleanUp ? std::string {} : rows.value().back().key.value();
--- a/tests/functional/test_requests_own_keys.py
+++ b/tests/functional/test_requests_own_keys.py
@@ -80,6 +80,16 @@
 class TwoVms(OwnKeyCase):
     vm_count = 2
 
+    def test_a_vm_that_was_replaced_hides_its_claims_and_nobody_vouches_for_them(self):
+        self.assertEqual(self.book("own-3", vm=0).outcome, "ran")
+        self.cluster.kill("vm-0")
+        self.start_vm(0)
+        wait_until(lambda: call(self.operators[0], "GET", "/readyz").status == 200, what="VM back")
+        self.fault(self.platform, outage="refuse")
+        for vm in (0, 1):
+            self.assertEqual(self.book("own-3", vm=vm).outcome, "unknown")
+        self.assertEqual(self.runs_of("own-3"), 1)
+
     def test_store_out_and_a_vm_lost_is_not_called_not_run(self):
         self.assertEqual(self.book("own-2", vm=0).outcome, "ran")
         self.fault(self.platform, outage="refuse")
