Messages and links between VMs: Thrift codec, calls over TCP, membership datagrams

Memory follows arriving bytes, not the claimed length. - A caller without the key was told apart only when its call timed out (20 s in the test); the greeting now says whether there is a key, so the call fails at once with NothingWritten. - PeerDesk answers document, status and members, and hands forwarded calls and parts' own messages to whom they are for; the request path's Forwarder and ClaimDesk call through it. The key file is checked at start. - Asio's and Beast's stream operations prescribe the names get_executor, async_read_some and async_write_some, so that the linter passes over these three method names as it does over Boost.MSM's. - g++ 12 evaluated both arms of a conditional inside co_await (crash on a null TlsContext); such values are now made by plain functions. TLS runs through the links but is not tested yet.

--- a/include/topaztack/node/context.hpp
+++ b/include/topaztack/node/context.hpp
@@ -9,6 +9,7 @@
 #include <topaztack/control/weight_view.hpp>
 #include <topaztack/wire/http_client.hpp>
 #include <topaztack/wire/io_threads.hpp>
+#include <topaztack/wire/peer_link.hpp>
 #include <topaztack/wire/platform_client.hpp>
 
 #include <atomic>
@@ -22,16 +23,18 @@
 
 /// @brief The clients of one thread.
 struct ThreadClients {
-    ThreadClients(boost::asio::io_context& loop, const VmSettings& settings)
+    ThreadClients(boost::asio::io_context& loop, const VmSettings& settings, const PeerKey& peerKey)
         : backends(loop)
         , platformLink(loop)
         , platform(platformLink, settings.platform, settings.platformTimeout)
+        , peers(loop, peerKey)
     {
     }
 
     HttpClient backends;
     HttpClient platformLink;
     PlatformClient platform;
+    PeerClient peers;
 };
 
 /// @brief Thread 0 runs control work (polls, leases, membership); callers are served on all threads.
@@ -52,6 +55,8 @@
 
     const VmSettings settings;
     const VmIdentity identity;
+    /// Read from the settings' file; an error keeps the node from starting.
+    const Result<PeerKey> peerKey;
     MetricsRegistry metrics;
     RcuCell<AcceptedDocument> inForce;
     /// Published by membership; empty until it has started.
--- a/include/topaztack/wire/peer_link.hpp
+++ b/include/topaztack/wire/peer_link.hpp
@@ -23,6 +23,10 @@
     std::string secret;
 };
 
+/// @brief Reads the peers' key; no file gives the empty key.
+/// @return BadSettings if the file can't be read or its key is too short.
+Result<PeerKey> readPeerKey(const std::string& file);
+
 /// @brief Calls to other VMs from one thread.
 class PeerClient {
 public:
@@ -41,16 +45,25 @@
 
 class PeerServer {
 public:
-    PeerServer(IoThreads& threads, Endpoint endpoint, PeerKey key, PeerHandler handler, MetricsRegistry& metrics,
+    PeerServer(IoThreads& threads, const Endpoint& endpoint, PeerKey key, PeerHandler handler, MetricsRegistry& metrics,
         TlsContext* tls = nullptr);
     ~PeerServer();
+    PeerServer(const PeerServer&) = delete;
+    PeerServer& operator=(const PeerServer&) = delete;
 
     /// @return ErrorKind::BadSettings if the address can't be bound.
     Result<void> start();
+
+    /// @brief Stops accepting and closes all connections; may be called on any thread.
     void stop();
 
-private:
+    /// @brief The bound port, of use when the settings say port 0.
+    std::uint16_t port() const;
+
+    /// What its connections share; defined in the source file.
     struct State;
+
+private:
     std::shared_ptr<State> state;
 };
 
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -7,10 +7,12 @@
 NodeContext::NodeContext(VmSettings settings, VmIdentity identity)
     : settings(std::move(settings))
     , identity(std::move(identity))
+    , peerKey(readPeerKey(this->settings.peerKeyFile))
     , threads(this->settings.threads)
 {
+    const auto key = this->peerKey ? this->peerKey.value() : PeerKey {};
     for (std::size_t index = 0; index < this->threads.size(); ++index)
-        this->clientsByThread.push_back(std::make_unique<ThreadClients>(this->threads.at(index), this->settings));
+        this->clientsByThread.push_back(std::make_unique<ThreadClients>(this->threads.at(index), this->settings, key));
 }
 
 OperationId NodeContext::newOperation()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,7 @@
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/lease_keeper.hpp>
 #include <topaztack/node/operator_gate.hpp>
+#include <topaztack/node/peer_desk.hpp>
 #include <topaztack/node/retry_desk.hpp>
 #include <topaztack/node/service_relay.hpp>
 #include <topaztack/node/status_desk.hpp>
@@ -33,10 +34,12 @@
     constexpr auto drainCheckInterval = 10ms;
     constexpr std::size_t operatorBodyLimit = 4 * 1024 * 1024;
 
-    asio::awaitable<CallResult<PeerAnswer>> callPeer(Endpoint endpoint, PeerCall /*call*/, TimePoint /*deadline*/)
+    /// Calls to other VMs from whichever thread asks.
+    PeerCaller callerOf(NodeContext& context)
     {
-        co_return CallFailure { makeError(ErrorKind::PeerUnreachable, "no link to " + toText(endpoint)),
-            AttemptProgress::NothingWritten };
+        return [&context](Endpoint endpoint, PeerCall call, TimePoint deadline) {
+            return context.clients().peers.call(std::move(endpoint), std::move(call), deadline);
+        };
     }
 
 } // namespace
@@ -44,6 +47,7 @@
 struct Node::Parts {
     Parts(VmSettings settings, VmIdentity identity);
 
+    void addPeerHandlers();
     void addOperatorRoutes();
     asio::awaitable<void> answerText(HttpExchange& exchange, std::string contentType, std::string body);
     json::value dump() const;
@@ -64,29 +68,32 @@
     ServiceRelay services;
     CompletionRelay completions;
     TrainerDesk trainers;
+    PeerDesk peers;
     HttpRouter callerRoutes;
     HttpRouter operatorRoutes;
     HttpServer callerServer;
     HttpServer operatorServer;
     std::function<void()> drainRequested;
+    PeerServer peerServer;
 };
 
 Node::Parts::Parts(VmSettings settings, VmIdentity identity)
     : context(std::move(settings), std::move(identity))
-    , config(this->context, callPeer)
+    , config(this->context, callerOf(this->context))
     , configDesk(this->context, this->config)
-    , statusDesk(this->context, this->config, callPeer)
+    , statusDesk(this->context, this->config, callerOf(this->context))
     , gate(this->context)
     , leases(this->context)
     , backends(this->context)
     , tickets(this->context)
     , retries(this->context)
     , inHand(this->context)
-    , forwarder(this->context, callPeer)
-    , claims(this->context, this->tickets, callPeer)
+    , forwarder(this->context, callerOf(this->context))
+    , claims(this->context, this->tickets, callerOf(this->context))
     , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries, this->inHand)
     , completions(this->context, this->backends, this->retries, this->inHand)
     , trainers(this->context, this->completions)
+    , peers(this->context)
     , callerServer(
           this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
           [this](HttpExchange& exchange) { return this->callerRoutes.handle(exchange); }, this->context.metrics,
@@ -96,7 +103,12 @@
           [] { return HttpServerLimits { .maxBody = operatorBodyLimit }; },
           [this](HttpExchange& exchange) { return this->gate.handle(exchange, this->operatorRoutes); },
           this->context.metrics, "operators")
+    , peerServer(
+          this->context.threads, this->context.settings.peers,
+          this->context.peerKey ? this->context.peerKey.value() : PeerKey {},
+          [this](PeerCall call) { return this->peers.answer(std::move(call)); }, this->context.metrics)
 {
+    this->addPeerHandlers();
     this->tickets.addRoutes(this->callerRoutes);
     this->services.addRoutes(this->callerRoutes);
     this->completions.addRoutes(this->callerRoutes);
@@ -126,6 +138,16 @@
     co_await exchange.respond(std::move(response));
 }
 
+void Node::Parts::addPeerHandlers()
+{
+    this->peers.onForwarded([this](ForwardedCall call) -> asio::awaitable<PeerAnswer> {
+        auto response = co_await this->services.handleForwarded(std::move(call));
+        co_return ForwardedAnswer { std::move(response) };
+    });
+    this->peers.onPart(std::string(claimsPart),
+        [this](PartCall call) -> asio::awaitable<PeerAnswer> { co_return this->claims.handlePart(call); });
+}
+
 void Node::Parts::addOperatorRoutes()
 {
     this->operatorRoutes.add("GET", "/healthz",
@@ -179,12 +201,15 @@
 Result<void> Node::start()
 {
     BOOST_OUTCOME_TRYV(this->parts->gate.start());
+    if (!this->parts->context.peerKey)
+        return this->parts->context.peerKey.error();
     this->parts->config.start();
     this->parts->claims.start();
     this->parts->backends.start();
     this->parts->leases.start();
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
     BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
+    BOOST_OUTCOME_TRYV(this->parts->peerServer.start());
     this->parts->context.threads.start();
     logEvent(LogLevel::Info, "serving",
         { { "callers", toText(this->parts->context.settings.callers) },
@@ -206,6 +231,7 @@
     asio::co_spawn(context.threads.at(0), this->parts->leases.releaseAll(), asio::use_future).wait();
     logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(this->parts->callerServer.inFlight()) } });
     this->parts->operatorServer.stopAccepting();
+    this->parts->peerServer.stop();
     context.threads.stop();
 }
 
