Membership runs: gossip over UDP, view published, documents fetched from the VM that speaks of a newer one

Cause: decisions and socket stood apart, so NodeContext::members stayed empty, every VM polled the platform, and a VM cut off from the platform could not learn a new document.

A graceful shutdown says that it leaves first.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,6 +8,7 @@
 #include <topaztack/node/config_keeper.hpp>
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/lease_keeper.hpp>
+#include <topaztack/node/member_agent.hpp>
 #include <topaztack/node/operator_gate.hpp>
 #include <topaztack/node/peer_desk.hpp>
 #include <topaztack/node/retry_desk.hpp>
@@ -75,6 +76,7 @@
     HttpServer operatorServer;
     std::function<void()> drainRequested;
     PeerServer peerServer;
+    MemberAgent members;
 };
 
 Node::Parts::Parts(VmSettings settings, VmIdentity identity)
@@ -107,6 +109,7 @@
           this->context.threads, this->context.settings.peers,
           this->context.peerKey ? this->context.peerKey.value() : PeerKey {},
           [this](PeerCall call) { return this->peers.answer(std::move(call)); }, this->context.metrics)
+    , members(this->context, this->config, this->context.peerKey ? this->context.peerKey.value() : PeerKey {})
 {
     this->addPeerHandlers();
     this->tickets.addRoutes(this->callerRoutes);
@@ -181,6 +184,7 @@
         { "draining", this->context.isDraining.load() },
         { "config", this->config.dump() },
         { "leases", this->leases.dump() },
+        { "members", this->members.dump() },
         { "tickets", this->tickets.dump() },
         { "claims", this->claims.dump() },
         { "pools", this->backends.dump() },
@@ -210,6 +214,7 @@
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
     BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
     BOOST_OUTCOME_TRYV(this->parts->peerServer.start());
+    BOOST_OUTCOME_TRYV(this->parts->members.start());
     this->parts->context.threads.start();
     logEvent(LogLevel::Info, "serving",
         { { "callers", toText(this->parts->context.settings.callers) },
@@ -221,6 +226,7 @@
 {
     auto& context = this->parts->context;
     context.isDraining = true;
+    asio::co_spawn(context.threads.at(0), this->parts->members.leave(), asio::use_future).wait();
     this->parts->callerServer.stopAccepting();
     const auto accepted = context.document();
     const auto drainTime = accepted ? std::chrono::microseconds(accepted->document.limits.drainTime)
@@ -232,6 +238,7 @@
     logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(this->parts->callerServer.inFlight()) } });
     this->parts->operatorServer.stopAccepting();
     this->parts->peerServer.stop();
+    this->parts->members.stop();
     context.threads.stop();
 }
 
