Engine stand-in with slots, prefix cache, swaps and faults; weight store stand-in

Cause: routing, swaps, labels and resumption must be proved against an engine that batches, caches, lags, lies and fails as the users' do; the thin stand-in only made tokens. The trainer stand-in is not done.

--- a/apps/topaztack-standin/standin.hpp
+++ b/apps/topaztack-standin/standin.hpp
@@ -43,11 +43,22 @@
 int runPlatform(const StandinOptions& options);
 int runService(const StandinOptions& options);
 
+int runWeights(const StandinOptions& options);
+
 struct EngineOptions {
     std::string address;
+    boost::json::object faults;
     std::uint64_t slots { 8 };
     std::chrono::microseconds tokenTime { 0 };
+    /// Time to take in one block of a prompt that isn't cached.
+    std::chrono::microseconds prefillTime { 0 };
+    std::chrono::microseconds swapTime { 0 };
+    std::uint64_t cacheBlocks { 4096 };
     std::uint64_t version { 1 };
+    /// Takes orders whatever their fencing number.
+    bool ignoresFencing { false };
+    /// Weights are fetched there; port 0 for none.
+    Endpoint weightStore;
 };
 
 int runEngine(const EngineOptions& options);
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -15,6 +15,6 @@
 
 topaztack_program(topaztackd DEPENDS topaztack-node)
 topaztack_program(topaztack DEPENDS topaztack-wire)
-topaztack_program(topaztack-standin DEPENDS topaztack-wire)
+topaztack_program(topaztack-standin DEPENDS topaztack-wire topaztack-policy)
 topaztack_program(topaztack-bench DEPENDS topaztack-node)
 topaztack_program(topaztack-console DEPENDS topaztack-wire)
