Samples: a ledger in the table service, delivered exactly once by sequence number

Cause: samples lived in the memory of the VM that got the POST, so a killed VM lost them, another VM could not deliver them, and nothing bounded their age.

Now one row a trainer holds the wanted groups, a mark a slot, the sequence and the cursor. Each change is a pure function of the row, applied by a conditional commit that is safe to apply again: a commit whose answer was lost is read back and repeated on the new version, where it changes nothing if it took effect (batches are known by the object key, which carries an operation id). Payloads are one object a commit. A sample found stale before it is handed out is withdrawn and its slot opened; once handed out it stays, since taking it back could double a slot that had arrived.

Ruled out: one row a sample (5 x 1,024 writes a step against a budget of 100/s); remembering hand-outs apart from the sequence (a mark up to which all was handed out says the same); withdrawing stale samples after hand-out (see above).

Also in: the pure parts of slot planning and of the weight rollout, the posting of versions, and the roller that gives orders. The holder of the lease trainer/NAME collects, the holder of weights/POOL orders.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -68,6 +68,9 @@
     ClaimDesk claims;
     ServiceRelay services;
     CompletionRelay completions;
+    LedgerStore ledgers;
+    WeightRoller weights;
+    SampleCollector samples;
     TrainerDesk trainers;
     PeerDesk peers;
     HttpRouter callerRoutes;
@@ -94,7 +97,10 @@
     , claims(this->context, this->tickets, callerOf(this->context))
     , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries, this->inHand)
     , completions(this->context, this->backends, this->retries, this->inHand)
-    , trainers(this->context, this->completions)
+    , ledgers(this->context)
+    , weights(this->context, this->leases)
+    , samples(this->context, this->completions, this->ledgers, this->leases)
+    , trainers(this->context, this->ledgers, this->samples, this->weights)
     , peers(this->context)
     , callerServer(
           this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
@@ -189,6 +195,7 @@
         { "claims", this->claims.dump() },
         { "pools", this->backends.dump() },
         { "trainers", this->trainers.dump() },
+        { "weights", this->weights.dump() },
         { "in_flight", this->callerServer.inFlight() },
     };
 }
@@ -211,6 +218,8 @@
     this->parts->claims.start();
     this->parts->backends.start();
     this->parts->leases.start();
+    this->parts->samples.start();
+    this->parts->weights.start();
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
     BOOST_OUTCOME_TRYV(this->parts->operatorServer.start());
     BOOST_OUTCOME_TRYV(this->parts->peerServer.start());
--- a/src/node/trainer_desk.cpp
+++ b/src/node/trainer_desk.cpp
@@ -1,22 +1,27 @@
 #include <topaztack/node/trainer_desk.hpp>
 
-#include <topaztack/base/log.hpp>
 #include <topaztack/node/service_relay.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace topaztack {
 
 namespace json = boost::json;
 namespace asio = boost::asio;
+using namespace std::chrono_literals;
 
 namespace {
 
     constexpr std::uint64_t mostSamplesAtOnce = 1000;
+    constexpr std::uint64_t mostGroups = 65536;
+    constexpr std::uint64_t mostSamplesOfGroup = 4096;
+    constexpr std::uint64_t longestWaitMs = 60'000;
+    constexpr auto pollInterval = 100ms;
+    constexpr auto storePatience = 2s;
 
     std::uint64_t numberParameter(std::string_view target, std::string_view name, std::uint64_t fallback)
     {
@@ -26,36 +31,118 @@
         return number;
     }
 
-    std::string slotsBody(std::uint64_t slots) { return json::serialize(json::object { { "slots", slots } }); }
+    struct GroupsPost {
+        StepNumber step;
+        std::vector<PostedGroup> groups;
+    };
 
-    std::string samplesBody(json::array samples)
+    PostedGroup readGroup(const json::value& value)
     {
-        json::object body;
-        body["samples"] = std::move(samples);
-        return json::serialize(body);
+        PostedGroup group;
+        group.id = GroupId(json::value_to<std::string>(value.at("id")));
+        group.prompt = json::value_to<std::string>(value.at("prompt"));
+        group.samples = value.at("samples").to_number<std::uint32_t>();
+        return group;
     }
 
-    json::object sampleJson(const DeliveredSample& sample)
+    Result<GroupsPost> parseGroups(std::string_view body)
     {
-        json::array spans;
-        for (const auto& span : sample.generation.spans)
-            spans.push_back({ { "version", span.version.value() }, { "from", span.from }, { "to", span.to } });
-        return {
-            { "seq", sample.sequence.value() },
-            { "step", sample.step.value() },
-            { "group", sample.group.value() },
-            { "index", sample.index.value() },
-            { "text", sample.generation.text },
-            { "token_ids", json::value_from(sample.generation.tokens) },
-            { "weight_versions", std::move(spans) },
-        };
+        GroupsPost post;
+        try {
+            const auto value = json::parse(body);
+            post.step = StepNumber(value.at("step").to_number<std::uint64_t>());
+            for (const auto& group : value.at("groups").as_array())
+                post.groups.push_back(readGroup(group));
+        } catch (const std::exception& problem) {
+            return makeError(ErrorKind::BadRequest, std::string("groups not understood: ") + problem.what(),
+                "send {\"step\", \"groups\": [{\"id\", \"prompt\", \"samples\"}]}");
+        }
+        std::set<GroupId> ids;
+        for (const auto& group : post.groups) {
+            if (!ids.insert(group.id).second)
+                return makeError(ErrorKind::BadRequest, "group `" + group.id.value() + "` is given twice");
+            if (group.samples == 0 || group.samples > mostSamplesOfGroup)
+                return makeError(ErrorKind::BadRequest, "samples of group `" + group.id.value() + "` not in 1..4096");
+        }
+        if (post.groups.empty() || post.groups.size() > mostGroups)
+            return makeError(ErrorKind::BadRequest, "number of groups not in 1..65536");
+        return post;
+    }
+
+    Result<WeightVersion> parseVersion(std::string_view body)
+    {
+        try {
+            const WeightVersion version(json::parse(body).at("version").to_number<std::uint64_t>());
+            if (version.value() > 0)
+                return version;
+        } catch (const std::exception& problem) {
+            return makeError(ErrorKind::BadRequest, std::string("version not understood: ") + problem.what(),
+                "send {\"version\": V}, a whole number above 0");
+        }
+        return makeError(ErrorKind::BadRequest, "version is 0", "send {\"version\": V}, a whole number above 0");
+    }
+
+    /// Whether a trainer's call that failed with this error may have taken effect all the same.
+    Outcome outcomeOf(const Error& error)
+    {
+        return error.kind == ErrorKind::PlatformAmbiguous ? Outcome::Unknown : Outcome::NotRun;
+    }
+
+    HttpResponse toAnswer(const Result<std::string>& body, unsigned status, const RequestId& id)
+    {
+        if (!body)
+            return errorWithOutcome(body.error(), id, outcomeOf(body.error()));
+        return withOutcome(jsonResponse(status, body.value()), Outcome::Ran);
+    }
+
+    std::string stepBody(const Ledger& ledger, StepNumber step)
+    {
+        const auto missing = missingSlots(ledger, step);
+        json::array slots;
+        for (const auto& [slot, refusal] : missing)
+            slots.push_back(json::object {
+                { "group", slot.group.value() }, { "index", slot.index.value() }, { "reason", refusalName(refusal) } });
+        std::size_t wanted = 0;
+        for (const auto& [id, group] : ledger.steps.at(step))
+            wanted += group.filled.size();
+        return json::serialize(json::object { { "step", step.value() }, { "whole", missing.empty() },
+            { "wanted", wanted }, { "filled", wanted - missing.size() }, { "missing", std::move(slots) } });
+    }
+
+    Result<std::string> describeStep(const Ledger& ledger, StepNumber step)
+    {
+        if (ledger.steps.contains(step))
+            return stepBody(ledger, step);
+        if (step < ledger.lowestStep)
+            return json::serialize(json::object {
+                { "step", step.value() }, { "whole", true }, { "missing", json::array {} }, { "forgotten", true } });
+        return makeError(ErrorKind::BadRequest, "no groups of step " + std::to_string(step.value()) + " were posted",
+            "post the step's groups first");
+    }
+
+    std::string sampleText(const HandedSample& sample, const json::value& payload)
+    {
+        auto text = json::serialize(payload);
+        text.insert(1, "\"seq\":" + std::to_string(sample.entry.sequence.value()) + ",");
+        return text;
+    }
+
+    Result<json::array> parseObject(const std::string& text)
+    {
+        boost::system::error_code problem;
+        auto value = json::parse(text, problem);
+        if (problem || !value.is_array())
+            return makeError(ErrorKind::Internal, "object of samples not understood");
+        return std::move(value.as_array());
     }
 
 } // namespace
 
-TrainerDesk::TrainerDesk(NodeContext& context, CompletionRelay& completions)
+TrainerDesk::TrainerDesk(NodeContext& context, LedgerStore& ledgers, SampleCollector& collector, WeightRoller& roller)
     : context(context)
-    , completions(completions)
+    , ledgers(ledgers)
+    , collector(collector)
+    , roller(roller)
 {
 }
 
@@ -65,90 +152,232 @@
         "POST", "/v1/trainers/{}/groups", [this](HttpExchange& exchange) { return this->handleGroups(exchange); });
     callers.add(
         "GET", "/v1/trainers/{}/samples", [this](HttpExchange& exchange) { return this->handleSamples(exchange); });
+    callers.add(
+        "POST", "/v1/trainers/{}/versions", [this](HttpExchange& exchange) { return this->handleVersions(exchange); });
+    callers.add(
+        "GET", "/v1/trainers/{}/steps/{}", [this](HttpExchange& exchange) { return this->handleStep(exchange); });
 }
 
-asio::awaitable<void> TrainerDesk::handleGroups(HttpExchange& exchange)
+Result<TrainerSettings> TrainerDesk::trainerOf(const HttpExchange& exchange) const
 {
-    const auto id = this->context.newRequestId();
     const auto accepted = this->context.document();
+    if (!accepted)
+        return makeError(ErrorKind::NotReady, "no document is in force");
     const TrainerName name(std::string(pathSegment(targetPath(exchange.request().target), 2)));
-    const auto* trainer = accepted ? findTrainer(accepted->document, name) : nullptr;
-    if (!trainer) {
-        co_await exchange.respond(errorWithOutcome(
-            makeError(ErrorKind::UnknownTrainer, "no trainer `" + name.value() + "`"), id, Outcome::NotRun));
-        co_return;
+    const auto* trainer = findTrainer(accepted->document, name);
+    if (!trainer)
+        return makeError(ErrorKind::UnknownTrainer, "no trainer `" + name.value() + "`");
+    return *trainer;
+}
+
+asio::awaitable<void> TrainerDesk::handleGroups(HttpExchange& exchange)
+{
+    const auto id = this->context.newRequestId();
+    const auto trainer = this->trainerOf(exchange);
+    Result<std::string> answer = trainer ? Result<std::string>(std::string()) : trainer.error();
+    if (trainer)
+        answer = co_await this->postGroups(trainer.value().name, exchange.request().body);
+    co_await exchange.respond(toAnswer(answer, 202, id));
+}
+
+asio::awaitable<Result<std::string>> TrainerDesk::postGroups(TrainerName trainer, std::string body)
+{
+    auto post = parseGroups(body);
+    if (!post)
+        co_return std::move(post).error();
+    const auto giveUp = Clock::now() + storePatience;
+    const auto prompts = this->ledgers.newObject("prompts", trainer);
+    auto stored = co_await this->ledgers.put(prompts, encodePrompts(post.value().groups), giveUp);
+    if (!stored) {
+        // The object alone has no effect: no ledger names it.
+        co_return makeError(ErrorKind::PlatformUnreachable, stored.error().message);
     }
     std::uint64_t slots = 0;
-    std::string wrong;
-    try {
-        const auto body = json::parse(exchange.request().body);
-        const StepNumber step(body.at("step").to_number<std::uint64_t>());
-        for (const auto& group : body.at("groups").as_array()) {
-            const auto samples = group.at("samples").to_number<std::uint32_t>();
-            for (std::uint32_t index = 0; index < samples; ++index) {
-                GenerationRequest request;
-                request.id = this->context.newRequestId();
-                request.pool = trainer->pool;
-                request.prompt = json::value_to<std::string>(group.at("prompt"));
-                request.maxTokens = trainer->maxTokens;
-                request.deadline = Clock::now() + std::chrono::minutes(21);
-                DeliveredSample slot;
-                slot.step = step;
-                slot.group = GroupId(json::value_to<std::string>(group.at("id")));
-                slot.index = SampleIndex(index);
-                asio::co_spawn(this->context.threads.at(IoThreads::here()),
-                    this->fillSlot(name, std::move(slot), std::move(request)), asio::detached);
-                ++slots;
-            }
-        }
-    } catch (const std::exception& problem) {
-        wrong = problem.what();
-    }
-    if (!wrong.empty())
-        co_await exchange.respond(
-            errorWithOutcome(makeError(ErrorKind::BadRequest, "groups not understood: " + wrong), id, Outcome::NotRun));
-    else
-        co_await exchange.respond(withOutcome(jsonResponse(202, slotsBody(slots)), Outcome::Ran));
+    for (const auto& group : post.value().groups)
+        slots += group.samples;
+    LedgerChange change = [post = std::move(post).value(), prompts](Ledger& ledger) -> Result<bool> {
+        auto wanted = topaztack::postGroups(ledger, post.step, post.groups, prompts);
+        if (!wanted)
+            return std::move(wanted).error();
+        return wanted.value() > 0;
+    };
+    auto copy = co_await this->ledgers.update(trainer, std::move(change), std::nullopt, giveUp);
+    if (!copy)
+        co_return std::move(copy).error();
+    this->collector.wake(trainer);
+    co_return "{\"slots\":" + std::to_string(slots) + "}";
 }
 
-asio::awaitable<void> TrainerDesk::fillSlot(TrainerName trainer, DeliveredSample slot, GenerationRequest request)
+asio::awaitable<void> TrainerDesk::handleVersions(HttpExchange& exchange)
 {
-    auto result = co_await this->completions.generate(std::move(request), {});
-    if (!result) {
-        logEvent(LogLevel::Warning, "sample-failed",
-            { { "trainer", trainer.value() }, { "error", toText(result.error().error) } });
-        co_return;
+    const auto id = this->context.newRequestId();
+    const auto trainer = this->trainerOf(exchange);
+    Result<std::string> answer = trainer ? Result<std::string>(std::string()) : trainer.error();
+    if (trainer)
+        answer = co_await this->postVersion(trainer.value(), exchange.request().body);
+    co_await exchange.respond(toAnswer(answer, 202, id));
+}
+
+asio::awaitable<Result<std::string>> TrainerDesk::postVersion(TrainerSettings trainer, std::string body)
+{
+    const auto version = parseVersion(body);
+    if (!version)
+        co_return version.error();
+    const auto giveUp = Clock::now() + storePatience;
+    LedgerChange change = [version = version.value(), now = WallClock::now()](
+                              Ledger& ledger) { return topaztack::postVersion(ledger, version, now); };
+    auto copy = co_await this->ledgers.update(trainer.name, std::move(change), std::nullopt, giveUp);
+    if (!copy)
+        co_return std::move(copy).error();
+    this->collector.wake(trainer.name);
+    const auto wanted = co_await this->roller.want(trainer.pool, version.value(), giveUp);
+    // The trainer's part stands already: the call has taken effect in part, and a repeat completes it.
+    if (!wanted)
+        co_return makeError(ErrorKind::PlatformAmbiguous, wanted.error().message, "post the same version again");
+    co_return "{\"version\":" + std::to_string(version.value().value()) + "}";
+}
+
+asio::awaitable<void> TrainerDesk::handleStep(HttpExchange& exchange)
+{
+    const auto id = this->context.newRequestId();
+    const auto trainer = this->trainerOf(exchange);
+    const auto segment = pathSegment(targetPath(exchange.request().target), 4);
+    std::uint64_t number = 0;
+    const auto [end, problem] = std::from_chars(segment.data(), segment.data() + segment.size(), number);
+    Result<std::string> answer = trainer ? Result<std::string>(std::string()) : trainer.error();
+    if (trainer && (problem != std::errc() || end != segment.data() + segment.size())) {
+        answer = makeError(ErrorKind::BadRequest, "`" + std::string(segment) + "` is no step number");
+    } else if (trainer) {
+        auto copy = co_await this->ledgers.read(trainer.value().name);
+        answer = copy ? describeStep(copy.value().ledger, StepNumber(number)) : Result<std::string>(copy.error());
     }
-    slot.generation = std::move(result).value();
-    const std::lock_guard guard(this->lock);
-    auto& list = this->delivered[trainer];
-    slot.sequence = SequenceNumber(list.size() + 1);
-    list.push_back(std::move(slot));
+    co_await exchange.respond(toAnswer(answer, 200, id));
 }
 
 asio::awaitable<void> TrainerDesk::handleSamples(HttpExchange& exchange)
 {
-    const auto& target = exchange.request().target;
-    const TrainerName name(std::string(pathSegment(targetPath(target), 2)));
-    const auto after = numberParameter(target, "after", 0);
-    const auto most = std::min(numberParameter(target, "max", mostSamplesAtOnce), mostSamplesAtOnce);
-    json::array samples;
-    {
-        const std::lock_guard guard(this->lock);
-        const auto& list = this->delivered[name];
-        for (std::uint64_t place = after; place < list.size() && samples.size() < most; ++place)
-            samples.push_back(sampleJson(list[place]));
+    const auto id = this->context.newRequestId();
+    const auto trainer = this->trainerOf(exchange);
+    Result<std::string> answer = trainer ? Result<std::string>(std::string()) : trainer.error();
+    if (trainer) {
+        auto handedOut = co_await this->takeSamples(trainer.value(), exchange.request().target);
+        if (handedOut)
+            answer = co_await this->loadSamples(std::move(handedOut).value());
+        else
+            answer = std::move(handedOut).error();
+    }
+    co_await exchange.respond(toAnswer(answer, 200, id));
+}
+
+asio::awaitable<Result<HandOut>> TrainerDesk::takeSamples(TrainerSettings trainer, std::string target)
+{
+    const SequenceNumber after(numberParameter(target, "after", 0));
+    const auto most
+        = std::clamp<std::uint64_t>(numberParameter(target, "max", mostSamplesAtOnce), 1, mostSamplesAtOnce);
+    const auto waitMs = std::min(numberParameter(target, "wait_ms", 0), longestWaitMs);
+    const auto begun = Clock::now();
+    const auto end = begun + std::chrono::milliseconds(waitMs);
+    FreshnessBound bound;
+    bound.versions = trainer.stalenessBound;
+    bound.age = trainer.stalenessTime;
+    auto handedOut = std::make_shared<HandOut>();
+    while (true) {
+        LedgerChange change = [handedOut, after, most, bound, now = WallClock::now()](Ledger& ledger) -> Result<bool> {
+            auto result = topaztack::handOut(ledger, after, most, bound, now);
+            if (!result)
+                return std::move(result).error();
+            *handedOut = std::move(result).value();
+            return handedOut->isChanged;
+        };
+        auto copy = co_await this->ledgers.update(
+            trainer.name, std::move(change), std::nullopt, Clock::now() + storePatience);
+        if (!copy)
+            co_return std::move(copy).error();
+        if (!handedOut->samples.empty())
+            this->countDelivery(trainer.name, *handedOut, copy.value().ledger);
+        const bool isWhole = !currentStep(copy.value().ledger).has_value();
+        if (!isWhole && handedOut->samples.empty())
+            this->countIdle(trainer.name, std::min<Duration>(pollInterval, end - Clock::now()));
+        if (!handedOut->samples.empty() || Clock::now() >= end)
+            co_return std::move(*handedOut);
+        co_await waitFor(this->context, pollInterval);
     }
-    co_await exchange.respond(withOutcome(jsonResponse(200, samplesBody(std::move(samples))), Outcome::Ran));
+}
+
+asio::awaitable<Result<std::string>> TrainerDesk::loadSamples(HandOut handOut)
+{
+    std::string body = "{\"samples\":[";
+    ObjectKey loaded;
+    json::array payloads;
+    for (const auto& sample : handOut.samples) {
+        if (loaded != sample.object) {
+            auto text = co_await this->ledgers.get(sample.object, Clock::now() + storePatience);
+            if (!text)
+                co_return makeError(
+                    ErrorKind::PlatformUnreachable, text.error().message, "ask again with the same `after`");
+            auto parsed = parseObject(text.value());
+            if (!parsed)
+                co_return std::move(parsed).error();
+            payloads = std::move(parsed).value();
+            loaded = sample.object;
+        }
+        if (sample.entry.place >= payloads.size())
+            co_return makeError(ErrorKind::Internal, "object `" + sample.object.value() + "` lacks a sample");
+        body += (body.back() == '[' ? "" : ",") + sampleText(sample, payloads[sample.entry.place]);
+    }
+    co_return body + "]}";
+}
+
+void TrainerDesk::countDelivery(const TrainerName& trainer, const HandOut& handOut, const Ledger& ledger)
+{
+    const std::lock_guard guard(this->lock);
+    auto& totals = this->totals[trainer];
+    totals.withdrawn = ledger.withdrawn;
+    for (const auto& sample : handOut.samples) {
+        if (sample.entry.sequence <= handOut.handedBefore)
+            continue;
+        const auto newest = ledger.newest.value();
+        const auto oldest = sample.entry.oldest.value();
+        const auto lag = newest > oldest ? newest - oldest : 0;
+        totals.lagSum += lag;
+        totals.lagMost = std::max(totals.lagMost, lag);
+        ++totals.delivered;
+    }
+    this->context.metrics
+        .counter("topaztack_samples_delivered_total", "Samples given to the trainer by this VM, with repeats",
+            "trainer=\"" + trainer.value() + "\"")
+        .add(handOut.samples.size());
+}
+
+void TrainerDesk::countIdle(const TrainerName& trainer, Duration idle)
+{
+    if (idle <= Duration::zero())
+        return;
+    const std::lock_guard guard(this->lock);
+    this->totals[trainer].idle += idle;
+    this->context.metrics
+        .counter("topaztack_trainer_idle_ms_total", "Time the trainer's calls waited with no sample to give",
+            "trainer=\"" + trainer.value() + "\"")
+        .add(static_cast<std::uint64_t>(toMilliseconds(idle).count()));
 }
 
 json::value TrainerDesk::dump() const
 {
+    auto collected = this->collector.dump();
     const std::lock_guard guard(this->lock);
-    json::object trainers;
-    for (const auto& [name, list] : this->delivered)
-        trainers[name.value()] = list.size();
-    return trainers;
+    auto& trainers = collected.as_object();
+    for (const auto& [name, totals] : this->totals) {
+        auto& state = trainers[name.value()];
+        if (!state.is_object())
+            state.emplace_object();
+        state.as_object()["delivered"] = totals.delivered;
+        state.as_object()["lag_mean"]
+            = totals.delivered == 0 ? 0.0 : static_cast<double>(totals.lagSum) / static_cast<double>(totals.delivered);
+        state.as_object()["lag_most"] = totals.lagMost;
+        state.as_object()["idle_ms"] = toMilliseconds(totals.idle).count();
+        state.as_object()["withdrawn"] = totals.withdrawn;
+    }
+    return collected;
 }
 
 } // namespace topaztack
--- /dev/null
+++ b/src/samples/straggler.cpp
@@ -0,0 +1,52 @@
+#include <topaztack/samples/slot_planner.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace {
+
+    /// Share of the waiting cost that another choice must save.
+    constexpr double leastGain = 0.2;
+
+    double cost(const PlannerRules& rules, Duration time, double lag, Duration typical)
+    {
+        const double idle
+            = static_cast<double>(time.count()) / static_cast<double>(std::max<Duration::rep>(1, typical.count()));
+        const double stale = lag / static_cast<double>(rules.bound.versions + 1);
+        return rules.idleWeight * idle + rules.stalenessWeight * stale;
+    }
+
+} // namespace
+
+StragglerChoice chooseForStraggler(const StragglerOptions& options, const PlannerRules& rules, Duration typical)
+{
+    const double waiting = cost(rules, options.wait, options.lagOfWait, typical);
+    double best = waiting * (1 - leastGain);
+    auto choice = StragglerChoice::Wait;
+    const auto consider = [&](bool mayChoose, Duration time, double lag, StragglerChoice candidate) {
+        const double value = cost(rules, time, lag, typical);
+        if (!mayChoose || value >= best)
+            return;
+        best = value;
+        choice = candidate;
+    };
+    consider(options.mayMove, options.move, options.lagOfMove, StragglerChoice::Move);
+    consider(options.mayHedge, options.hedge, options.lagOfHedge, StragglerChoice::Hedge);
+    return choice;
+}
+
+std::uint64_t lookaheadSteps(const FreshnessBound& bound) { return bound.versions; }
+
+std::uint64_t predictedLag(const PlannerEstimates& estimates, Duration duration, TimePoint now)
+{
+    if (!estimates.lastVersion || estimates.versionInterval <= Duration::zero())
+        return 0;
+    const auto end = now + duration - *estimates.lastVersion;
+    const auto passed = now - *estimates.lastVersion;
+    // A version that is overdue is expected at any moment, not counted as several missed ones.
+    const auto overdue = std::max(Duration::zero(), passed - estimates.versionInterval);
+    return static_cast<std::uint64_t>(std::max<Duration::rep>(0, (end - overdue) / estimates.versionInterval));
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/tests/src/samples/unit-weight_rollout.cpp
@@ -0,0 +1,157 @@
+#include <topaztack/samples/weight_rollout.hpp>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace topaztack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto tick = 50ms;
+constexpr auto swapTime = 800ms;
+
+/// Engines that swap in a while, fail, are refused by the weight store, or are set back by somebody else.
+struct FakePool {
+    struct Order {
+        WeightVersion version;
+        TimePoint end;
+    };
+
+    std::map<BackendName, WeightVersion> versions;
+    std::map<BackendName, Order> running;
+    std::size_t mostAtOnce { 0 };
+
+    void begin(const RolloutAction& action, TimePoint now)
+    {
+        this->running[action.engine] = { action.version, now + swapTime };
+        this->mostAtOnce = std::max(this->mostAtOnce, this->running.size());
+    }
+
+    void end(RolloutState& state, const RolloutRules& rules, TimePoint now, Random& random, std::uint64_t faultPercent)
+    {
+        for (auto place = this->running.begin(); place != this->running.end();) {
+            if (place->second.end > now) {
+                ++place;
+                continue;
+            }
+            auto end = OrderEnd::Done;
+            if (random.below(100) < faultPercent)
+                end = random.below(2) == 0 ? OrderEnd::Throttled : OrderEnd::Failed;
+            // A failed order may have taken effect all the same.
+            if (end == OrderEnd::Done || (end == OrderEnd::Failed && random.below(2) == 0))
+                this->versions[place->first] = place->second.version;
+            takeOrderEnd(state, place->first, end, rules, now, random);
+            place = this->running.erase(place);
+        }
+    }
+};
+
+std::vector<BackendName> engineNames(std::size_t count)
+{
+    std::vector<BackendName> names;
+    for (std::size_t index = 0; index < count; ++index)
+        names.emplace_back("e" + std::to_string(index));
+    return names;
+}
+
+/// Drives a rollout until all engines serve the version or time is over; gives the time it took.
+Duration rollOut(RolloutState& state, FakePool& pool, Random& random, std::uint64_t faultPercent)
+{
+    const RolloutRules rules;
+    TimePoint now { 1h };
+    const auto begun = now;
+    while (now - begun < 10min) {
+        for (const auto& action : planRollout(state, rules, now, random)) {
+            if (action.kind == RolloutActionKind::Order)
+                pool.begin(action, now);
+            else
+                takeReport(state, action.engine, pool.versions[action.engine], rules, now);
+        }
+        pool.end(state, rules, now, random, faultPercent);
+        if (isRolledOut(state))
+            break;
+        now += tick;
+    }
+    return now - begun;
+}
+
+} // namespace
+
+TEST_GROUP(WeightRollout)
+{
+    RolloutState state;
+    RolloutRules rules;
+    FakePool pool;
+    Random random { 7 };
+};
+
+TEST(WeightRollout, ReachesAllEnginesWithinTheWindowWhateverFails)
+{
+    CHECK_TRUE(rc::check("rolled out, at most a third at once", [](std::uint64_t seed) {
+        Random random(seed);
+        RolloutState state;
+        FakePool pool;
+        const auto count = 1 + random.below(40);
+        takeEngines(state, engineNames(count), WeightVersion(5));
+        rollOut(state, pool, random, random.below(40));
+        RC_ASSERT(isRolledOut(state));
+        for (const auto& [name, version] : pool.versions)
+            RC_ASSERT(version == WeightVersion(5));
+        RC_ASSERT(
+            pool.mostAtOnce <= std::max<std::size_t>(1, static_cast<std::size_t>(0.34 * static_cast<double>(count))));
+    }));
+}
+
+TEST(WeightRollout, FailedOrderLeavesTheVersionUnknownUntilItIsRead)
+{
+    const BackendName engine("e0");
+    takeEngines(this->state, { engine }, WeightVersion(5));
+    TimePoint now { 1h };
+    planRollout(this->state, this->rules, now, this->random);
+    takeReport(this->state, engine, WeightVersion(4), this->rules, now);
+    CHECK_TRUE(knownVersion(this->state.engines[engine]) == WeightVersion(4));
+    LONGS_EQUAL(1, planRollout(this->state, this->rules, now, this->random).size());
+    CHECK_FALSE(knownVersion(this->state.engines[engine]).has_value());
+    takeOrderEnd(this->state, engine, OrderEnd::Failed, this->rules, now, this->random);
+    CHECK_FALSE(knownVersion(this->state.engines[engine]).has_value());
+    takeReport(this->state, engine, WeightVersion(4), this->rules, now);
+    CHECK_TRUE(knownVersion(this->state.engines[engine]) == WeightVersion(4));
+}
+
+TEST(WeightRollout, EngineSetBackByAnOldOrderIsOrderedAgain)
+{
+    const BackendName engine("e0");
+    takeEngines(this->state, { engine }, WeightVersion(5));
+    rollOut(this->state, this->pool, this->random, 0);
+    TimePoint now { 2h };
+    takeReport(this->state, engine, WeightVersion(4), this->rules, now);
+    const auto actions = planRollout(this->state, this->rules, now, this->random);
+    CHECK_TRUE(actions.size() == 1 && actions[0].kind == RolloutActionKind::Order);
+    LONGS_EQUAL(1, this->state.engines[engine].reasserted);
+}
+
+TEST(WeightRollout, LaggingReportOfTheOldVersionIsNotBelieved)
+{
+    const BackendName engine("e0");
+    takeEngines(this->state, { engine }, WeightVersion(5));
+    TimePoint now { 1h };
+    planRollout(this->state, this->rules, now, this->random);
+    takeReport(this->state, engine, WeightVersion(4), this->rules, now);
+    planRollout(this->state, this->rules, now, this->random);
+    takeOrderEnd(this->state, engine, OrderEnd::Done, this->rules, now, this->random);
+    takeReport(this->state, engine, WeightVersion(4), this->rules, now + 1s);
+    CHECK_TRUE(knownVersion(this->state.engines[engine]) == WeightVersion(5));
+    LONGS_EQUAL(0, planRollout(this->state, this->rules, now + 1s, this->random).size());
+}
+
+TEST(WeightRollout, EngineThatHasTheVersionIsNotOrdered)
+{
+    const BackendName engine("e0");
+    takeEngines(this->state, { engine }, WeightVersion(5));
+    TimePoint now { 1h };
+    planRollout(this->state, this->rules, now, this->random);
+    takeReport(this->state, engine, WeightVersion(5), this->rules, now);
+    CHECK_TRUE(isRolledOut(this->state));
+    LONGS_EQUAL(0, planRollout(this->state, this->rules, now, this->random).size());
+}
