--- /dev/null
+++ b/tests/functional/control_cost.py
@@ -0,0 +1,110 @@
+#!/usr/bin/env python3
+"""Measures what control costs an idle VM at several sizes. Not part of CI.
+
+Run in a network namespace of its own, so that loopback's counters hold this cluster's bytes alone:
+    unshare -n sh -c 'ip link set lo up && python3 -B tests/functional/control_cost.py'
+"""
+
+import argparse
+import json
+import os
+import pathlib
+import sys
+import time
+
+from support import ServiceTestCase, call, wait_until
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+SETTLE_TIMEOUT_S = 60.0
+
+
+class IdleCluster(ServiceTestCase):
+    engine_count = 1
+    service_count = 1
+
+    def runTest(self):
+        """The cluster's owner; not a test."""
+
+    def vm_pids(self):
+        return [process.pid for name, process in self.cluster.processes.items() if name.startswith("vm-")]
+
+    def known_members(self, index):
+        return len(call(self.operators[index], "GET", "/debug/state").json().get("members", []))
+
+
+def processor_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_megabytes(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def sent_bytes():
+    for line in pathlib.Path("/proc/net/dev").read_text().splitlines():
+        name, _, fields = line.partition(":")
+        if name.strip() == "lo":
+            return int(fields.split()[8])
+    return 0
+
+
+def sent_datagrams():
+    lines = [line.split() for line in pathlib.Path("/proc/net/snmp").read_text().splitlines() if line.startswith("Udp:")]
+    return int(lines[1][lines[0].index("OutDatagrams")])
+
+
+def platform_calls(cluster):
+    counts = call(cluster.platform, "GET", "/standin/counts").json()
+    return {name: counts.get(name, 0) for name in ("reads", "writes")}
+
+
+def measure(count, seconds):
+    cluster = IdleCluster()
+    cluster.vm_count = count
+    cluster.setUp()
+    try:
+        wait_until(lambda: all(cluster.known_members(index) == count for index in range(count)), SETTLE_TIMEOUT_S,
+                   "every VM knows every other")
+        time.sleep(2.0)
+        pids = cluster.vm_pids()
+        calls = platform_calls(cluster)
+        before = [processor_seconds(pid) for pid in pids]
+        bytes_before, datagrams_before, begin = sent_bytes(), sent_datagrams(), time.monotonic()
+        time.sleep(seconds)
+        elapsed = time.monotonic() - begin
+        after = [processor_seconds(pid) for pid in pids]
+        bytes_after, datagrams_after = sent_bytes(), sent_datagrams()
+        calls_after = platform_calls(cluster)
+        used = [(last - first) / elapsed for first, last in zip(before, after)]
+        resident = [resident_megabytes(pid) for pid in pids]
+        return {
+            "vms": count,
+            "core_percent_mean": round(100 * sum(used) / count, 3),
+            "core_percent_max": round(100 * max(used), 3),
+            "resident_mb_mean": round(sum(resident) / count, 1),
+            "resident_mb_max": round(max(resident), 1),
+            "bytes_sent_per_vm_s": round((bytes_after - bytes_before) / elapsed / count),
+            "datagrams_per_vm_s": round((datagrams_after - datagrams_before) / elapsed / count, 2),
+            "platform_reads_s": round((calls_after["reads"] - calls["reads"]) / elapsed, 2),
+            "platform_writes_s": round((calls_after["writes"] - calls["writes"]) / elapsed, 2),
+        }
+    finally:
+        cluster.doCleanups()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--sizes", default="3,11,25,50", help="numbers of VMs, one after the other")
+    parser.add_argument("--seconds", type=float, default=15.0, help="length of each measurement")
+    options = parser.parse_args()
+    for size in options.sizes.split(","):
+        print(json.dumps(measure(int(size), options.seconds)), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
