--- a/models/claim.pml
+++ b/models/claim.pml
@@ -11,6 +11,7 @@
 // break: TAKE_OVER_DEAD_CLAIM
 // break: AMBIGUOUS_IS_NOT_RUN
 // break: WRITE_WITHOUT_CONDITION
+// break: OUTAGE_IS_NOT_RUN
 
 #define SENDINGS 3
 #define VMS      2
@@ -22,6 +23,7 @@
 byte onTheWay = 0;          /* copies of the request between a VM and the service */
 bool late[SENDINGS + 1];    /* commits that may still take effect */
 byte incarnation[VMS];
+bool hasSeen[VMS];          /* the VM's process has handled a sending of the key */
 bool mayStillRun = false;   /* a sending has the right to dispatch and has not used it */
 
 inline sayNotRun() { assert(runs == 0 && onTheWay == 0 && !mayStillRun) }
@@ -56,6 +58,9 @@
     od
 }
 
+/* What a VM's process remembers of the key; it dies with the process. */
+inline see() { hasSeen[vm] = true }
+
 inline dispatch() {
     if
     :: atomic { !isDead -> onTheWay++; mayStillRun = false };
@@ -75,17 +80,26 @@
     bool isDead = false;
     bool isHeld = false;
     bool isAmbiguous = false;
-    /* commit on version 0 */
+    /* commit on version 0; each way but the outage begins with this VM having seen the key */
     if
-    :: atomic { row == NOBODY -> row = mine; isHeld = true; mayStillRun = true }
+    :: atomic { row == NOBODY -> see(); row = mine; isHeld = true; mayStillRun = true }
 #ifdef WRITE_WITHOUT_CONDITION
-    :: atomic { row != NOBODY -> row = mine; isHeld = true; mayStillRun = true }
+    :: atomic { row != NOBODY -> see(); row = mine; isHeld = true; mayStillRun = true }
+#endif
+    :: atomic { row != NOBODY -> see() }                  /* conflict: somebody else's claim */
+    :: atomic { see(); takeEffect(mine); isAmbiguous = true }    /* took effect if it could; the answer is lost */
+    :: atomic { see(); late[mine] = true; isAmbiguous = true }   /* may take effect later */
+    :: atomic { see(); isAmbiguous = true }               /* never arrived; no answer either */
+    :: atomic {                                           /* the table is out: `not-run` needs every VM's word */
+           if
+           :: !hasSeen[0] && !hasSeen[1] && incarnation[0] == 0 && incarnation[1] == 0 -> sayNotRun()
+#ifdef OUTAGE_IS_NOT_RUN
+           :: sayNotRun()
 #endif
-    :: atomic { row != NOBODY -> skip }                   /* conflict: somebody else's claim */
-    :: atomic { takeEffect(mine); isAmbiguous = true }    /* took effect if it could; the answer is lost */
-    :: atomic { late[mine] = true; isAmbiguous = true }   /* may take effect later */
-    :: isAmbiguous = true                                 /* never arrived; no answer either */
-    :: atomic { row == NOBODY -> sayNotRun(); goto done } /* refused by an outage: `not-run`, remedy names tickets */
+           :: else -> skip                                /* `unknown`, ask again */
+           fi;
+           goto done
+       }
     fi;
     if
     :: isAmbiguous ->
@@ -131,8 +145,8 @@
 active proctype Replacement() {
 end:
     do
-    :: atomic { incarnation[0] == 0 -> incarnation[0] = 1 }
-    :: atomic { incarnation[1] == 0 -> incarnation[1] = 1 }
+    :: atomic { incarnation[0] == 0 -> incarnation[0] = 1; hasSeen[0] = false }
+    :: atomic { incarnation[1] == 0 -> incarnation[1] = 1; hasSeen[1] = false }
     od
 }
 
