--- a/include/topaztack/policy/pool_scheduler.hpp
+++ b/include/topaztack/policy/pool_scheduler.hpp
@@ -65,6 +65,8 @@
     std::uint64_t queueLimit { 1000 };
     /// Slots of this VM at all backend servers together, borrowed ones apart.
     std::uint32_t capacity { 0 };
+    /// Slots used beyond those.
+    std::uint32_t borrowed { 0 };
     /// In flight of all classes but Booking.
     std::uint32_t background { 0 };
     TimePoint bookingSeen;
@@ -76,6 +78,10 @@
 /// @brief Puts a new table of backend servers in place; known ones keep their counts, reports and health.
 void replaceServers(PoolScheduler& pool, std::vector<ServerState> servers, std::uint64_t limit);
 
+/// @brief Takes a backend server's report of its load; slots are borrowed or given back by it. While bookings come
+/// none is borrowed, since a backend server that queues makes them wait behind rollouts.
+void onLoadReport(PoolScheduler& pool, const BackendName& server, const LoadReport& report);
+
 /// @brief Slots that only bookings may take: an eighth while bookings come.
 std::uint32_t reservedSlots(const PoolScheduler& pool, TimePoint now);
 
--- a/include/topaztack/policy/routing.hpp
+++ b/include/topaztack/policy/routing.hpp
@@ -21,6 +21,7 @@
 /// @brief One backend server as one VM sees it.
 struct ServerState {
     BackendName name;
+    std::uint64_t nameHash { 0 };
     DataCentre dataCentre;
     bool isLocal { false };
     bool isDraining { false };
@@ -31,6 +32,8 @@
     /// Nothing if it is not known.
     std::optional<WeightVersion> version;
     SlotShare share;
+    /// Slots used beyond the share.
+    std::uint32_t borrowed { 0 };
     /// Requests of this VM in flight there.
     std::uint32_t inFlight { 0 };
     LoadReport report;
@@ -64,7 +67,7 @@
 };
 
 /// @brief Slots free for this VM at a backend server now.
-std::uint32_t freeSlots(const ServerState& server, std::uint64_t limit, TimePoint now);
+std::uint32_t freeSlots(const ServerState& server, TimePoint now);
 
 /// @brief Whether a request may go to a backend server, its slots apart.
 bool isEligible(const ServerState& server, ServerIndex index, const RouteQuery& query);
--- a/include/topaztack/policy/slot_share.hpp
+++ b/include/topaztack/policy/slot_share.hpp
@@ -31,10 +31,21 @@
     std::uint32_t holders { 1 };
 };
 
-/// @brief The share of `self`: near VMs first, then in rendezvous order; zero if it is not among the holders.
+/// @brief A backend server as sharing sees it.
+struct SharedBackend {
+    BackendName name;
+    DataCentre dataCentre;
+};
+
+/// @brief The shares of `self` at each of a pool's backend servers, in their order.
+///
+/// Each backend server goes to the VMs that come first by nearness and rendezvous hash, but no VM gets more than its
+/// part of all places while others have fewer (bounded loads). Every VM that knows the same VMs comes to the same
+/// result; the shares at one backend server add up to `limit`.
+/// @param backends in the order of their names.
 /// @param vms all VMs that take requests, `self` included.
-/// @complexity linear in the VMs.
-SlotShare slotShare(const BackendName& backend, const DataCentre& backendDataCentre, std::uint64_t limit,
+/// @complexity backend servers times VMs; not for the path of a request.
+std::vector<SlotShare> slotShares(const std::vector<SharedBackend>& backends, std::uint64_t limit,
     const SlotHolder& self, const std::vector<SlotHolder>& vms);
 
 /// @brief What a backend server last reported of itself.
@@ -52,7 +63,13 @@
 /// @brief Weight of a report by its age: 1 when fresh, falling to 0 at the end of its lifetime.
 double reportWeight(const LoadReport& report, TimePoint now);
 
-/// @brief Slots that a VM may use now: its share, and its part of what a fresh report shows as unused by others.
-std::uint32_t slotAllowance(const SlotShare& share, std::uint64_t limit, const LoadReport& report, TimePoint now);
+/// @brief Slots that a VM uses beyond its share after a new report: one more while its own are not enough and a quarter
+/// of the backend server's slots is unused, fewer when that is over, none when it queues.
+/// @param isShort whether the VM has requests waiting or all its slots there taken.
+std::uint32_t borrowSlots(
+    const SlotShare& share, std::uint32_t borrowed, std::uint64_t limit, const LoadReport& report, bool isShort);
+
+/// @brief Slots that a VM may use now; borrowed ones only while the report is fresh.
+std::uint32_t slotAllowance(const SlotShare& share, std::uint32_t borrowed, const LoadReport& report, TimePoint now);
 
 } // namespace topaztack
--- a/src/node/slot_pool.cpp
+++ b/src/node/slot_pool.cpp
@@ -63,10 +63,10 @@
         (local == states.end() ? states.front() : *local).share.slots = 1;
     }
 
-    json::object serverJson(const ServerState& server, TimePoint now, std::uint64_t limit)
+    json::object serverJson(const ServerState& server, TimePoint now)
     {
-        return { { "in_flight", server.inFlight }, { "share", server.share.slots },
-            { "free", freeSlots(server, limit, now) }, { "ejected", server.health.isEjected },
+        return { { "in_flight", server.inFlight }, { "share", server.share.slots }, { "borrowed", server.borrowed },
+            { "free", freeSlots(server, now) }, { "ejected", server.health.isEjected },
             { "leaving", now < server.health.leavingUntil }, { "draining", server.isDraining },
             { "takes_rollouts", server.takesRollouts && server.reportsReady } };
     }
@@ -100,16 +100,26 @@
     markGuests(holders, document, this->name);
     const auto self = holders.front();
     const auto weights = this->context.weights.load();
-    std::vector<ServerState> states;
+    std::vector<const BackendSettings*> backends;
     for (const auto& backend : document.backends) {
-        if (backend.pool != this->name)
-            continue;
+        if (backend.pool == this->name)
+            backends.push_back(&backend);
+    }
+    std::sort(backends.begin(), backends.end(),
+        [](const BackendSettings* left, const BackendSettings* right) { return left->name < right->name; });
+    std::vector<SharedBackend> shared;
+    for (const auto* backend : backends)
+        shared.push_back({ backend->name, backend->dataCentre });
+    const auto shares = slotShares(shared, settings.inFlightPerBackend, self, holders);
+    std::vector<ServerState> states;
+    for (std::size_t index = 0; index < backends.size(); ++index) {
+        const auto& backend = *backends[index];
         ServerState state;
         state.name = backend.name;
         state.dataCentre = backend.dataCentre;
         state.isLocal = backend.dataCentre == this->context.settings.dataCentre;
         state.isDraining = backend.draining;
-        state.share = slotShare(backend.name, backend.dataCentre, settings.inFlightPerBackend, self, holders);
+        state.share = shares[index];
         if (weights)
             takeVersion(state, *weights);
         states.push_back(std::move(state));
@@ -249,7 +259,7 @@
     auto* state = this->find(server);
     if (!state)
         return;
-    state->report = report;
+    onLoadReport(this->scheduler, server, report);
     state->reportsReady = takesRollouts;
     this->pumpLocked();
 }
@@ -298,7 +308,7 @@
     const auto now = Clock::now();
     json::object servers;
     for (const auto& server : this->scheduler.table.servers)
-        servers[server.name.value()] = serverJson(server, now, this->scheduler.table.limit);
+        servers[server.name.value()] = serverJson(server, now);
     json::object pool;
     pool["waiting"] = this->scheduler.queue.size;
     pool["capacity"] = this->scheduler.capacity;
--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -10,6 +10,8 @@
     using namespace std::chrono_literals;
 
     constexpr std::uint32_t reservedPart = 8;
+    /// A request may spend this part of its time waiting: service times vary, and a late answer is work lost.
+    constexpr double mostWaitingPart = 0.5;
     constexpr std::chrono::milliseconds shortestRetryAfter = 100ms;
     constexpr std::chrono::milliseconds longestRetryAfter = 60s;
     constexpr std::chrono::milliseconds unknownRetryAfter = 1s;
@@ -27,8 +29,8 @@
 
     bool mayTakeSlot(const PoolScheduler& pool, RequestClass requestClass, TimePoint now)
     {
-        return requestClass == RequestClass::Booking || pool.background + reservedSlots(pool, now) < pool.capacity
-            || pool.background == 0;
+        return requestClass == RequestClass::Booking
+            || pool.background + reservedSlots(pool, now) < pool.capacity + pool.borrowed || pool.background == 0;
     }
 
     std::optional<ServerIndex> findSlot(PoolScheduler& pool, const SlotAsk& ask, TimePoint now, Random& random)
@@ -81,7 +83,7 @@
         if (rate <= 0)
             return ask.request.deadline <= now;
         const auto ahead = static_cast<double>(aheadOf(pool.queue, ask.request.requestClass) + 1);
-        const std::chrono::duration<double> needed(ahead / rate + pool.table.health.meanSeconds);
+        const std::chrono::duration<double> needed(ahead / rate / mostWaitingPart + pool.table.health.meanSeconds);
         return now + std::chrono::duration_cast<Duration>(needed) > ask.request.deadline;
     }
 
@@ -103,19 +105,23 @@
 {
     std::unordered_map<BackendName, ServerIndex> indexes;
     pool.capacity = 0;
+    pool.borrowed = 0;
     pool.table.health.ejected = 0;
     for (ServerIndex index = 0; index < servers.size(); ++index) {
         auto& fresh = servers[index];
+        fresh.nameHash = stableHash(fresh.name.value());
         const auto known = pool.indexes.find(fresh.name);
         if (known != pool.indexes.end()) {
             const auto& old = pool.table.servers[known->second];
             fresh.inFlight = old.inFlight;
             fresh.report = old.report;
+            fresh.borrowed = old.borrowed;
             fresh.reportsReady = old.reportsReady;
             fresh.health = old.health;
         }
         indexes[fresh.name] = index;
         pool.capacity += fresh.isDraining ? 0 : fresh.share.slots;
+        pool.borrowed += fresh.borrowed;
         pool.table.health.ejected += fresh.health.isEjected ? 1 : 0;
     }
     if (indexes != pool.indexes)
@@ -126,6 +132,20 @@
     pool.table.health.servers = static_cast<std::uint32_t>(pool.table.servers.size());
 }
 
+void onLoadReport(PoolScheduler& pool, const BackendName& server, const LoadReport& report)
+{
+    const auto found = pool.indexes.find(server);
+    if (found == pool.indexes.end())
+        return;
+    auto& state = pool.table.servers[found->second];
+    const bool isShort = pool.queue.size > 0 || state.inFlight >= state.share.slots + state.borrowed;
+    state.report = report;
+    pool.borrowed -= state.borrowed;
+    const bool hasBookings = reservedSlots(pool, report.at) > 0;
+    state.borrowed = hasBookings ? 0 : borrowSlots(state.share, state.borrowed, pool.table.limit, report, isShort);
+    pool.borrowed += state.borrowed;
+}
+
 std::uint32_t reservedSlots(const PoolScheduler& pool, TimePoint now)
 {
     if (pool.capacity < 2 || pool.bookingSeen == TimePoint {} || now - pool.bookingSeen > bookingMemory)
@@ -135,7 +155,7 @@
 
 double drainRate(const PoolScheduler& pool)
 {
-    return pool.table.health.meanSeconds > 0 ? pool.capacity / pool.table.health.meanSeconds : 0;
+    return pool.table.health.meanSeconds > 0 ? (pool.capacity + pool.borrowed) / pool.table.health.meanSeconds : 0;
 }
 
 Admission admit(PoolScheduler& pool, SlotAsk ask, TimePoint now, Random& random)
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -13,6 +13,7 @@
     /// However long the prefix, it outweighs no more load than this.
     constexpr double mostPrefixWorth = 0.75;
     constexpr double remoteCost = 0.25;
+    constexpr std::size_t mostUsualPlaces = 16;
 
     struct Candidate {
         ServerIndex server { 0 };
@@ -22,7 +23,7 @@
     bool isUsable(const RoutingTable& table, ServerIndex index, const RouteQuery& query, TimePoint now)
     {
         const auto& server = table.servers[index];
-        return isEligible(server, index, query) && freeSlots(server, table.limit, now) > 0;
+        return isEligible(server, index, query) && freeSlots(server, now) > 0;
     }
 
     /// Share of the backend server's slots in use: own requests, and what others had there by the last report.
@@ -88,10 +89,41 @@
         return remote;
     }
 
+    /// Where copies of a prompt meet without any VM telling another: the first of a few places by rendezvous hash.
+    PrefixMatch usualServer(const RoutingTable& table, std::span<const std::uint64_t> blocks)
+    {
+        ServerIndex best = 0;
+        std::uint64_t bestHash = 0;
+        const auto count = std::min(table.servers.size(), mostUsualPlaces);
+        const auto start = table.servers.size() > count ? blocks.back() % table.servers.size() : 0;
+        for (std::size_t step = 0; step < count; ++step) {
+            const auto index = static_cast<ServerIndex>((start + step) % table.servers.size());
+            const auto hash = Random(blocks.back() ^ table.servers[index].nameHash).next();
+            if (hash >= bestHash) {
+                best = index;
+                bestHash = hash;
+            }
+        }
+        return { best, static_cast<std::uint32_t>((blocks.size() + 1) / 2) };
+    }
+
+    std::vector<PrefixMatch> matchesFor(const RoutingTable& table, std::span<const std::uint64_t> blocks)
+    {
+        auto matches = findPrefix(table.prefixes, blocks);
+        if (blocks.empty())
+            return matches;
+        const auto usual = usualServer(table, blocks);
+        const bool isKnown = std::any_of(
+            matches.begin(), matches.end(), [&](const PrefixMatch& match) { return match.server == usual.server; });
+        if (!isKnown)
+            matches.push_back(usual);
+        return matches;
+    }
+
     std::optional<ServerIndex> chooseWeighed(
         const RoutingTable& table, const RouteQuery& query, TimePoint now, Random& random)
     {
-        const auto matches = findPrefix(table.prefixes, query.blocks);
+        const auto matches = matchesFor(table, query.blocks);
         std::optional<Candidate> best;
         for (const auto index : drawCandidates(table, query, matches, now, random)) {
             const Candidate candidate { index, costOf(table, index, matches, now) };
@@ -138,9 +170,10 @@
 
 } // namespace
 
-std::uint32_t freeSlots(const ServerState& server, std::uint64_t limit, TimePoint now)
+std::uint32_t freeSlots(const ServerState& server, TimePoint now)
 {
-    const auto allowed = healthyAllowance(server.health, slotAllowance(server.share, limit, server.report, now), now);
+    const auto allowed
+        = healthyAllowance(server.health, slotAllowance(server.share, server.borrowed, server.report, now), now);
     return allowed > server.inFlight ? allowed - server.inFlight : 0;
 }
 
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -8,37 +8,70 @@
 
 namespace {
 
-    /// Order of VMs at one backend server: near ones first, then by hash.
+    /// Part of a backend server's slots that is never lent.
+    constexpr std::uint64_t unlentPart = 4;
+
+    /// A VM's place in the order at one backend server: near ones first, then by hash.
     struct HolderRank {
         bool isFar { false };
         std::uint64_t hash { 0 };
+        std::size_t vm { 0 };
 
         auto operator<=>(const HolderRank&) const = default;
     };
 
-    HolderRank rankOf(const SlotHolder& vm, const BackendName& backend, const DataCentre& dataCentre)
+    /// VMs in their order at one backend server.
+    std::vector<HolderRank> ranksAt(
+        const SharedBackend& backend, const std::vector<SlotHolder>& vms, const std::vector<std::uint64_t>& hashes)
+    {
+        const auto place = stableHash(backend.name.value());
+        std::vector<HolderRank> ranks;
+        ranks.reserve(vms.size());
+        for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+            const bool isNear = vms[vm].isGuest || vms[vm].dataCentre == backend.dataCentre;
+            ranks.push_back({ !isNear, Random(hashes[vm] ^ place).next(), vm });
+        }
+        std::sort(ranks.begin(), ranks.end());
+        return ranks;
+    }
+
+    /// Takes the first VMs that have room, then, if those are too few, those that hold least.
+    std::vector<std::size_t> holdersAt(
+        std::vector<HolderRank> ranks, std::size_t count, std::size_t most, const std::vector<std::size_t>& held)
     {
-        const bool isNear = vm.isGuest || vm.dataCentre == dataCentre;
-        return { !isNear, stableHash(vm.name.value(), stableHash(backend.value())) };
+        const auto excess = [&](const HolderRank& rank) { return held[rank.vm] < most ? 0 : held[rank.vm]; };
+        std::stable_sort(ranks.begin(), ranks.end(),
+            [&](const HolderRank& left, const HolderRank& right) { return excess(left) < excess(right); });
+        std::vector<std::size_t> chosen;
+        for (std::size_t place = 0; place < count; ++place)
+            chosen.push_back(ranks[place].vm);
+        return chosen;
     }
 
 } // namespace
 
-SlotShare slotShare(const BackendName& backend, const DataCentre& backendDataCentre, std::uint64_t limit,
+std::vector<SlotShare> slotShares(const std::vector<SharedBackend>& backends, std::uint64_t limit,
     const SlotHolder& self, const std::vector<SlotHolder>& vms)
 {
-    const auto mine = rankOf(self, backend, backendDataCentre);
-    std::uint64_t before = 0;
-    for (const auto& vm : vms) {
-        if (vm.name != self.name && rankOf(vm, backend, backendDataCentre) < mine)
-            ++before;
+    std::vector<std::uint64_t> hashes;
+    for (const auto& vm : vms)
+        hashes.push_back(stableHash(vm.name.value()));
+    const auto places = std::max<std::uint64_t>(1, limit / leastSlotsAtBackend);
+    const auto count = std::clamp<std::size_t>(vms.size(), 1, places);
+    const auto most = (backends.size() * count + vms.size() - 1) / std::max<std::size_t>(1, vms.size());
+    std::vector<std::size_t> held(vms.size(), 0);
+    std::vector<SlotShare> shares;
+    for (const auto& backend : backends) {
+        const auto holders = holdersAt(ranksAt(backend, vms, hashes), count, most, held);
+        SlotShare share { 0, static_cast<std::uint32_t>(count) };
+        for (std::size_t place = 0; place < holders.size(); ++place) {
+            ++held[holders[place]];
+            if (vms[holders[place]].name == self.name)
+                share.slots = static_cast<std::uint32_t>(limit / count + (place < limit % count ? 1 : 0));
+        }
+        shares.push_back(share);
     }
-    const auto most = std::max<std::uint64_t>(1, limit / leastSlotsAtBackend);
-    const auto holders = std::clamp<std::uint64_t>(vms.size(), 1, most);
-    if (before >= holders)
-        return { 0, static_cast<std::uint32_t>(holders) };
-    const auto slots = limit / holders + (before < limit % holders ? 1 : 0);
-    return { static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(holders) };
+    return shares;
 }
 
 double reportWeight(const LoadReport& report, TimePoint now)
@@ -49,16 +82,22 @@
     return 1 - std::chrono::duration<double>(age) / std::chrono::duration<double>(reportLifetime);
 }
 
-std::uint32_t slotAllowance(const SlotShare& share, std::uint64_t limit, const LoadReport& report, TimePoint now)
+std::uint32_t borrowSlots(
+    const SlotShare& share, std::uint32_t borrowed, std::uint64_t limit, const LoadReport& report, bool isShort)
 {
-    if (share.slots == 0)
+    const auto unlent = std::max<std::uint64_t>(1, limit / unlentPart);
+    const bool isFull = report.running + unlent >= limit;
+    if (report.queued > 0 || share.slots == 0)
         return 0;
-    const auto busy = static_cast<std::uint64_t>(report.running) + report.queued;
-    if (busy >= limit || report.queued > 0)
-        return share.slots;
-    const auto unused = static_cast<double>(limit - busy) * reportWeight(report, now);
-    const auto lent = static_cast<std::uint64_t>(unused / share.holders);
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(share.slots + lent, limit));
+    if (!isShort || isFull)
+        return borrowed - (borrowed + 3) / 4;
+    const auto most = limit > share.slots + unlent ? limit - share.slots - unlent : 0;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(borrowed + 1, most));
+}
+
+std::uint32_t slotAllowance(const SlotShare& share, std::uint32_t borrowed, const LoadReport& report, TimePoint now)
+{
+    return reportWeight(report, now) > 0 ? share.slots + borrowed : share.slots;
 }
 
 } // namespace topaztack
