--- a/include/topaztack/node/service_relay.hpp
+++ b/include/topaztack/node/service_relay.hpp
@@ -9,6 +9,8 @@
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/wire/http_router.hpp>
 
+#include <atomic>
+
 /// @file
 /// The request path of plain services: `/v1/services/{pool}/{path}`.
 
@@ -26,6 +28,9 @@
     /// @brief Settles a request that another VM sent here because this one issued its ticket.
     boost::asio::awaitable<HttpResponse> handleForwarded(ForwardedCall forwarded);
 
+    /// @brief Requests of other VMs that have no answer yet.
+    std::size_t forwardedInHand() const { return this->forwardedCount.load(std::memory_order_relaxed); }
+
 private:
     /// What one attempt came to.
     struct Attempt {
@@ -34,6 +39,7 @@
     };
 
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
+    boost::asio::awaitable<HttpResponse> settleForwarded(ForwardedCall forwarded);
     boost::asio::awaitable<HttpResponse> answer(CallInHand call);
     boost::asio::awaitable<HttpResponse> relay(CallInHand call);
     boost::asio::awaitable<HttpResponse> attemptAll(CallInHand call, AcceptedDocumentPtr accepted, PoolName poolName);
@@ -50,6 +56,7 @@
     Forwarder& forwarder;
     RetryDesk& retries;
     CallerLimits& callerLimits;
+    std::atomic<std::size_t> forwardedCount { 0 };
 };
 
 } // namespace topaztack
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,6 +52,8 @@
     void addOperatorRoutes();
     asio::awaitable<void> answerText(HttpExchange& exchange, std::string contentType, std::string body);
     json::value dump() const;
+    /// Requests of callers and of other VMs that have no answer yet.
+    std::size_t inFlight() const { return this->callerServer.inFlight() + this->services.forwardedInHand(); }
     HttpServerLimits callerLimits() const;
 
     NodeContext context;
@@ -196,7 +198,7 @@
         { "pools", this->backends.dump() },
         { "trainers", this->trainers.dump() },
         { "weights", this->weights.dump() },
-        { "in_flight", this->callerServer.inFlight() },
+        { "in_flight", this->inFlight() },
     };
 }
 
@@ -241,10 +243,12 @@
     const auto drainTime = accepted ? std::chrono::microseconds(accepted->document.limits.drainTime)
                                     : std::chrono::microseconds(defaultDrainTime);
     const auto end = Clock::now() + drainTime;
-    while (this->parts->callerServer.inFlight() > 0 && Clock::now() < end)
+    while (this->parts->inFlight() > 0 && Clock::now() < end)
         std::this_thread::sleep_for(drainCheckInterval);
     asio::co_spawn(context.threads.at(0), this->parts->leases.releaseAll(), asio::use_future).wait();
-    logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(this->parts->callerServer.inFlight()) } });
+    logEvent(LogLevel::Info, "stopped",
+        { { "cut_off", std::to_string(this->parts->inFlight()) },
+            { "answers_not_kept_any_more", std::to_string(this->parts->tickets.kept()) } });
     this->parts->operatorServer.stopAccepting();
     this->parts->peerServer.stop();
     this->parts->members.stop();
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -38,6 +38,22 @@
             && findHeader(response.headers, notRunHeader) == saidNotRun;
     }
 
+    /// Counts one request for as long as it lives.
+    class CountHold {
+    public:
+        explicit CountHold(std::atomic<std::size_t>& count)
+            : count(count)
+        {
+            this->count.fetch_add(1, std::memory_order_relaxed);
+        }
+        ~CountHold() { this->count.fetch_sub(1, std::memory_order_relaxed); }
+        CountHold(const CountHold&) = delete;
+        CountHold& operator=(const CountHold&) = delete;
+
+    private:
+        std::atomic<std::size_t>& count;
+    };
+
     SlotRequest slotFor(const CallInHand& call, const PoolName& pool, const std::vector<BackendName>& failedAt)
     {
         SlotRequest slot;
@@ -163,6 +179,12 @@
 }
 
 asio::awaitable<HttpResponse> ServiceRelay::handleForwarded(ForwardedCall forwarded)
+{
+    const CountHold hold(this->forwardedCount);
+    co_return co_await this->settleForwarded(std::move(forwarded));
+}
+
+asio::awaitable<HttpResponse> ServiceRelay::settleForwarded(ForwardedCall forwarded)
 {
     const auto ticket = parseTicketId(findHeader(forwarded.request.headers, ticketHeader));
     if (!ticket || ticket->home != this->context.identity)
--- a/tests/functional/test_requests_limits.py
+++ b/tests/functional/test_requests_limits.py
@@ -123,7 +123,17 @@
 
 
 class Drain(LimitCase):
-    vm_count = 1
+    vm_count = 2
+
+    def test_a_graceful_shutdown_ends_what_another_vm_sent_on(self):
+        for index in range(self.service_count):
+            self.fault(index, delay_ms=1000)
+        ticket = call(self.callers[0], "POST", "/v1/tickets").json()["ticket"]
+        threads, answers = self.crowd(1, vm=1, headers={"Idempotency-Key": ticket})
+        wait_until(lambda: self.state(0)["tickets"]["kept"] == 1, what="request at its home")
+        self.assertEqual(self.cluster.stop("vm-0"), 0)
+        threads[0].join()
+        self.assertEqual((answers[0].outcome, self.total_runs()), ("ran", 1))
 
     def test_a_graceful_shutdown_cuts_off_nothing(self):
         for index in range(self.service_count):
