--- a/include/topaztack/node/backend_table.hpp
+++ b/include/topaztack/node/backend_table.hpp
@@ -54,8 +54,8 @@
 
 private:
     std::shared_ptr<SlotPool> poolOf(const PoolName& name);
-    void refreshAll();
-    std::vector<std::shared_ptr<SlotPool>> allPools() const;
+    void takeDocument(const AcceptedDocument& accepted);
+    std::vector<std::shared_ptr<SlotPool>> allPools(const AcceptedDocument& accepted);
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> pollEngines();
     boost::asio::awaitable<void> pollEngine(std::shared_ptr<SlotPool> pool, BackendSettings backend);
--- a/include/topaztack/node/generation_attempt.hpp
+++ b/include/topaztack/node/generation_attempt.hpp
@@ -14,6 +14,8 @@
     Interrupted,
     /// Nothing was written to the engine.
     Unreachable,
+    /// The engine answered that it can't generate now.
+    Refused,
     /// The engine or the link broke off.
     Broken,
     /// The deadline passed.
--- a/src/node/backend_table.cpp
+++ b/src/node/backend_table.cpp
@@ -117,20 +117,26 @@
     asio::co_spawn(loop, this->pollVmList(), asio::detached);
 }
 
+/// Called with the lock held.
+void BackendTable::takeDocument(const AcceptedDocument& accepted)
+{
+    if (accepted.version == this->refreshedFor)
+        return;
+    this->refreshedFor = accepted.version;
+    for (const auto& pool : accepted.document.pools) {
+        auto& known = this->pools[pool.name];
+        if (!known)
+            known = std::make_shared<SlotPool>(this->context, pool.name);
+    }
+    for (const auto& [name, pool] : this->pools)
+        pool->refresh(accepted.document);
+}
+
 std::shared_ptr<SlotPool> BackendTable::poolOf(const PoolName& name)
 {
     const auto accepted = this->context.document();
     const std::lock_guard guard(this->lock);
-    if (accepted->version != this->refreshedFor) {
-        this->refreshedFor = accepted->version;
-        for (const auto& pool : accepted->document.pools) {
-            auto& known = this->pools[pool.name];
-            if (!known)
-                known = std::make_shared<SlotPool>(this->context, pool.name);
-        }
-        for (const auto& [poolName, pool] : this->pools)
-            pool->refresh(accepted->document);
-    }
+    this->takeDocument(*accepted);
     const auto found = this->pools.find(name);
     return found == this->pools.end() ? nullptr : found->second;
 }
@@ -154,9 +160,10 @@
     co_return ChosenBackend { *backend, std::move(hold) };
 }
 
-std::vector<std::shared_ptr<SlotPool>> BackendTable::allPools() const
+std::vector<std::shared_ptr<SlotPool>> BackendTable::allPools(const AcceptedDocument& accepted)
 {
     const std::lock_guard guard(this->lock);
+    this->takeDocument(accepted);
     std::vector<std::shared_ptr<SlotPool>> list;
     for (const auto& [name, pool] : this->pools)
         list.push_back(pool);
@@ -178,7 +185,7 @@
         const bool isChanged = newHolders != holders || newWeights != weights;
         holders = newHolders;
         weights = std::move(newWeights);
-        for (const auto& pool : this->allPools()) {
+        for (const auto& pool : this->allPools(*accepted)) {
             if (isChanged)
                 pool->refresh(accepted->document);
             pool->tick();
--- a/src/node/completion_relay.cpp
+++ b/src/node/completion_relay.cpp
@@ -136,7 +136,7 @@
             hold.note(HealthSign::Answered);
         else if (attempt.end == AttemptEnd::Unreachable)
             hold.note(HealthSign::Unreachable);
-        else if (attempt.end == AttemptEnd::Broken)
+        else if (attempt.end == AttemptEnd::Broken || attempt.end == AttemptEnd::Refused)
             hold.note(HealthSign::Failed);
     }
 
--- a/src/node/generation_attempt.cpp
+++ b/src/node/generation_attempt.cpp
@@ -194,7 +194,7 @@
         co_return ended(opened.error());
     const auto stream = std::move(opened).value();
     if (stream->head().status != 200)
-        co_return ended(AttemptEnd::Broken,
+        co_return ended(AttemptEnd::Refused,
             makeError(ErrorKind::BackendBroke, "engine answered status " + std::to_string(stream->head().status)));
     if (isCancelled(request))
         co_return cancelled();
