--- a/apps/topaztack/commands.cpp
+++ b/apps/topaztack/commands.cpp
@@ -84,7 +84,7 @@
         const auto target = "/v1/config/operations/" + options.operation + "?base=" + std::to_string(options.base);
         for (const auto& node : access.nodes) {
             const auto answer = callFirst({ { node }, access.token }, get(target));
-            const auto state = isGood(answer) ? textField(answer.value().body, "state") : std::string {};
+            auto state = isGood(answer) ? textField(answer.value().body, "state") : std::string {};
             if (state == "accepted" || state == "not-accepted")
                 return state;
         }
--- a/include/topaztack/node/member_agent.hpp
+++ b/include/topaztack/node/member_agent.hpp
@@ -42,8 +42,6 @@
     bool isViewStale { true };
     TimePoint publishedAt;
     Gauge& alive;
-    Counter& sent;
-    Counter& received;
     GossipSocket socket;
 };
 
--- a/src/node/member_agent.cpp
+++ b/src/node/member_agent.cpp
@@ -71,8 +71,6 @@
     , random(systemSeed())
     , state(makeSwimState(SwimTiming {}, makeSelf(context), settingsSeeds(context.settings)))
     , alive(context.metrics.gauge("topaztack_members_alive", "VMs believed alive, this one included"))
-    , sent(context.metrics.counter("topaztack_gossip_sent_total", "Membership datagrams sent"))
-    , received(context.metrics.counter("topaztack_gossip_received_total", "Membership datagrams received"))
     , socket(
           context.threads.at(0), context.settings.peers, key,
           [this](const GossipDatagram& datagram, const Endpoint& from) { this->receive(datagram, from); },
@@ -121,7 +119,6 @@
 
 void MemberAgent::receive(const GossipDatagram& datagram, const Endpoint& from)
 {
-    this->received.add();
     this->hearDocuments(datagram);
     this->carryOut(swimDatagram(this->state, datagram, from, Clock::now(), this->random));
 }
@@ -139,10 +136,8 @@
 
 void MemberAgent::carryOut(const SwimActions& actions)
 {
-    for (const auto& send : actions.sends) {
-        this->sent.add();
+    for (const auto& send : actions.sends)
         this->socket.send(send.to, send.datagram);
-    }
     this->isViewStale |= actions.isViewChanged;
 }
 
