--- a/include/topaztack/node/sample_collector.hpp
+++ b/include/topaztack/node/sample_collector.hpp
@@ -32,6 +32,8 @@
     std::size_t thread { 0 };
     std::uint64_t tokensSeen { 0 };
     bool isCancelledHere { false };
+    /// Text of the attempts that this one goes on from.
+    std::string textBefore;
     /// The attempt that goes on from this one's tokens; 0 if none.
     std::uint64_t movesTo { 0 };
 };
--- a/include/topaztack/samples/slot_planner.hpp
+++ b/include/topaztack/samples/slot_planner.hpp
@@ -144,8 +144,9 @@
 /// @brief A finished sample was not committed after all; its slot is open again.
 void reopenSlot(SlotPlanner& planner, const SlotName& slot);
 
-/// @brief Steps that may be generated ahead: each step ahead is a version older when it is delivered.
-std::uint64_t lookaheadSteps(const FreshnessBound& bound);
+/// @brief Steps beyond the current one that may be generated. A trainer that fetches early trains on a sample about one
+/// version later for each step ahead: where staleness weighs more than idle time, it is one step fewer.
+std::uint64_t lookaheadSteps(const PlannerRules& rules);
 
 /// @brief Versions by which a sample begun now would lag when it is finished.
 std::uint64_t predictedLag(const PlannerEstimates& estimates, Duration duration, TimePoint now);
--- a/include/topaztack/samples/weight_rollout.hpp
+++ b/include/topaztack/samples/weight_rollout.hpp
@@ -12,8 +12,9 @@
 #include <vector>
 
 /// @file
-/// Decides which engines of one pool to order to a weight version, and when: a sliding window that keeps the pool
-/// serving and yields to the weight store's limit. Pure. An engine's version is only ever what it reported.
+/// Decides which engines of one pool to order to a weight version, and when: a sliding window keeps the pool serving,
+/// and a pace of orders a second follows the weight store's limit. Pure. An engine's version is only ever what it
+/// reported.
 
 namespace topaztack {
 
@@ -30,6 +31,8 @@
     SwapMode mode { SwapMode::InPlace };
     /// Share of the pool's engines that may swap at once.
     double windowShare { 0.34 };
+    /// Time in which the orders of a rollout are given if the weight store admits them all.
+    Duration orderTime { std::chrono::seconds(12) };
     /// Time after an order before the engine's report counts: reports lag.
     Duration reportLag { std::chrono::seconds(2) };
     /// Time between two reads of an engine.
@@ -59,8 +62,12 @@
 struct RolloutState {
     WeightVersion wanted;
     std::map<BackendName, EngineSwap> engines;
-    /// Orders allowed at once; grows by one with each success, halves when the weight store refuses.
-    double window { 0 };
+    /// Orders a second; rises with each success, falls at most once a second while the weight store refuses.
+    double pace { 0 };
+    /// Orders that may be given now.
+    double allowance { 0 };
+    TimePoint pacedAt;
+    TimePoint slowedAt;
 };
 
 enum class RolloutActionKind : std::uint8_t {
--- a/src/node/sample_collector.cpp
+++ b/src/node/sample_collector.cpp
@@ -53,6 +53,9 @@
                 { "reason", std::move(reason) } });
     }
 
+    /// A full queue says nothing of the sample; it is asked for again.
+    bool isRefusal(ErrorKind kind) { return kind == ErrorKind::QueueFull || kind == ErrorKind::Overloaded; }
+
     CommitContent contentOf(const TrainerCollection& collection)
     {
         return { collection.batch, collection.refusals, collection.rules.bound, WallClock::now() };
@@ -300,6 +303,7 @@
     request.spansBefore = std::move(before.spans);
     CollectedAttempt attempt;
     attempt.slot = action.slot;
+    attempt.textBefore = std::move(before.text);
     attempt.counts = std::make_shared<AttemptProgressCounts>();
     attempt.control = std::make_shared<GenerationControl>();
     attempt.thread = this->nextThread++ % this->context.threads.size();
@@ -346,18 +350,21 @@
         action.requestClass = RequestClass::Straggler;
     }
     if (!result && attempt.movesTo != 0) {
-        this->startAttempt(collection, action, std::move(result.error().partial));
+        auto before = std::move(result.error().partial);
+        before.text.insert(0, attempt.textBefore);
+        this->startAttempt(collection, action, std::move(before));
         return;
     }
     if (!result) {
         takeFailed(collection->planner, action.slot, action.attempt, attempt.isCancelledHere, Clock::now());
-        if (!attempt.isCancelledHere) {
+        if (!attempt.isCancelledHere && !isRefusal(result.error().error.kind)) {
             collection->refusals[action.slot] = SampleRefusal::GenerationFailed;
             logSlot("sample-failed", *collection, action.slot, toText(result.error().error));
         }
         return;
     }
-    const auto& generation = result.value();
+    auto& generation = result.value();
+    generation.text.insert(0, attempt.textBefore);
     const auto startedWall = startOf(collection->planner, action.slot, action.attempt);
     const auto verdict = takeFinished(collection->planner, action.slot, action.attempt, generation.spans,
         generation.tokens.size(), collection->rules, Clock::now(), WallClock::now());
--- a/src/node/sample_collector_state.cpp
+++ b/src/node/sample_collector_state.cpp
@@ -22,7 +22,7 @@
     rules.idleWeight = trainer->idleWeight;
     rules.stalenessWeight = trainer->stalenessWeight;
     rules.maxTokens = trainer->maxTokens;
-    rules.lookahead = lookaheadSteps(rules.bound);
+    rules.lookahead = lookaheadSteps(rules);
     rules.capacity = 0;
     for (const auto& backend : accepted->document.backends) {
         if (backend.pool == pool->name && !backend.draining)
--- a/src/node/weight_roller.cpp
+++ b/src/node/weight_roller.cpp
@@ -91,6 +91,12 @@
                 { "end", names[static_cast<std::size_t>(end)] } });
     }
 
+    /// Nothing was read of the engine or ordered yet: the row is left to say what it said.
+    bool isUntouched(const EngineSwap& engine)
+    {
+        return !engine.reported && !engine.ordered && engine.failures == 0 && engine.readAt == TimePoint();
+    }
+
     std::vector<BackendSettings> enginesOf(const Document& document, const PoolName& pool)
     {
         std::vector<BackendSettings> engines;
@@ -249,8 +255,10 @@
 {
     roll->writtenAt = Clock::now();
     std::map<BackendName, std::optional<WeightVersion>> engines;
-    for (const auto& [name, engine] : roll->state.engines)
-        engines[name] = knownVersion(engine);
+    for (const auto& [name, engine] : roll->state.engines) {
+        if (!isUntouched(engine))
+            engines[name] = knownVersion(engine);
+    }
     if (roll->row.engines == engines)
         co_return;
     auto change = reportsChange(std::move(engines));
--- a/src/samples/straggler.cpp
+++ b/src/samples/straggler.cpp
@@ -36,7 +36,13 @@
     return choice;
 }
 
-std::uint64_t lookaheadSteps(const FreshnessBound& bound) { return bound.versions; }
+std::uint64_t lookaheadSteps(const PlannerRules& rules)
+{
+    const auto bound = rules.bound.versions;
+    if (rules.idleWeight >= rules.stalenessWeight)
+        return bound;
+    return bound > 0 ? bound - 1 : 0;
+}
 
 std::uint64_t predictedLag(const PlannerEstimates& estimates, Duration duration, TimePoint now)
 {
--- a/src/samples/weight_rollout.cpp
+++ b/src/samples/weight_rollout.cpp
@@ -7,10 +7,45 @@
 namespace {
 
     constexpr unsigned mostDoublings = 8;
+    constexpr double paceAfterRefusal = 0.85;
+    constexpr auto slowingInterval = std::chrono::seconds(1);
+    /// Part of the first pace by which each success raises it.
+    constexpr double paceGain = 0.005;
+    constexpr double slowestPace = 1;
+    constexpr double slowestFirstPace = 5;
 
-    double largestWindow(const RolloutState& state, const RolloutRules& rules)
+    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+    double firstPace(const RolloutState& state, const RolloutRules& rules)
+    {
+        return std::max(slowestFirstPace, static_cast<double>(state.engines.size()) / seconds(rules.orderTime));
+    }
+
+    /// Unused allowance is kept for one second at most.
+    void earnAllowance(RolloutState& state, const RolloutRules& rules, TimePoint now)
+    {
+        if (state.pace == 0) {
+            state.pace = firstPace(state, rules);
+            state.allowance = state.pace;
+        } else {
+            const auto passed = seconds(now - state.pacedAt);
+            state.allowance = std::min(std::max(1.0, state.pace), state.allowance + passed * state.pace);
+        }
+        state.pacedAt = now;
+    }
+
+    void slowDown(RolloutState& state, TimePoint now)
+    {
+        if (now - state.slowedAt < slowingInterval)
+            return;
+        state.slowedAt = now;
+        state.pace = std::max(slowestPace, state.pace * paceAfterRefusal);
+    }
+
+    std::size_t largestWindow(const RolloutState& state, const RolloutRules& rules)
     {
-        return std::max(1.0, rules.windowShare * static_cast<double>(state.engines.size()));
+        const double share = rules.windowShare * static_cast<double>(state.engines.size());
+        return std::max<std::size_t>(1, static_cast<std::size_t>(share));
     }
 
     std::size_t orderedNow(const RolloutState& state)
@@ -89,8 +124,7 @@
     }
     if (state.wanted == WeightVersion())
         return actions;
-    const double most = largestWindow(state, rules);
-    state.window = state.window == 0 ? most : std::clamp(state.window, 1.0, most);
+    earnAllowance(state, rules, now);
     std::vector<BackendName> due;
     for (const auto& [name, engine] : state.engines) {
         const bool wasRead = engine.readAt != TimePoint();
@@ -98,7 +132,8 @@
             due.push_back(name);
     }
     auto ordered = orderedNow(state);
-    while (!due.empty() && ordered < static_cast<std::size_t>(state.window)) {
+    while (!due.empty() && ordered < largestWindow(state, rules) && state.allowance >= 1) {
+        state.allowance -= 1;
         const auto place = due.begin() + static_cast<std::ptrdiff_t>(random.below(due.size()));
         auto& engine = state.engines[*place];
         if (engine.confirmed == state.wanted)
@@ -126,11 +161,11 @@
         engine.confirmedAt = now;
         engine.reported = version;
         engine.failures = 0;
-        state.window += 1;
+        state.pace += paceGain * firstPace(state, rules);
         return;
     }
     if (end == OrderEnd::Throttled)
-        state.window = std::max(1.0, state.window / 2);
+        slowDown(state, now);
     if (end == OrderEnd::Failed) {
         engine.reported.reset();
         engine.confirmed.reset();
