Samples: gauges a trainer, prompts of forgotten steps dropped, a platform outage tried

Cause: the collector kept every prompts object it had read, and copied the whole ledger each tick to ask whether a sample had turned stale. It now keeps those that a step in the ledger names, and asks without a copy. What the planner counts a trainer (discards, moves, hedges, tokens wasted) also stands in the metrics, set five times a second.

--- a/include/topaztack/node/sample_collector.hpp
+++ b/include/topaztack/node/sample_collector.hpp
@@ -47,6 +47,7 @@
     std::optional<LedgerCopy> copy;
     TimePoint readAt;
     TimePoint committedAt;
+    TimePoint publishedAt;
     std::map<ObjectKey, std::map<GroupId, std::string>> prompts;
     std::map<std::uint64_t, CollectedAttempt> attempts;
     std::vector<CollectedSample> finished;
@@ -90,7 +91,8 @@
     void cancelAttempt(TrainerCollection& collection, std::uint64_t attempt);
     void settle(const CollectionPtr& collection, SlotAction action, GenerationResult result);
     void stop(TrainerCollection& collection);
-    void publish(const TrainerCollection& collection);
+    void setGauges(const TrainerCollection& collection);
+    void publish(TrainerCollection& collection);
 
     NodeContext& context;
     CompletionRelay& completions;
--- a/include/topaztack/samples/ledger.hpp
+++ b/include/topaztack/samples/ledger.hpp
@@ -149,6 +149,9 @@
 /// @return how many.
 std::uint64_t withdrawStale(Ledger& ledger, const FreshnessBound& bound, WallTime now);
 
+/// @brief Whether withdrawStale would withdraw any.
+bool hasStale(const Ledger& ledger, const FreshnessBound& bound, WallTime now);
+
 /// @brief A sample to deliver and where its payload is.
 struct HandedSample {
     LedgerEntry entry;
--- a/src/node/sample_collector.cpp
+++ b/src/node/sample_collector.cpp
@@ -7,6 +7,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace topaztack {
 
 namespace json = boost::json;
@@ -189,13 +192,16 @@
 asio::awaitable<bool> SampleCollector::loadPrompts(CollectionPtr collection)
 {
     std::vector<ObjectKey> missing;
+    std::set<ObjectKey> used;
     for (const auto& [number, step] : collection->copy->ledger.steps) {
         for (const auto& [id, group] : step) {
+            used.insert(group.prompts);
             const bool isOpen = std::find(group.filled.begin(), group.filled.end(), false) != group.filled.end();
             if (isOpen && !collection->prompts.contains(group.prompts))
                 missing.push_back(group.prompts);
         }
     }
+    std::erase_if(collection->prompts, [&used](const auto& entry) { return !used.contains(entry.first); });
     for (const auto& key : missing) {
         if (collection->prompts.contains(key))
             continue;
@@ -226,8 +232,7 @@
     }
     if (since <= commitInterval)
         return false;
-    auto trial = ledger;
-    return !collection.refusals.empty() || withdrawStale(trial, collection.rules.bound, WallClock::now()) > 0;
+    return !collection.refusals.empty() || hasStale(ledger, collection.rules.bound, WallClock::now());
 }
 
 asio::awaitable<void> SampleCollector::commit(CollectionPtr collection)
--- a/src/node/sample_collector_state.cpp
+++ b/src/node/sample_collector_state.cpp
@@ -8,6 +8,12 @@
 
 namespace json = boost::json;
 
+namespace {
+
+    constexpr auto publishInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
 void SampleCollector::takeSettings(TrainerCollection& collection)
 {
     const auto accepted = this->context.document();
@@ -47,8 +53,29 @@
     logEvent(LogLevel::Info, "collection-stopped", { { "trainer", collection.trainer.value() } });
 }
 
-void SampleCollector::publish(const TrainerCollection& collection)
+void SampleCollector::setGauges(const TrainerCollection& collection)
 {
+    const auto& totals = collection.planner.totals;
+    const auto label = "trainer=\"" + collection.trainer.value() + "\"";
+    const auto set = [this, &label](std::string_view name, std::string_view help, std::uint64_t value) {
+        this->context.metrics.gauge(name, help, label).set(static_cast<std::int64_t>(value));
+    };
+    set("topaztack_samples_committed", "Samples that this VM committed", collection.committed);
+    set("topaztack_samples_discarded_stale", "Generations given up as stale", totals.discardedStale);
+    set("topaztack_samples_discarded_uncertain", "Generations with uncertain spans", totals.discardedUncertain);
+    set("topaztack_samples_moved", "Stragglers moved to another engine", totals.moved);
+    set("topaztack_samples_hedged", "Stragglers given a second copy", totals.hedged);
+    set("topaztack_sample_tokens_made", "Tokens generated for samples", totals.tokensMade);
+    set("topaztack_sample_tokens_wasted", "Tokens that reached no sample", totals.tokensWasted);
+}
+
+void SampleCollector::publish(TrainerCollection& collection)
+{
+    const auto now = Clock::now();
+    if (now - collection.publishedAt < publishInterval)
+        return;
+    collection.publishedAt = now;
+    this->setGauges(collection);
     const auto& totals = collection.planner.totals;
     json::value state = json::object {
         { "collecting", collection.isCollecting },
--- a/src/samples/ledger.cpp
+++ b/src/samples/ledger.cpp
@@ -39,6 +39,12 @@
         group->refusals[entry.slot.index] = SampleRefusal::Stale;
     }
 
+    bool mustWithdraw(const Ledger& ledger, const LedgerEntry& entry, const FreshnessBound& bound, WallTime now)
+    {
+        const bool isOpen = entry.sequence > ledger.handedOut && !entry.isWithdrawn;
+        return isOpen && isStale(bound, entry.oldest, entry.started, ledger.newest, now);
+    }
+
     bool isFilled(const LedgerStep& step)
     {
         return std::all_of(step.begin(), step.end(), [](const auto& group) {
@@ -197,9 +203,7 @@
     std::uint64_t count = 0;
     for (auto& batch : ledger.batches) {
         for (auto& entry : batch.entries) {
-            if (entry.sequence <= ledger.handedOut || entry.isWithdrawn)
-                continue;
-            if (!isStale(bound, entry.oldest, entry.started, ledger.newest, now))
+            if (!mustWithdraw(ledger, entry, bound, now))
                 continue;
             withdraw(ledger, entry);
             ++count;
@@ -208,6 +212,17 @@
     return count;
 }
 
+bool hasStale(const Ledger& ledger, const FreshnessBound& bound, WallTime now)
+{
+    for (const auto& batch : ledger.batches) {
+        for (const auto& entry : batch.entries) {
+            if (mustWithdraw(ledger, entry, bound, now))
+                return true;
+        }
+    }
+    return false;
+}
+
 Result<HandOut> handOut(
     Ledger& ledger, SequenceNumber after, std::size_t most, const FreshnessBound& bound, WallTime now)
 {
--- a/tests/functional/test_samples_faults.py
+++ b/tests/functional/test_samples_faults.py
@@ -46,6 +46,15 @@
         self.assertEqual(len(self.take_patiently(24)), 24)
         self.assertGreater(self.counted("topaztack_row_ambiguous_total"), 0)
 
+    def test_platform_out_while_samples_are_made(self):
+        self.post_until_accepted(1, ["a", "b"])
+        self.fault(self.platform, outage="refuse")
+        refused = self.post(2, ["c"])
+        self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+        self.fault(self.platform, outage="none")
+        self.post_until_accepted(2, ["c"])
+        self.assertEqual(len(self.take_patiently(12)), 12)
+
     def test_engines_that_break_their_streams(self):
         for port in self.engines:
             self.fault(port, break_probability=0.3, break_after_tokens=3, seed=9)
