--- a/apps/topaztack-bench/play.hpp
+++ b/apps/topaztack-bench/play.hpp
@@ -88,7 +88,10 @@
     /// A fetch asked again, at another VM, that gave other samples.
     std::uint64_t fetchesDiffering { 0 };
     std::uint64_t doubled { 0 };
-    std::uint64_t sequenceGaps { 0 };
+    /// Samples that did not come in rising order of their numbers.
+    std::uint64_t outOfOrder { 0 };
+    /// Numbers passed over: of samples withdrawn as stale before they were handed out. Losses are counted by slot.
+    std::uint64_t numbersSkipped { 0 };
     std::uint64_t mislabelled { 0 };
     std::uint64_t tooStale { 0 };
     std::uint64_t stalenessSum { 0 };
--- a/apps/topaztack-bench/play_report.cpp
+++ b/apps/topaztack-bench/play_report.cpp
@@ -74,7 +74,7 @@
             << trainer.groupsRefused << '\n'
             << "samples wanted " << trainer.wanted.size() << ", received " << trainer.received.size() << ", doubled "
             << trainer.doubled << ", lost " << lostSamples(trainer) << ", mislabelled " << trainer.mislabelled
-            << ", gaps in sequence " << trainer.sequenceGaps << '\n'
+            << ", out of order " << trainer.outOfOrder << ", numbers skipped " << trainer.numbersSkipped << '\n'
             << "fetches " << trainer.fetches << ", failed " << trainer.fetchesFailed << ", repeats that differ "
             << trainer.fetchesDiffering << '\n'
             << "weight versions posted " << trainer.versionsPosted << ", refused " << trainer.versionsRefused
@@ -108,7 +108,8 @@
             { "samples_doubled", trainer.doubled },
             { "samples_lost", lostSamples(trainer) },
             { "samples_mislabelled", trainer.mislabelled },
-            { "sequence_gaps", trainer.sequenceGaps },
+            { "samples_out_of_order", trainer.outOfOrder },
+            { "numbers_skipped", trainer.numbersSkipped },
             { "fetches", trainer.fetches },
             { "fetches_failed", trainer.fetchesFailed },
             { "fetches_differing", trainer.fetchesDiffering },
