Tests: a frozen process stands still before the test goes on

Cause: test_a_frozen_home... failed once in a whole run (ran instead of unknown): the signal is delivered to a process's threads one after the other, and one of them answered still. Ruled out: a wrong outcome; the home had not been frozen yet and its answer was true. Conclusion: after SIGSTOP the cluster waits until /proc shows every thread stopped. The check is as strict as it was.

--- a/examples/lib/loopback.py
+++ b/examples/lib/loopback.py
@@ -73,6 +73,12 @@
     raise TimeoutError(f"{what} did not hold within {timeout} s")
 
 
+def thread_states(pid):
+    """The states of a process's threads, as in /proc/PID/task/TID/stat."""
+    stats = pathlib.Path(f"/proc/{pid}/task").glob("*/stat")
+    return {stat.read_text().rsplit(")", 1)[1].split()[0] for stat in stats}
+
+
 class Cluster:
     """Processes started here, with one log each; `pids` lists them as `name pid`."""
 
@@ -94,7 +100,11 @@
         (self.directory / "pids").write_text("".join(lines))
 
     def signal(self, name, number):
-        self.processes[name].send_signal(number)
+        """Sends a signal; after SIGSTOP every thread stands still when this returns."""
+        process = self.processes[name]
+        process.send_signal(number)
+        if number == signal.SIGSTOP:
+            wait_until(lambda: thread_states(process.pid) == {"T"}, what=f"{name} stopped")
 
     def kill(self, name):
         """Ends a process at once, as a VM's loss does."""
