HTTP input that two parties could read differently is refused; idle and failing connections

Cause: the library's parser takes continuation lines, equal lengths given twice, transfer codings other than chunked, two Hosts, and chunked bodies of HTTP/1.0; what follows such a head is then read as a request of its own. Looked at: `closeIfIdle` and the set of open connections. Only the owning thread touches a connection's state, under the lock that its destructor takes, so that there is no race there. Ruled out: reading the head into a copy of the buffer (Asio's older buffer interface copies it, and requests hung). Partial: a caller that leaves is noticed while it sends nothing more; behind a pipelined request or a TLS close alert it is noticed by the next write. The operators' port over TLS is wired but not tested.

--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -39,6 +39,15 @@
 
     using LinkPtr = std::unique_ptr<Link>;
 
+    /// Backend servers close idle connections too, many of them after 5 s; one that is closed just as it is taken up
+    /// again would leave the outcome of its request unknown.
+    constexpr std::chrono::seconds longestIdle { 3 };
+
+    struct IdleLink {
+        LinkPtr link;
+        TimePoint since;
+    };
+
     CallFailure failure(const boost::system::error_code& problem, const Endpoint& endpoint, AttemptProgress progress)
     {
         ErrorKind kind = ErrorKind::BackendBroke;
@@ -103,10 +112,10 @@
     {
         auto& links = this->idle[endpoint];
         while (!links.empty()) {
-            auto link = std::move(links.back());
+            auto kept = std::move(links.back());
             links.pop_back();
-            if (isStillOpen(*link))
-                return link;
+            if (Clock::now() - kept.since < longestIdle && isStillOpen(*kept.link))
+                return std::move(kept.link);
         }
         return nullptr;
     }
@@ -116,7 +125,7 @@
         auto& links = this->idle[endpoint];
         link->stream.expires_never();
         if (links.size() < this->idlePerEndpoint && link->buffer.size() == 0)
-            links.push_back(std::move(link));
+            links.push_back({ std::move(link), Clock::now() });
     }
 
     asio::awaitable<CallResult<LinkPtr>> connect(Endpoint endpoint, TimePoint deadline)
@@ -155,7 +164,7 @@
 
     asio::io_context& loop;
     std::size_t idlePerEndpoint;
-    std::map<Endpoint, std::vector<LinkPtr>> idle;
+    std::map<Endpoint, std::vector<IdleLink>> idle;
 };
 
 namespace {
--- /dev/null
+++ b/src/wire/http_head.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <topaztack/base/error.hpp>
+#include <topaztack/wire/http.hpp>
+
+#include <boost/asio/read_until.hpp>
+
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// @file
+/// What a request's head must be beyond the library's checks, so that no two parties can read it differently.
+
+namespace topaztack {
+
+/// @brief Match condition for async_read_until: a whole head, or a line feed that no carriage return precedes.
+struct HeadEnd {
+    template <typename Iterator> std::pair<Iterator, bool> operator()(Iterator begin, Iterator end) const
+    {
+        std::size_t ended = 0;
+        char previous = 0;
+        for (auto place = begin; place != end; ++place) {
+            const char character = *place;
+            if (character == '\n' && previous != '\r')
+                return { std::next(place), true };
+            if (character == '\n')
+                ++ended;
+            else if (character != '\r')
+                ended = 0;
+            if (ended == 2)
+                return { std::next(place), true };
+            previous = character;
+        }
+        return { begin, false };
+    }
+};
+
+/// @brief Checks the bytes of a head: bare line feeds and carriage returns, continuation lines, control characters.
+/// @return what is wrong; nothing if it may be parsed.
+std::optional<Error> checkHead(std::string_view head);
+
+/// @brief Checks parsed fields: transfer codings, repeated lengths and hosts, number of fields.
+/// @param version 10 or 11.
+std::optional<Error> checkFields(const std::vector<HttpHeader>& headers, unsigned version);
+
+} // namespace topaztack
+
+template <> struct boost::asio::is_match_condition<topaztack::HeadEnd> : public std::true_type {
+};
--- /dev/null
+++ b/src/wire/http_server_state.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "listener.hpp"
+
+#include <topaztack/wire/http_server.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+
+/// @file
+/// What the connections of one HttpServer share.
+
+namespace topaztack {
+
+class HttpConnection;
+
+struct HttpServer::State {
+    IoThreads& threads;
+    TlsContext* tls;
+    std::function<HttpServerLimits()> limits;
+    HttpHandler handler;
+    Counter& requests;
+    Counter& refusedInput;
+    Gauge& connections;
+    std::shared_ptr<Listener> listener;
+    std::atomic<bool> isStopping { false };
+    std::atomic<std::size_t> inFlight { 0 };
+    std::mutex lock;
+    /// Of every thread; each closes its own.
+    std::set<HttpConnection*> open;
+};
+
+/// @brief Serves a connection on the calling thread, or closes it if there are too many.
+void startHttpConnection(const std::shared_ptr<HttpServer::State>& server, boost::asio::ip::tcp::socket socket);
+
+/// @brief Closes the calling thread's connections that wait for a request.
+void closeIdleHttpConnections(const std::shared_ptr<HttpServer::State>& server);
+
+} // namespace topaztack
--- /dev/null
+++ b/tests/src/wire/unit-http_client.cpp
@@ -0,0 +1,129 @@
+#include "wire/run_awaitable.hpp"
+
+#include <topaztack/wire/http_client.hpp>
+#include <topaztack/wire/io_threads.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <thread>
+
+using namespace topaztack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// A backend server that handles one accepted connection after another by a script.
+class ScriptedServer {
+public:
+    using Script = std::function<void(tcp::socket&)>;
+
+    ScriptedServer(const std::string& address, std::vector<Script> scripts)
+        : acceptor(loop, tcp::endpoint(asio::ip::make_address(address), 0))
+        , thread([this, scripts = std::move(scripts)] {
+            for (const auto& script : scripts) {
+                auto socket = this->acceptor.accept();
+                script(socket);
+            }
+        })
+    {
+    }
+
+    ~ScriptedServer() { this->thread.join(); }
+
+    Endpoint endpoint() const
+    {
+        const auto local = this->acceptor.local_endpoint();
+        return { local.address().to_string(), local.port() };
+    }
+
+    static void readHead(tcp::socket& socket)
+    {
+        std::string head;
+        asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
+    }
+
+    static void answerOnce(tcp::socket& socket)
+    {
+        readHead(socket);
+        asio::write(socket, asio::buffer(std::string(wholeAnswer)));
+    }
+
+private:
+    asio::io_context loop;
+    tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+struct Caller {
+    Caller() { threads.start(); }
+
+    CallResult<HttpResponse> call(const Endpoint& endpoint)
+    {
+        return test::runOn(threads.at(0), client.call(endpoint, HttpRequest { "POST", "/x" }, Clock::now() + 20s));
+    }
+
+    IoThreads threads { 1 };
+    HttpClient client { threads.at(0) };
+};
+
+} // namespace
+
+TEST_GROUP(HttpClient) {};
+
+TEST(HttpClient, AKeptConnectionThatTheServerClosedIsNotUsedAgain)
+{
+    ScriptedServer server("127.0.0.1", { ScriptedServer::answerOnce, ScriptedServer::answerOnce });
+    Caller caller;
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+    std::this_thread::sleep_for(50ms);
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+}
+
+TEST(HttpClient, AConnectionClosedUnderARequestIsNeverProofThatItDidNotRun)
+{
+    ScriptedServer server("127.0.0.1", { [](tcp::socket& socket) {
+        ScriptedServer::answerOnce(socket);
+        ScriptedServer::readHead(socket);
+    } });
+    Caller caller;
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+    const auto second = caller.call(server.endpoint());
+    CHECK_FALSE(second.has_value());
+    CHECK_TRUE(second.error().progress == AttemptProgress::Written);
+}
+
+TEST(HttpClient, ARefusedConnectionIsProofThatItDidNotRun)
+{
+    Caller caller;
+    const auto answer = caller.call({ "127.0.0.1", 1 });
+    CHECK_TRUE(answer.error().progress == AttemptProgress::NothingWritten);
+    CHECK_TRUE(answer.error().error.kind == ErrorKind::BackendUnreachable);
+}
+
+TEST(HttpClient, AnAnswerCutShortIsAnError)
+{
+    ScriptedServer server("127.0.0.1", { [](tcp::socket& socket) {
+        ScriptedServer::readHead(socket);
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")));
+    } });
+    Caller caller;
+    const auto answer = caller.call(server.endpoint());
+    CHECK_FALSE(answer.has_value());
+    CHECK_TRUE(answer.error().progress == AttemptProgress::Written);
+}
+
+TEST(HttpClient, SpeaksIpv6)
+{
+    ScriptedServer server("::1", { ScriptedServer::answerOnce });
+    Caller caller;
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+}
