Samples: a leaving VM commits what it finished; a cancelled move starts nothing; a test that couldn't fail made strict

Cause: a draining collector dropped finished samples that waited for the next commit, so they were generated twice; and an attempt cancelled between the end of its first part and its move went on at the other engine for nothing.

The test of a moved attempt passed with the rule for its oldest version switched off (trial): both versions were the same. It now posts a version in between, and fails without the rule.

--- a/include/topaztack/samples/slot_planner.hpp
+++ b/include/topaztack/samples/slot_planner.hpp
@@ -141,6 +141,9 @@
 /// @brief An attempt failed or was cancelled; the slot is started again after a pause that grows with failures.
 void takeFailed(SlotPlanner& planner, const SlotName& slot, std::uint64_t attempt, bool isOurCancel, TimePoint now);
 
+/// @brief Whether an attempt is still wanted; one that was cancelled is not.
+bool hasAttempt(const SlotPlanner& planner, const SlotName& slot, std::uint64_t attempt);
+
 /// @brief A finished sample was not committed after all; its slot is open again.
 void reopenSlot(SlotPlanner& planner, const SlotName& slot);
 
--- a/src/node/sample_collector.cpp
+++ b/src/node/sample_collector.cpp
@@ -140,6 +140,9 @@
             collection->isCollecting = true;
             co_await this->tick(collection);
         } else if (collection->isCollecting) {
+            const bool hasFinished = collection->batch || !collection->finished.empty();
+            if (hasFinished && collection->copy && this->mayCollect(*collection))
+                co_await this->commit(collection);
             this->stop(*collection);
         }
         this->publish(*collection);
@@ -355,6 +358,8 @@
         action.requestClass = RequestClass::Straggler;
     }
     if (!result && attempt.movesTo != 0) {
+        if (!hasAttempt(collection->planner, action.slot, action.attempt))
+            return;
         auto before = std::move(result.error().partial);
         before.text.insert(0, attempt.textBefore);
         this->startAttempt(collection, action, std::move(before));
--- a/src/samples/slot_planner.cpp
+++ b/src/samples/slot_planner.cpp
@@ -368,6 +368,16 @@
     work.notBefore = now + pause;
 }
 
+bool hasAttempt(const SlotPlanner& planner, const SlotName& slot, std::uint64_t attempt)
+{
+    const auto found = planner.work.find(slot);
+    if (found == planner.work.end())
+        return false;
+    const auto& attempts = found->second.attempts;
+    return std::any_of(
+        attempts.begin(), attempts.end(), [attempt](const SlotAttempt& candidate) { return candidate.id == attempt; });
+}
+
 void reopenSlot(SlotPlanner& planner, const SlotName& slot)
 {
     const auto found = planner.work.find(slot);
--- a/tests/src/samples/unit-slot_planner.cpp
+++ b/tests/src/samples/unit-slot_planner.cpp
@@ -131,6 +131,8 @@
         this->finish(actions[index]);
     this->rules.lookahead = 0;
     this->rules.hedgesStragglers = false;
+    postVersion(this->ledger, WeightVersion(2), this->wall).value();
+    takeLedger(this->planner, this->ledger, this->now);
     this->now += 60s;
     const auto moves = this->ofKind(SlotActionKind::Move);
     LONGS_EQUAL(1, moves.size());
@@ -138,6 +140,8 @@
     const auto& moved = this->planner.work[moves[0].slot].attempts.front();
     LONGS_EQUAL(10, moved.tokens);
     CHECK_TRUE(moved.oldest == WeightVersion(1));
+    CHECK_FALSE(hasAttempt(this->planner, actions[0].slot, actions[0].attempt));
+    CHECK_TRUE(hasAttempt(this->planner, moves[0].slot, moves[0].attempt));
 }
 
 TEST(SlotPlanner, StartIsHeldBackOnlyIfTheNextVersionMakesItFresh)
