--- a/apps/topaztack-bench/main.cpp
+++ b/apps/topaztack-bench/main.cpp
@@ -6,11 +6,13 @@
 
 /// One line for each experiment: `void addName(CLI::App&, std::function<int()>&);` in its own source file.
 void addPlay(CLI::App& app, std::function<int()>& run);
+void addRelay(CLI::App& app, std::function<int()>& run);
 void addRequests(CLI::App& app, std::function<int()>& run);
 void addSamples(CLI::App& app, std::function<int()>& run);
 
 const std::vector<AddCommand> commands {
     addPlay,
+    addRelay,
     addRequests,
     addSamples,
 };
