--- a/src/node/slot_pool.cpp
+++ b/src/node/slot_pool.cpp
@@ -108,6 +108,7 @@
     std::sort(backends.begin(), backends.end(),
         [](const BackendSettings* left, const BackendSettings* right) { return left->name < right->name; });
     std::vector<SharedBackend> shared;
+    shared.reserve(backends.size());
     for (const auto* backend : backends)
         shared.push_back({ backend->name, backend->dataCentre });
     const auto shares = slotShares(shared, settings.inFlightPerBackend, self, holders);
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -54,6 +54,7 @@
     const SlotHolder& self, const std::vector<SlotHolder>& vms)
 {
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(vms.size());
     for (const auto& vm : vms)
         hashes.push_back(stableHash(vm.name.value()));
     const auto places = std::max<std::uint64_t>(1, limit / leastSlotsAtBackend);
