Graceful shutdown cuts off nothing: handshakes, kept connections and streams

Three causes: connections queued at the listening socket were reset when it was closed; kept connections were closed as idle while their next request was on its way; a stream whose head had promised a kept connection ended with a closed one. Ruled out: going on accepting for a fixed time (still a reset for what is queued at its end). Conclusion: the listening socket first drops new handshakes by a packet filter, accepts what is queued for 100 ms, then closes. Each answer says that its connection closes, and only then is it closed; a connection that brings no request for 1 s is closed.

--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -73,12 +73,19 @@
     /// @return ErrorKind::BadSettings if the address can't be bound.
     Result<void> start();
 
-    /// @brief Stops accepting; idle connections are closed, others after the answer in hand.
+    /// @brief Stops accepting. Each answer from now on says that its connection closes, and then closes it; a
+    /// connection that brings no request for a while is closed. So no caller's request meets a closed connection.
     void stopAccepting();
 
     /// @brief Requests whose answer isn't complete yet.
     std::size_t inFlight() const;
 
+    /// @brief Whether a connection may still be taken; false some time after stopAccepting().
+    bool isAccepting() const;
+
+    /// @brief Connections not closed yet, with or without a request.
+    std::size_t openConnections() const;
+
     /// @brief The bound port, of use when the settings say port 0.
     std::uint16_t port() const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,6 +54,12 @@
     json::value dump() const;
     /// Requests of callers and of other VMs that have no answer yet.
     std::size_t inFlight() const { return this->callerServer.inFlight() + this->services.forwardedInHand(); }
+
+    /// Whether a request is in flight or may still arrive from a caller.
+    bool isServing() const
+    {
+        return this->callerServer.isAccepting() || this->callerServer.openConnections() > 0 || this->inFlight() > 0;
+    }
     HttpServerLimits callerLimits() const;
 
     NodeContext context;
@@ -243,7 +249,7 @@
     const auto drainTime = accepted ? std::chrono::microseconds(accepted->document.limits.drainTime)
                                     : std::chrono::microseconds(defaultDrainTime);
     const auto end = Clock::now() + drainTime;
-    while (this->parts->inFlight() > 0 && Clock::now() < end)
+    while (this->parts->isServing() && Clock::now() < end)
         std::this_thread::sleep_for(drainCheckInterval);
     asio::co_spawn(context.threads.at(0), this->parts->leases.releaseAll(), asio::use_future).wait();
     logEvent(LogLevel::Info, "stopped",
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -202,8 +202,6 @@
     auto accepted = this->context.document();
     if (!accepted)
         co_return errorWithOutcome(makeError(ErrorKind::NotReady, "no document is in force"), call.id, Outcome::NotRun);
-    if (this->context.isDraining)
-        co_return errorWithOutcome(makeError(ErrorKind::ShuttingDown, "this VM is leaving"), call.id, Outcome::NotRun);
     auto poolName = poolOf(call.request);
     const auto* pool = findPool(accepted->document, poolName);
     if (!pool || pool->kind != PoolKind::Service)
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffer_ref.hpp>
@@ -48,6 +49,9 @@
 
     /// Room for what arrives beyond a head: a body's first bytes or a chunk's header with its extensions.
     constexpr std::size_t readAhead = 16UL * 1024;
+    /// Of a server that is stopping: how long a connection brings no request before it is closed.
+    constexpr std::chrono::milliseconds idleBeforeClose { 1000 };
+    constexpr std::chrono::milliseconds idleCheckInterval { 50 };
 
 } // namespace
 
@@ -57,7 +61,7 @@
     ~HttpConnection() override;
 
     asio::awaitable<void> serve();
-    void closeIfIdle();
+    void closeIfIdle(TimePoint now);
     bool belongsTo(const asio::io_context& other) const { return &this->loop == &other; }
 
     const HttpRequest& request() const override { return this->current; }
@@ -77,7 +81,7 @@
     asio::awaitable<void> handle();
     std::optional<Error> understood(const boost::system::error_code& problem) const;
     void takeHead(Parser& parser);
-    http::response<http::string_body> makeHead(HttpResponse& response) const;
+    http::response<http::string_body> makeHead(HttpResponse& response);
     void watchCaller();
     void startWriteTimer() { this->stream.tcp().expires_after(this->limits.idle); }
     bool settle(const boost::system::error_code& problem);
@@ -96,6 +100,7 @@
     bool isAnswered { false };
     bool hasBegunAnswer { false };
     bool isWatching { false };
+    TimePoint idleSince { Clock::now() };
 };
 
 HttpConnection::HttpConnection(std::shared_ptr<HttpServer::State> server, asio::io_context& loop, tcp::socket socket)
@@ -122,11 +127,11 @@
     this->server->open.erase(this);
 }
 
-void HttpConnection::closeIfIdle()
+void HttpConnection::closeIfIdle(TimePoint now)
 {
     boost::system::error_code problem;
     const bool hasInput = this->buffer.size() > 0 || this->stream.socket().available(problem) > 0;
-    if (!this->isBusy && !hasInput)
+    if (!this->isBusy && !hasInput && now - this->idleSince >= idleBeforeClose)
         this->stream.tcp().cancel();
 }
 
@@ -149,7 +154,8 @@
         this->notifyGone = nullptr;
         this->isBusy = false;
         this->server->inFlight.fetch_sub(1, std::memory_order_relaxed);
-        if (!this->isAnswered || this->server->isStopping.load(std::memory_order_relaxed))
+        this->idleSince = Clock::now();
+        if (!this->isAnswered)
             break;
     }
     boost::system::error_code ignored;
@@ -276,12 +282,14 @@
     });
 }
 
-http::response<http::string_body> HttpConnection::makeHead(HttpResponse& response) const
+/// What the head says of the connection is what is done with it.
+http::response<http::string_body> HttpConnection::makeHead(HttpResponse& response)
 {
+    this->keepAlive = this->keepAlive && !this->server->isStopping.load(std::memory_order_relaxed);
     http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
     for (const auto& header : response.headers)
         message.insert(header.name, header.value);
-    message.keep_alive(this->keepAlive && !this->server->isStopping.load(std::memory_order_relaxed));
+    message.keep_alive(this->keepAlive);
     return message;
 }
 
@@ -348,13 +356,28 @@
     });
 }
 
-void closeIdleHttpConnections(const std::shared_ptr<HttpServer::State>& server)
+namespace {
+
+    void closeIdleOnce(HttpServer::State& server)
+    {
+        const auto& own = server.threads.at(IoThreads::here());
+        const auto now = Clock::now();
+        const std::lock_guard guard(server.lock);
+        for (auto* connection : server.open) {
+            if (connection->belongsTo(own))
+                connection->closeIfIdle(now);
+        }
+    }
+
+} // namespace
+
+asio::awaitable<void> closeIdleHttpConnections(std::shared_ptr<HttpServer::State> server)
 {
-    const auto& own = server->threads.at(IoThreads::here());
-    const std::lock_guard guard(server->lock);
-    for (auto* connection : server->open) {
-        if (connection->belongsTo(own))
-            connection->closeIfIdle();
+    asio::steady_timer timer(server->threads.at(IoThreads::here()));
+    while (true) {
+        closeIdleOnce(*server);
+        timer.expires_after(idleCheckInterval);
+        co_await timer.async_wait(asTuple);
     }
 }
 
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server_state.hpp"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace topaztack {
 
@@ -39,12 +40,16 @@
     this->state->listener->stop();
     const auto state = this->state;
     for (std::size_t index = 0; index < state->threads.size(); ++index) {
-        asio::post(state->threads.at(index), [state] { closeIdleHttpConnections(state); });
+        asio::co_spawn(state->threads.at(index), closeIdleHttpConnections(state), asio::detached);
     }
 }
 
 std::size_t HttpServer::inFlight() const { return this->state->inFlight.load(std::memory_order_relaxed); }
 
+bool HttpServer::isAccepting() const { return this->state->listener->isAccepting(); }
+
+std::size_t HttpServer::openConnections() const { return static_cast<std::size_t>(this->state->connections.value()); }
+
 std::uint16_t HttpServer::port() const { return this->state->listener->port(); }
 
 } // namespace topaztack
--- a/src/wire/listener.cpp
+++ b/src/wire/listener.cpp
@@ -9,6 +9,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <array>
+
 namespace topaztack {
 
 namespace asio = boost::asio;
@@ -19,6 +24,27 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     /// Time before the next try when no connection can be accepted, such as with no file descriptors left.
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+    /// Time for handshakes under way to end and for the queue to be accepted, once new ones are dropped.
+    constexpr std::chrono::milliseconds queueTime { 100 };
+
+    /// Has the kernel drop packets that begin a handshake (SYN without ACK) at a listening socket.
+    void dropNewHandshakes(int socket)
+    {
+        constexpr std::uint32_t flagsOffset = 13;
+        constexpr std::uint32_t synAndAck = 0x12;
+        constexpr std::uint32_t syn = 0x02;
+        constexpr std::uint32_t wholePacket = 0xffffffff;
+        std::array<sock_filter, 5> program { {
+            BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+            BPF_STMT(BPF_ALU | BPF_AND | BPF_K, synAndAck),
+            BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, syn, 0, 1),
+            BPF_STMT(BPF_RET | BPF_K, 0),
+            BPF_STMT(BPF_RET | BPF_K, wholePacket),
+        } };
+        const sock_fprog filter { static_cast<unsigned short>(program.size()), program.data() };
+        if (setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) != 0)
+            logEvent(LogLevel::Warning, "handshakes-not-dropped");
+    }
 
 } // namespace
 
@@ -42,13 +68,17 @@
     return boost::outcome_v2::success();
 }
 
-void Listener::stop()
+void Listener::stop() { asio::co_spawn(this->threads.at(0), this->closeAfterQueue(), asio::detached); }
+
+asio::awaitable<void> Listener::closeAfterQueue()
 {
+    const auto self = this->shared_from_this();
+    dropNewHandshakes(this->acceptor.native_handle());
+    asio::steady_timer timer(this->threads.at(0), queueTime);
+    co_await timer.async_wait(asTuple);
     this->isStopping = true;
-    asio::post(this->threads.at(0), [self = this->shared_from_this()] {
-        boost::system::error_code ignored;
-        self->acceptor.close(ignored);
-    });
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
 }
 
 asio::awaitable<void> Listener::accept()
--- a/src/wire/listener.hpp
+++ b/src/wire/listener.hpp
@@ -33,13 +33,17 @@
     /// @return ErrorKind::BadSettings if the address can't be bound.
     Result<void> start();
 
-    /// @brief Stops accepting; may be called on any thread.
+    /// @brief Stops accepting; may be called on any thread. A connection whose handshake was done is still taken: new
+    /// handshakes are dropped first, what is queued is accepted, and only then is the socket closed.
     void stop();
 
+    bool isAccepting() const { return !this->isStopping; }
+
     std::uint16_t port() const { return this->boundPort; }
 
 private:
     boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> closeAfterQueue();
 
     IoThreads& threads;
     const Endpoint endpoint;
