TLS between VMs as settings say; keys read again when their files change

Cause: a VM took the keys of [tls] and ignored them: an operator who set them got plain TCP. Nothing called the reload either. The command that prints docs/SETTINGS.md had been lost in a rewrite of the command line. Conclusion: links between VMs use the keys; bad ones keep the VM from starting; every 2 s changed files are read again. Callers' and operators' ports speak plain HTTP, and the settings page says so. Not done: TLS on the operators' port (the command line has no TLS client).

--- a/apps/topaztack/main.cpp
+++ b/apps/topaztack/main.cpp
@@ -1,8 +1,11 @@
 #include "commands.hpp"
 
+#include <topaztack/control/settings_page.hpp>
+
 #include <CLI/CLI.hpp>
 
 #include <cstdlib>
+#include <iostream>
 
 namespace {
 
@@ -63,6 +66,8 @@
     diffCommand->add_option("right", other, "file or version; without it, from the document in force to the left one");
     auto* historyCommand = app.add_subcommand("history", "print the accepted versions, newest first");
     auto* dumpCommand = app.add_subcommand("dump", "print a VM's state");
+    auto* settingsCommand
+        = app.add_subcommand("settings-page", "print every key of settings and documents, as Markdown");
     auto* drainCommand = app.add_subcommand("drain", "start a VM's graceful shutdown");
     for (auto* command : { acceptCommand, revertCommand, showCommand, statusCommand, diffCommand, historyCommand,
              dumpCommand, drainCommand }) {
@@ -80,6 +85,10 @@
     access.token = std::move(*token);
     if (checkCommand->parsed())
         return check(file);
+    if (settingsCommand->parsed()) {
+        std::cout << topaztack::settingsPage();
+        return exitGood;
+    }
     if (acceptCommand->parsed())
         return acceptFile(access, file, std::move(options));
     if (revertCommand->parsed())
--- a/include/topaztack/node/context.hpp
+++ b/include/topaztack/node/context.hpp
@@ -11,6 +11,7 @@
 #include <topaztack/wire/io_threads.hpp>
 #include <topaztack/wire/peer_link.hpp>
 #include <topaztack/wire/platform_client.hpp>
+#include <topaztack/wire/tls.hpp>
 
 #include <atomic>
 #include <memory>
@@ -23,11 +24,11 @@
 
 /// @brief The clients of one thread.
 struct ThreadClients {
-    ThreadClients(boost::asio::io_context& loop, const VmSettings& settings, const PeerKey& peerKey)
+    ThreadClients(boost::asio::io_context& loop, const VmSettings& settings, const PeerKey& peerKey, TlsContext* tls)
         : backends(loop)
         , platformLink(loop)
         , platform(platformLink, settings.platform, settings.platformTimeout)
-        , peers(loop, peerKey)
+        , peers(loop, peerKey, tls)
     {
     }
 
@@ -57,6 +58,10 @@
     const VmIdentity identity;
     /// Read from the settings' file; an error keeps the node from starting.
     const Result<PeerKey> peerKey;
+    /// Keys for TLS between VMs, nullptr for plain TCP; an error keeps the node from starting.
+    const Result<std::unique_ptr<TlsContext>> tls;
+
+    TlsContext* peerTls() const { return this->tls ? this->tls.value().get() : nullptr; }
     MetricsRegistry metrics;
     RcuCell<AcceptedDocument> inForce;
     /// Published by membership; empty until it has started.
--- a/src/control/settings_page.cpp
+++ b/src/control/settings_page.cpp
@@ -31,7 +31,10 @@
     page += "\n## A VM's settings file\n";
     printSection("[vm NAME]", "This VM. Exactly one.", vmRules(), page);
     printSection("[platform]", "The platform's table service, object store and VM list.", platformRules(), page);
-    printSection("[tls]", "Keys of this VM; read again when the files change.", tlsRules(), page);
+    printSection("[tls]",
+        "Keys of this VM for its links to other VMs; read again when the files change. Callers' and operators' ports "
+        "speak plain HTTP.",
+        tlsRules(), page);
     printSection("[peer NAME]", "Another VM, a seed of membership.", peerRules(), page);
     page += "\n## The accepted document\n";
     printSection("[pool NAME]", "Backend servers that serve the same requests.", poolRules(), page);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,6 +18,9 @@
 #include <topaztack/node/trainer_desk.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 
@@ -33,6 +36,7 @@
 
     constexpr auto defaultDrainTime = 30s;
     constexpr auto drainCheckInterval = 10ms;
+    constexpr auto keyCheckInterval = 2s;
     constexpr std::size_t operatorBodyLimit = 4 * 1024 * 1024;
 
     /// Calls to other VMs from whichever thread asks.
@@ -49,6 +53,7 @@
     Parts(VmSettings settings, VmIdentity identity);
 
     void addPeerHandlers();
+    asio::awaitable<void> watchKeys();
     void addOperatorRoutes();
     asio::awaitable<void> answerText(HttpExchange& exchange, std::string contentType, std::string body);
     json::value dump() const;
@@ -122,7 +127,8 @@
     , peerServer(
           this->context.threads, this->context.settings.peers,
           this->context.peerKey ? this->context.peerKey.value() : PeerKey {},
-          [this](PeerCall call) { return this->peers.answer(std::move(call)); }, this->context.metrics)
+          [this](PeerCall call) { return this->peers.answer(std::move(call)); }, this->context.metrics,
+          this->context.peerTls())
     , members(this->context, this->config, this->context.peerKey ? this->context.peerKey.value() : PeerKey {})
 {
     this->addPeerHandlers();
@@ -165,6 +171,21 @@
         [this](PartCall call) -> asio::awaitable<PeerAnswer> { co_return this->claims.handlePart(call); });
 }
 
+/// Keys that were replaced on the VM are taken into use; bad ones are logged and the old ones stay.
+asio::awaitable<void> Node::Parts::watchKeys()
+{
+    asio::steady_timer timer(this->context.threads.at(0));
+    while (this->context.peerTls()) {
+        timer.expires_after(keyCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto reloaded = this->context.peerTls()->reloadIfChanged();
+        if (!reloaded)
+            logEvent(LogLevel::Error, "keys-refused", { { "error", toText(reloaded.error()) } });
+        else if (reloaded.value())
+            logEvent(LogLevel::Info, "keys-reloaded");
+    }
+}
+
 void Node::Parts::addOperatorRoutes()
 {
     this->operatorRoutes.add("GET", "/healthz",
@@ -222,10 +243,13 @@
     BOOST_OUTCOME_TRYV(this->parts->gate.start());
     if (!this->parts->context.peerKey)
         return this->parts->context.peerKey.error();
+    if (!this->parts->context.tls)
+        return this->parts->context.tls.error();
     this->parts->config.start();
     this->parts->claims.start();
     this->parts->backends.start();
     this->parts->leases.start();
+    asio::co_spawn(this->parts->context.threads.at(0), this->parts->watchKeys(), asio::detached);
     this->parts->samples.start();
     this->parts->weights.start();
     BOOST_OUTCOME_TRYV(this->parts->callerServer.start());
