Fuzzing of every parser: documents, settings, event streams, frames between VMs, tickets, lease rows

Cause: only frames were damaged at random so far; the issue asks for fuzz targets of all input formats.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -22,6 +22,15 @@
     topaztack_test_program(${library})
 endforeach()
 
+# Damaged inputs of every parser, a bounded number from a fixed seed.
+file(GLOB fuzzers CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/fuzzing/fuzz-*.cpp")
+add_executable(test-fuzzing ${fuzzers} "${PROJECT_SOURCE_DIR}/tests/src/main.cpp")
+target_compile_definitions(test-fuzzing PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED TOPAZTACK_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+target_link_libraries(test-fuzzing PRIVATE topaztack-node PkgConfig::CPPUTEST)
+set_target_properties(test-fuzzing PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
+add_dependencies(unit-tests test-fuzzing)
+add_test(NAME fuzzing COMMAND test-fuzzing -v)
+
 file(GLOB functional CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/functional/test_*.py")
 foreach(script ${functional})
     get_filename_component(name "${script}" NAME_WE)
