One name printer of member states, one count of living VMs

Cause: read as a newcomer; member_agent.cpp and status_desk.cpp held the same function, claim_desk.cpp counted anew. Measured: test_control_membership and test_requests_own_keys pass.

--- a/include/topaztack/control/membership.hpp
+++ b/include/topaztack/control/membership.hpp
@@ -6,6 +6,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 /// @file
@@ -43,6 +44,9 @@
 
 using MembershipViewPtr = boost::intrusive_ptr<const MembershipView>;
 
+/// @brief Prints `alive`, `leaving`, `suspect` or `dead`.
+std::string_view stateName(MemberState state);
+
 /// @brief The member that has this name and incarnation, or nullptr.
 const MemberUpdate* findMember(const MembershipView& view, const VmIdentity& identity);
 
--- a/src/control/membership_view.cpp
+++ b/src/control/membership_view.cpp
@@ -2,6 +2,21 @@
 
 namespace topaztack {
 
+std::string_view stateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        break;
+    }
+    return "dead";
+}
+
 const MemberUpdate* findMember(const MembershipView& view, const VmIdentity& identity)
 {
     for (const auto& member : view.members) {
--- a/src/node/claim_desk.cpp
+++ b/src/node/claim_desk.cpp
@@ -54,12 +54,9 @@
     std::uint32_t vmsInDataCentre(const NodeContext& context)
     {
         const auto view = context.members.load();
+        if (view)
+            return countAlive(*view, context.settings.dataCentre);
         std::uint32_t count = 0;
-        if (view) {
-            for (const auto& member : view->members)
-                count += member.dataCentre == context.settings.dataCentre && member.state == MemberState::Alive ? 1 : 0;
-            return count;
-        }
         for (const auto& peer : context.settings.peerList)
             count += peer.dataCentre == context.settings.dataCentre ? 1 : 0;
         return count + 1;
--- a/src/node/member_agent.cpp
+++ b/src/node/member_agent.cpp
@@ -41,21 +41,6 @@
         return seeds;
     }
 
-    std::string_view stateName(MemberState state)
-    {
-        switch (state) {
-        case MemberState::Alive:
-            return "alive";
-        case MemberState::Leaving:
-            return "leaving";
-        case MemberState::Suspect:
-            return "suspect";
-        case MemberState::Dead:
-            break;
-        }
-        return "dead";
-    }
-
     json::object memberJson(const MemberUpdate& member)
     {
         return { { "vm", member.identity.name.value() }, { "incarnation", toHex(member.identity.incarnation.value()) },
--- a/src/node/status_desk.cpp
+++ b/src/node/status_desk.cpp
@@ -49,21 +49,6 @@
         }
     }
 
-    std::string_view stateName(MemberState state)
-    {
-        switch (state) {
-        case MemberState::Alive:
-            return "alive";
-        case MemberState::Leaving:
-            return "leaving";
-        case MemberState::Suspect:
-            return "suspect";
-        case MemberState::Dead:
-            break;
-        }
-        return "dead";
-    }
-
     json::object vmJson(const VmStatus& vm)
     {
         json::object value { { "vm", vm.identity.name.value() }, { "state", stateName(vm.believed) },
