--- a/apps/topaztack-console/pages.cpp
+++ b/apps/topaztack-console/pages.cpp
@@ -129,7 +129,7 @@
     const bool isEverywhere = status.at("in_force_everywhere").as_bool();
     std::string body = "<p>Accepted: version " + textOf(status.at("accepted")) + " (as the "
         + textOf(status.at("accepted_from")) + " says).</p>\n";
-    body += isEverywhere ? "<p class=\"good\">In force on every VM.</p>\n"
+    body += isEverywhere ? "<p class=\"good\">In force on every VM that is known.</p>\n"
                          : "<p class=\"bad\">Not in force on every VM, or not known to be.</p>\n";
     body += "<div class=\"table\"><table><thead><tr><th scope=\"col\">Data centre</th><th scope=\"col\">In force "
             "on</th></tr></thead><tbody>\n";
--- a/apps/topaztack/commands.cpp
+++ b/apps/topaztack/commands.cpp
@@ -153,7 +153,8 @@
     {
         std::cout << "accepted: version " << status.at("accepted").to_number<std::uint64_t>() << " (from "
                   << status.at("accepted_from").as_string().c_str() << ")\n"
-                  << "in force everywhere: " << (status.at("in_force_everywhere").as_bool() ? "yes" : "no") << "\n";
+                  << "in force on every VM that is known: "
+                  << (status.at("in_force_everywhere").as_bool() ? "yes" : "no") << "\n";
         for (const auto& group : status.at("data_centres").as_array()) {
             std::cout << group.at("name").as_string().c_str() << ": in force on "
                       << group.at("in_force").to_number<std::uint64_t>() << " of "
--- a/examples/lib/example.py
+++ b/examples/lib/example.py
@@ -78,6 +78,7 @@
     options = parser.parse_args()
     cluster = Cluster(options.dir)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     try:
         start_all(example, cluster)
         accept_document(example)
