One reader of identifiers for settings and documents

Cause: read once more; document.cpp and settings.cpp held the same function. Measured: scripts/test 306 passed, 0 failed; lint of both files is clean.

--- a/src/control/document.cpp
+++ b/src/control/document.cpp
@@ -1,10 +1,13 @@
 #include <topaztack/control/document.hpp>
 
+#include <topaztack/detail/read_id.hpp>
+
 #include <map>
 
 namespace topaztack {
 
 using namespace std::chrono_literals;
+using detail::readId;
 
 namespace {
 
@@ -26,14 +29,6 @@
         return {};
     }
 
-    template <typename Id> std::string readId(std::string_view text, Id& id)
-    {
-        std::string name;
-        auto wrong = readName(text, name);
-        id = Id(std::move(name));
-        return wrong;
-    }
-
     template <typename Settings>
     void bindNamed(const IniSection& section, std::string_view fileName, const std::vector<KeyRule<Settings>>& rules,
         std::vector<Settings>& list, std::vector<IniProblem>& problems)
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -1,19 +1,14 @@
 #include <topaztack/control/settings.hpp>
 
+#include <topaztack/detail/read_id.hpp>
+
 namespace topaztack {
 
 using namespace std::chrono_literals;
+using detail::readId;
 
 namespace {
 
-    template <typename Id> std::string readId(std::string_view text, Id& id)
-    {
-        std::string name;
-        auto wrong = readName(text, name);
-        id = Id(std::move(name));
-        return wrong;
-    }
-
     std::string readFileName(std::string_view text, std::string& value)
     {
         value = text == "none" ? std::string {} : std::string(text);
