--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -13,7 +13,7 @@
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
 endfunction()
 
-topaztack_program(topaztackd DEPENDS topaztack-node)
+topaztack_program(topaztackd DEPENDS topaztack-node topaztack-gateway topaztack-platform)
 topaztack_program(topaztack DEPENDS topaztack-wire)
 topaztack_program(topaztack-standin DEPENDS topaztack-wire topaztack-policy)
 topaztack_program(topaztack-bench DEPENDS topaztack-node)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -18,7 +18,7 @@
     set_tests_properties(unit-${library} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
 endfunction()
 
-foreach(library base policy samples control wire node)
+foreach(library base policy samples control wire node gateway platform)
     topaztack_test_program(${library})
 endforeach()
 
--- a/include/topaztack/base/ids.hpp
+++ b/include/topaztack/base/ids.hpp
@@ -46,6 +46,10 @@
 using IdempotencyKey = StrongId<struct IdempotencyKeyTag, std::string>;
 using RowKey = StrongId<struct RowKeyTag, std::string>;
 using ObjectKey = StrongId<struct ObjectKeyTag, std::string>;
+using JobId = StrongId<struct JobIdTag, std::string>;
+using ItemId = StrongId<struct ItemIdTag, std::string>;
+using ModelName = StrongId<struct ModelNameTag, std::string>;
+using RouteName = StrongId<struct RouteNameTag, std::string>;
 using LeaseName = StrongId<struct LeaseNameTag, std::string>;
 
 /// Drawn at random when a VM's process starts; tells a process from its successor at the same address.
--- a/include/topaztack/base/log.hpp
+++ b/include/topaztack/base/log.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 
 /// @file
-/// Logs: one line of key=value pairs for each event, on standard error.
+/// Logs: one line of key=value pairs for each event, on standard output.
 
 namespace topaztack {
 
--- a/include/topaztack/base/time.hpp
+++ b/include/topaztack/base/time.hpp
@@ -20,4 +20,8 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+/// @brief Time since boot, suspension included: the steady clock stands still while a VM is suspended, a lease does
+/// not.
+TimePoint timeWithSuspension();
+
 } // namespace topaztack
--- a/include/topaztack/control/settings.hpp
+++ b/include/topaztack/control/settings.hpp
@@ -22,7 +22,21 @@
     Endpoint endpoint;
 };
 
-/// @brief `[vm NAME]`, `[platform]`, `[tls]` and `[peer NAME]` of one settings file.
+/// @brief `[gateway]`: what the platform allows and asks of a gateway.
+struct GatewaySettings {
+    /// Time that the platform gives a process to stop.
+    std::chrono::microseconds shutdownTime { 0 };
+    /// Time between the last order of one VM to an engine and the first of another.
+    std::chrono::microseconds orderSilence { 0 };
+    /// Time after its submission for which a job's results are kept.
+    std::chrono::microseconds resultRetention { 0 };
+    /// The longest value of a row, as the store counts it.
+    std::uint64_t rowBytes { 0 };
+    /// The longest object of the store.
+    std::uint64_t objectBytes { 0 };
+};
+
+/// @brief `[vm NAME]`, `[platform]`, `[gateway]`, `[tls]` and `[peer NAME]` of one settings file.
 struct VmSettings {
     VmName name;
     DataCentre dataCentre;
@@ -43,6 +57,9 @@
     std::string privateKeyFile;
     std::string authorityFile;
     std::vector<PeerSettings> peerList;
+    /// Whether there is a [gateway] section: configuration, backend servers and jobs stand in the platform's store.
+    bool isGateway { false };
+    GatewaySettings gateway;
 };
 
 /// @brief Reads and validates a VM's settings.
@@ -55,6 +72,7 @@
 const std::vector<KeyRule<VmSettings>>& platformRules();
 const std::vector<KeyRule<VmSettings>>& tlsRules();
 const std::vector<KeyRule<PeerSettings>>& peerRules();
+const std::vector<KeyRule<GatewaySettings>>& gatewayRules();
 /// @}
 
 } // namespace topaztack
--- /dev/null
+++ b/include/topaztack/policy/server_choice.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <topaztack/base/random.hpp>
+#include <topaztack/base/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// @file
+/// Which backend server gets a request: the least loaded one that is not suspected, in this VM's data centre first.
+
+namespace topaztack {
+
+/// @brief What a VM knows of one candidate.
+struct ServerLoad {
+    /// Requests of this VM that it has not answered yet.
+    std::uint32_t outstanding { 0 };
+    /// Requests that it may be given by this VM.
+    std::uint32_t allowance { 1 };
+    bool isLocal { false };
+    /// It failed or refused lately.
+    bool isSuspected { false };
+    /// The same request was sent there before.
+    bool wasTried { false };
+    /// Mean time of a unit of its work against the pool's; 1 is the mean.
+    double slowness { 1 };
+};
+
+/// @brief The best candidate. Suspected and tried servers are taken only if there is no other.
+/// @return its index; nothing if each has all that it is allowed.
+std::optional<std::size_t> chooseServer(const std::vector<ServerLoad>& servers, Random& random);
+
+/// @brief How long a server is suspected after a number of failures in a row.
+Duration suspicionTime(std::uint32_t failuresInRow);
+
+} // namespace topaztack
--- /dev/null
+++ b/include/topaztack/samples/job.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <topaztack/base/error.hpp>
+#include <topaztack/base/ids.hpp>
+#include <topaztack/base/time.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// A job of a trainer: many generations that are accepted at once, run later and listed in one order of results.
+
+namespace topaztack {
+
+struct RequestHeader {
+    std::string name;
+    std::string value;
+};
+
+/// @brief One generation of a job.
+struct JobItem {
+    ItemId id;
+    /// Items of one group share their prompt.
+    GroupId group;
+    std::string path;
+    std::vector<RequestHeader> headers;
+    std::string body;
+    /// Tokens of the prompt and the most tokens made.
+    std::uint64_t tokens { 0 };
+};
+
+/// @brief A job as submitted.
+struct JobSpec {
+    JobId id;
+    std::string host;
+    std::string path;
+    StepNumber step;
+    ModelName model;
+    /// The oldest weights that may make its tokens.
+    WeightVersion oldestVersion;
+    /// Whole groups that the trainer waits for.
+    std::uint64_t wantedGroups { 0 };
+    std::vector<JobItem> items;
+};
+
+/// @brief A submission as it came, kept until its job is forgotten.
+struct StoredSubmission {
+    JobId id;
+    std::string host;
+    std::string path;
+    std::string body;
+};
+
+enum class ItemState : std::uint8_t {
+    Completed,
+    Aborted,
+};
+
+/// @brief What a trainer is given for an item.
+struct ItemResult {
+    ItemId id;
+    ItemState state { ItemState::Completed };
+    std::string output;
+    /// Every version that made an event of the output.
+    std::vector<WeightVersion> versions;
+
+    bool operator==(const ItemResult&) const = default;
+};
+
+/// @brief The row that rules a job: whoever changes it under its version owns the next step.
+struct JobHead {
+    /// The VM that runs the items; empty if none does.
+    VmIdentity owner;
+    /// Whether the trainer has ended the job.
+    bool isEnded { false };
+    /// Results listed so far; they stand in rows of their own.
+    std::uint64_t listed { 0 };
+    std::uint64_t total { 0 };
+    /// Objects of the store that hold the submission's body.
+    std::uint64_t objects { 0 };
+    /// Grows by one with each write, so that a writer recognizes its own after a lost answer.
+    std::uint64_t writes { 0 };
+    /// When it was accepted, in milliseconds of Unix time as the accepting VM had it.
+    std::chrono::milliseconds acceptedAt { 0 };
+    std::string host;
+    std::string path;
+    ModelName model;
+
+    bool operator==(const JobHead&) const = default;
+};
+
+std::string toText(const JobHead& head);
+
+/// @return BadFrame with what is wrong.
+Result<JobHead> parseJobHead(std::string_view text);
+
+/// @name Result rows
+/// A result stands in one row or, if it is long, in several: `position/piece`, the last one marked as such.
+/// @{
+
+/// @brief The key of a result's first row; keys sort by position.
+std::string resultKey(std::uint64_t position);
+
+/// @brief A row's key and value.
+struct ResultPiece {
+    std::string key;
+    std::string value;
+};
+
+/// @param longest bytes of one value.
+std::vector<ResultPiece> toPieces(std::uint64_t position, const ItemResult& result, std::size_t longest);
+
+/// @brief Puts results together from rows in key order, beginning at `position`. It stops at the first gap.
+/// @return BadFrame if a row is not understood.
+Result<std::vector<ItemResult>> fromPieces(std::uint64_t position, const std::vector<ResultPiece>& pieces);
+/// @}
+
+} // namespace topaztack
--- /dev/null
+++ b/include/topaztack/samples/load_plan.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <topaztack/base/ids.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+/// @file
+/// Which engine loads which weights next, where several trainers share engines and loading is slower than versions
+/// come. Pure.
+
+namespace topaztack {
+
+/// @brief An engine as the plan sees it.
+struct PlannedEngine {
+    BackendName name;
+    std::map<ModelName, WeightVersion> versions;
+    /// The model that it is loading now.
+    std::optional<ModelName> loading;
+    /// It takes no order now.
+    bool isHeldOff { false };
+};
+
+/// @brief A model and what is asked of it.
+struct PlannedModel {
+    /// The newest version that its trainer named.
+    WeightVersion named;
+    /// Whether generations of it are wanted now.
+    bool isBusy { false };
+};
+
+struct LoadLimits {
+    /// Loads that run at once without slowing each other down.
+    std::size_t atOnce { 2 };
+    /// Versions by which engines may lag and still serve the newest job.
+    std::uint64_t lag { 1 };
+};
+
+struct PlannedLoad {
+    BackendName engine;
+    ModelName model;
+    WeightVersion version;
+
+    bool operator==(const PlannedLoad&) const = default;
+};
+
+/// @brief Loads to be ordered now. Each model gets its share of the engines for each version. Engines that are too far
+/// behind to serve come first; one that still serves is taken only while its model has nothing to do, or as long as at
+/// most half of the share has the newest version.
+/// @complexity linear in engines times models for each load.
+std::vector<PlannedLoad> planLoads(const std::vector<PlannedEngine>& engines,
+    const std::map<ModelName, PlannedModel>& models, const LoadLimits& limits);
+
+} // namespace topaztack
--- a/include/topaztack/wire/http.hpp
+++ b/include/topaztack/wire/http.hpp
@@ -35,6 +35,9 @@
 /// @brief The value of the first header of that name (case ignored); empty if there is none.
 std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name);
 
+/// @brief Whether a header concerns one connection only, its framing included.
+bool isConnectionHeader(std::string_view name);
+
 /// @brief The part of a target before `?`.
 std::string_view targetPath(std::string_view target);
 
--- a/include/topaztack/wire/http_client.hpp
+++ b/include/topaztack/wire/http_client.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -34,23 +35,60 @@
     virtual void cancel() = 0;
 };
 
+/// @brief Cancels a call from outside: its connection is closed at whatever point it is.
+class CallControl {
+public:
+    CallControl() = default;
+    CallControl(const CallControl&) = delete;
+    CallControl& operator=(const CallControl&) = delete;
+
+    void cancel();
+    bool isCancelled() const { return this->cancelled; }
+
+    /// @brief Set by the client: how to close the connection in use; empty for none.
+    void setCloser(std::function<void()> close);
+
+private:
+    std::function<void()> close;
+    bool cancelled { false };
+};
+
+/// @brief What a call may be given besides its request.
+struct CallOptions {
+    /// Must outlive the call, and the stream that open() returns.
+    CallControl* control { nullptr };
+    /// Whether the answer is the request's own; the connection of one that isn't is closed. Empty accepts all.
+    std::function<bool(const HttpResponse&)> accepts;
+};
+
+/// @brief How long connections are kept.
+struct HttpClientLimits {
+    /// Idle connections kept to one endpoint.
+    std::size_t idlePerEndpoint { 64 };
+    /// Backend servers close idle connections too, many of them after 5 s; one that is closed just as it is taken up
+    /// again would leave the outcome of its request unknown.
+    std::chrono::milliseconds longestIdle { 3000 };
+    /// Time to establish a connection.
+    std::chrono::milliseconds connectTime { 60'000 };
+};
+
 /// @brief A client for one thread: its connections belong to one event loop.
 class HttpClient {
 public:
-    /// @param idlePerEndpoint idle connections kept to one endpoint.
-    explicit HttpClient(boost::asio::io_context& loop, std::size_t idlePerEndpoint = 64);
+    explicit HttpClient(boost::asio::io_context& loop, HttpClientLimits limits = {});
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /// @brief Sends a request and reads the whole answer.
-    /// @return BackendUnreachable with NothingWritten if no byte was written; BackendTimeout or BackendBroke otherwise.
-    boost::asio::awaitable<CallResult<HttpResponse>> call(Endpoint endpoint, HttpRequest request, TimePoint deadline);
+    /// @brief Sends a request and reads the whole answer. The `Host` header is the request's own, else the endpoint.
+    /// @return BackendUnreachable with NothingWritten if no byte was written; BackendTimeout or BackendBroke otherwise;
+    /// BackendAnswerMalformed if the options don't accept the answer.
+    boost::asio::awaitable<CallResult<HttpResponse>> call(
+        Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options = {});
 
     /// @brief Sends a request and reads the head of the answer.
-    /// @param started called once the connection stands and before the first byte is written; may be empty.
     boost::asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> open(
-        Endpoint endpoint, HttpRequest request, TimePoint deadline);
+        Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options = {});
 
     /// What its connections share; defined in the source file.
     struct State;
--- a/include/topaztack/wire/sse.hpp
+++ b/include/topaztack/wire/sse.hpp
@@ -3,25 +3,46 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// @file
 /// Server-sent events: a reader for pieces cut anywhere, and a printer.
 
 namespace topaztack {
 
-/// @brief Collects pieces of a stream and gives out the data of whole events.
+/// @brief One `name: value` line of an event.
+struct SseField {
+    std::string name;
+    std::string value;
+};
+
+/// @brief A whole event.
+struct SseEvent {
+    std::string id;
+    /// The data lines, joined by line feeds.
+    std::string data;
+    /// Fields other than id and data, names as sent.
+    std::vector<SseField> others;
+};
+
+/// @brief Collects pieces of a stream and gives out whole events.
 class SseReader {
 public:
     /// @brief Adds a piece.
     void feed(std::string_view piece);
 
-    /// @brief The data of the next whole event; nothing until more is fed. Comments and other fields are passed over.
+    /// @brief The next whole event that has data; nothing until more is fed. Comments are passed over.
+    std::optional<SseEvent> nextEvent();
+
+    /// @brief The data of the next whole event; nothing until more is fed.
     std::optional<std::string> next();
 
     /// @brief Bytes held that make no whole event yet.
     std::size_t pending() const { return this->buffer.size() - this->start; }
 
 private:
+    std::optional<std::string_view> nextBlock();
+
     std::string buffer;
     std::size_t start { 0 };
 };
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -59,7 +59,7 @@
 {
     namespace expressions = boost::log::expressions;
     processFields() = " process=" + quoteLogValue(process) + " incarnation=" + toHex(incarnation.value());
-    boost::log::add_console_log(std::clog, boost::log::keywords::format = expressions::stream << expressions::smessage,
+    boost::log::add_console_log(std::cout, boost::log::keywords::format = expressions::stream << expressions::smessage,
         boost::log::keywords::auto_flush = true);
     boost::log::core::get()->set_filter(expressions::attr<LogLevel>("Severity") >= least);
 }
--- /dev/null
+++ b/src/control/server_registry.cpp
@@ -0,0 +1,62 @@
+#include <topaztack/control/server_registry.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+std::optional<WeightVersion> versionOf(const ServerRecord& server, const ModelName& model)
+{
+    for (const auto& loaded : server.models) {
+        if (loaded.model == model)
+            return loaded.version;
+    }
+    return std::nullopt;
+}
+
+void noteStoreReturn(ServerRegistry& registry, TimePoint now) { registry.graceUntil = now + lapseGrace; }
+
+void putServer(ServerRegistry& registry, ServerRecord record)
+{
+    auto& entry = registry.entries[record.name];
+    entry.record = std::move(record);
+    entry.goneAt.reset();
+}
+
+void removeServer(ServerRegistry& registry, const BackendName& name, TimePoint now)
+{
+    const auto found = registry.entries.find(name);
+    if (found == registry.entries.end())
+        return;
+    const bool mayBeLapse = now < registry.graceUntil && !found->second.record.isLeaving;
+    if (!mayBeLapse)
+        registry.entries.erase(found);
+    else if (!found->second.goneAt)
+        found->second.goneAt = registry.graceUntil;
+}
+
+void keepServers(ServerRegistry& registry, const std::vector<BackendName>& present, TimePoint now)
+{
+    std::vector<BackendName> missing;
+    for (const auto& [name, entry] : registry.entries) {
+        if (std::find(present.begin(), present.end(), name) == present.end())
+            missing.push_back(name);
+    }
+    for (const auto& name : missing)
+        removeServer(registry, name, now);
+}
+
+std::vector<BackendName> expireServers(ServerRegistry& registry, TimePoint now, bool isStoreAway)
+{
+    std::vector<BackendName> expired;
+    if (isStoreAway)
+        return expired;
+    for (const auto& [name, entry] : registry.entries) {
+        if (entry.goneAt && now >= *entry.goneAt)
+            expired.push_back(name);
+    }
+    for (const auto& name : expired)
+        registry.entries.erase(name);
+    return expired;
+}
+
+} // namespace topaztack
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -77,6 +77,33 @@
     return rules;
 }
 
+const std::vector<KeyRule<GatewaySettings>>& gatewayRules()
+{
+    static const std::vector<KeyRule<GatewaySettings>> rules {
+        { "shutdown_time", "8s", "time that the platform gives this process to stop, 3s..1h",
+            [](GatewaySettings& gateway, std::string_view text) {
+                return readDuration(text, 3s, 1h, gateway.shutdownTime);
+            } },
+        { "order_silence", "3s", "time between orders of two VMs to one engine, 0s..1min",
+            [](GatewaySettings& gateway, std::string_view text) {
+                return readDuration(text, 0s, 1min, gateway.orderSilence);
+            } },
+        { "result_retention", "120s", "time after its submission for which a job's results are kept, 1s..24h",
+            [](GatewaySettings& gateway, std::string_view text) {
+                return readDuration(text, 1s, 24h, gateway.resultRetention);
+            } },
+        { "row_size", "64KiB", "longest value of a row of the store, 1KiB..64MiB",
+            [](GatewaySettings& gateway, std::string_view text) {
+                return readSize(text, 1024, 64UL * 1024 * 1024, gateway.rowBytes);
+            } },
+        { "object_size", "8MiB", "longest object of the store, 1KiB..1024MiB",
+            [](GatewaySettings& gateway, std::string_view text) {
+                return readSize(text, 1024, 1024UL * 1024 * 1024, gateway.objectBytes);
+            } },
+    };
+    return rules;
+}
+
 VmSettings parseVmSettings(std::string_view text, std::string_view fileName, std::vector<IniProblem>& problems)
 {
     const auto file = parseIni(text, fileName, problems);
@@ -92,6 +119,9 @@
         } else if (section.kind == "platform" && section.name.empty()) {
             bindSection(section, fileName, platformRules(), settings, problems);
             hasPlatform = true;
+        } else if (section.kind == "gateway" && section.name.empty() && !settings.isGateway) {
+            bindSection(section, fileName, gatewayRules(), settings.gateway, problems);
+            settings.isGateway = true;
         } else if (section.kind == "tls" && section.name.empty()) {
             tls = section;
         } else if (section.kind == "peer" && !section.name.empty()) {
@@ -101,7 +131,7 @@
             settings.peerList.push_back(std::move(peer));
         } else {
             problems.push_back({ std::string(fileName), section.line, section.kind, "unknown section",
-                "use one [vm NAME], [platform], [tls] and [peer NAME]" });
+                "use one [vm NAME], [platform], [gateway], [tls] and [peer NAME]" });
         }
     }
     bindSection(tls, fileName, tlsRules(), settings, problems);
--- a/src/control/settings_page.cpp
+++ b/src/control/settings_page.cpp
@@ -31,6 +31,9 @@
     page += "\n## A VM's settings file\n";
     printSection("[vm NAME]", "This VM. Exactly one.", vmRules(), page);
     printSection("[platform]", "The platform's table service, object store and VM list.", platformRules(), page);
+    printSection("[gateway]",
+        "Makes this VM a gateway: its configuration, backend servers and jobs stand in the platform's store.",
+        gatewayRules(), page);
     printSection("[tls]",
         "Keys of this VM for its links to other VMs; read again when the files change. Callers' and operators' ports "
         "speak plain HTTP.",
--- /dev/null
+++ b/src/gateway/context.cpp
@@ -0,0 +1,27 @@
+#include "context.hpp"
+
+namespace topaztack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Kept connections are closed by backend servers after 5 s of idleness or more.
+    constexpr HttpClientLimits backendLimits { .longestIdle = 3000ms, .connectTime = 1000ms };
+    constexpr HttpClientLimits storeLimits { .longestIdle = 10s, .connectTime = 500ms };
+
+} // namespace
+
+GatewayContext::GatewayContext(VmSettings given, VmIdentity self, const GatewayProtocol& protocol)
+    : settings(std::move(given))
+    , identity(std::move(self))
+    , protocol(protocol)
+    , threads(1)
+    , random(this->identity.incarnation.value())
+    , backends(this->threads.at(0), backendLimits)
+    , storeLink(this->threads.at(0), storeLimits)
+    , store(this->storeLink, this->settings.platform, this->settings.platformTimeout, *protocol.store, this->metrics)
+{
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,319 @@
+#include <topaztack/gateway/gateway.hpp>
+
+#include "answers.hpp"
+#include "context.hpp"
+#include "forwarder.hpp"
+#include "job_owner.hpp"
+#include "job_service.hpp"
+#include "job_store.hpp"
+#include "order_lease.hpp"
+#include "server_table.hpp"
+#include "table_follower.hpp"
+#include "weight_loader.hpp"
+
+#include <topaztack/base/log.hpp>
+#include <topaztack/wire/http_router.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/json.hpp>
+
+#include <thread>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// How long the store holds a feed open: the longest time for which a silent connection goes unnoticed, together
+    /// with the time limit of a call.
+    constexpr std::chrono::milliseconds configurationWait { 500 };
+    constexpr std::chrono::milliseconds serversWait { 500 };
+    /// Heartbeats of all backend servers change their table all the time; some of them share an answer.
+    constexpr std::chrono::milliseconds serversPause { 200 };
+    constexpr Duration expiryInterval = 100ms;
+    constexpr std::chrono::milliseconds notReadyRetryAfter { 300 };
+    /// A configuration older than this may lack a route that callers use already.
+    constexpr Duration oldestView = 1500ms;
+    /// The balancer takes a VM out after two questions a second apart.
+    constexpr Duration balancerNotice = 2500ms;
+    /// Kept back from the time that the platform gives a process to stop.
+    constexpr Duration shutdownMargin = 1500ms;
+    constexpr Duration shutdownCheckInterval = 10ms;
+
+    FollowRules followRules(std::string table, std::chrono::milliseconds wait, std::chrono::milliseconds pause)
+    {
+        FollowRules rules;
+        rules.table = std::move(table);
+        rules.parts.emplace_back();
+        rules.wait = wait;
+        rules.pause = pause;
+        return rules;
+    }
+
+    asio::awaitable<void> answerText(HttpExchange& exchange, std::string contentType, std::string body)
+    {
+        HttpResponse response;
+        response.headers.push_back({ "Content-Type", std::move(contentType) });
+        response.body = std::move(body);
+        co_await exchange.respond(std::move(response));
+    }
+
+} // namespace
+
+struct Gateway::Parts {
+    Parts(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol);
+
+    void addOperatorRoutes();
+    void takeOperatorRows(const std::vector<StoreRow>& rows);
+    void takeConfiguration(const StoreRow& row);
+    void takeNamedVersion(const StoreRow& row);
+    bool isViewOld() const;
+    HttpServerLimits callerLimits() const;
+    asio::awaitable<void> handle(HttpExchange& exchange);
+    asio::awaitable<void> handleRoute(HttpExchange& exchange, const CallerCall& call);
+    asio::awaitable<void> expire();
+    asio::awaitable<void> handOver(TimePoint deadline);
+    json::value dump() const;
+
+    GatewayContext context;
+    ServerTable servers;
+    JobStore jobStore;
+    JobOwner jobs;
+    JobService jobService;
+    Forwarder forwarder;
+    OrderLease lease;
+    WeightLoader weights;
+    TableFollower operatorRows;
+    TableFollower serverRows;
+    HttpRouter operatorRoutes;
+    HttpServer callerServer;
+    HttpServer operatorServer;
+};
+
+Gateway::Parts::Parts(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol)
+    : context(std::move(settings), std::move(identity), protocol)
+    , servers(this->context)
+    , jobStore(this->context)
+    , jobs(this->context, this->servers, this->jobStore)
+    , jobService(this->context, this->jobStore, this->jobs)
+    , forwarder(this->context, this->servers)
+    , lease(this->context)
+    , weights(this->context, this->servers, this->jobs, this->lease)
+    , operatorRows(this->context, followRules(protocol.places.operatorTable, configurationWait, 0ms),
+          [this](const std::vector<StoreRow>& rows, bool) { this->takeOperatorRows(rows); })
+    , serverRows(this->context, followRules(protocol.places.serversTable, serversWait, serversPause),
+          [this](const std::vector<StoreRow>& rows, bool isWhole) { this->servers.takeRows(rows, isWhole); })
+    , callerServer(
+          this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
+          [this](HttpExchange& exchange) { return this->handle(exchange); }, this->context.metrics, "callers")
+    , operatorServer(
+          this->context.threads, this->context.settings.operators, [] { return HttpServerLimits {}; },
+          [this](HttpExchange& exchange) { return this->operatorRoutes.handle(exchange); }, this->context.metrics,
+          "operators")
+{
+    this->addOperatorRoutes();
+}
+
+void Gateway::Parts::addOperatorRoutes()
+{
+    this->operatorRoutes.add("GET", std::string(this->context.protocol.readinessPath),
+        [this](HttpExchange& exchange) -> asio::awaitable<void> {
+            if (this->context.routes && !this->context.isDraining)
+                co_await answerText(exchange, "text/plain", "ready\n");
+            else
+                co_await exchange.respond(
+                    errorResponse(makeError(ErrorKind::NotReady, "no configuration yet, or draining")));
+        });
+    this->operatorRoutes.add("GET", "/metrics", [this](HttpExchange& exchange) {
+        return answerText(exchange, "text/plain; version=0.0.4", this->context.metrics.prometheusText());
+    });
+    this->operatorRoutes.add("GET", "/debug/state", [this](HttpExchange& exchange) {
+        return answerText(exchange, "application/json", json::serialize(this->dump()));
+    });
+}
+
+json::value Gateway::Parts::dump() const
+{
+    return json::object { { "vm", this->context.identity.name.value() },
+        { "incarnation", toHex(this->context.identity.incarnation.value()) },
+        { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
+        { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "jobs", this->jobs.dump() },
+        { "lease", this->lease.dump() }, { "weights", this->weights.dump() } };
+}
+
+HttpServerLimits Gateway::Parts::callerLimits() const
+{
+    HttpServerLimits limits;
+    if (!this->context.routes)
+        return limits;
+    const auto& bounds = this->context.routes->callers;
+    if (bounds.maxHeader > 0)
+        limits.maxHeader = bounds.maxHeader;
+    if (bounds.maxBody > 0)
+        limits.maxBody = bounds.maxBody;
+    if (bounds.idleTime > 0ms)
+        limits.idle = bounds.idleTime;
+    return limits;
+}
+
+void Gateway::Parts::takeOperatorRows(const std::vector<StoreRow>& rows)
+{
+    for (const auto& row : rows) {
+        if (row.isRemoved)
+            continue;
+        if (row.place.key == this->context.protocol.places.configurationKey)
+            this->takeConfiguration(row);
+        else if (row.place.key.starts_with(this->context.protocol.places.namedVersionPrefix))
+            this->takeNamedVersion(row);
+    }
+}
+
+void Gateway::Parts::takeConfiguration(const StoreRow& row)
+{
+    auto decoded = this->context.protocol.decodeConfiguration(row.value);
+    if (!decoded) {
+        logEvent(LogLevel::Error, "configuration-refused", { { "error", decoded.error().message } });
+        return;
+    }
+    const auto known = this->context.routes ? this->context.routes->version.value() : 0;
+    const auto fresh = decoded.value()->version.value();
+    if (fresh <= known)
+        return;
+    logEvent(LogLevel::Info, "configuration-taken",
+        { { "version", std::to_string(fresh) }, { "before", std::to_string(known) },
+            { "routes", std::to_string(decoded.value()->routes.size()) } });
+    this->context.routes = std::move(decoded).value();
+    this->servers.changed().notify();
+}
+
+void Gateway::Parts::takeNamedVersion(const StoreRow& row)
+{
+    const auto decoded = this->context.protocol.decodeNamedVersion(row.place.key, row.value);
+    if (!decoded) {
+        logEvent(LogLevel::Error, "named-version-refused", { { "error", decoded.error().message } });
+        return;
+    }
+    auto& known = this->context.namedVersions[decoded.value().model];
+    if (decoded.value().version <= known)
+        return;
+    known = decoded.value().version;
+    logEvent(LogLevel::Info, "version-named",
+        { { "model", decoded.value().model.value() }, { "version", std::to_string(known.value()) } });
+}
+
+bool Gateway::Parts::isViewOld() const { return Clock::now() - this->operatorRows.answeredAt() > oldestView; }
+
+asio::awaitable<void> Gateway::Parts::handle(HttpExchange& exchange)
+{
+    const auto call = this->context.protocol.decodeCall(exchange.request());
+    if (!call) {
+        co_await exchange.respond(errorResponse(call.error()));
+        co_return;
+    }
+    switch (call.value().ask) {
+    case CallerAsk::Route:
+        co_await this->handleRoute(exchange, call.value());
+        break;
+    case CallerAsk::ReadResults:
+        co_await exchange.respond(co_await this->jobService.readResults(call.value()));
+        break;
+    case CallerAsk::ReadItemBody:
+        co_await exchange.respond(co_await this->jobService.readItemBody(call.value()));
+        break;
+    case CallerAsk::EndJob:
+        co_await exchange.respond(co_await this->jobService.end(call.value()));
+        break;
+    }
+}
+
+asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, const CallerCall& call)
+{
+    // Held for the whole request: a newer configuration may come meanwhile.
+    const auto table = this->context.routes;
+    const auto* route
+        = table ? matchRoute(*table, call.host, targetPath(exchange.request().target)) : nullptr;
+    if (!route && table && !this->isViewOld()) {
+        co_await exchange.respond(errorResponse(
+            makeError(ErrorKind::UnknownPath, "no route for this host and path", "use a route of the configuration"),
+            call.id.value()));
+        co_return;
+    }
+    if (!route) {
+        co_await exchange.respond(notRunAnswer(
+            makeError(ErrorKind::NotReady, "no configuration of late"), call.id, notReadyRetryAfter));
+        co_return;
+    }
+    if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
+        co_await exchange.respond(co_await this->jobService.submit(exchange.request(), call, *route));
+    else
+        co_await this->forwarder.handle(exchange, call, *route);
+}
+
+asio::awaitable<void> Gateway::Parts::expire()
+{
+    while (true) {
+        this->servers.expire();
+        co_await pauseFor(expiryInterval);
+    }
+}
+
+asio::awaitable<void> Gateway::Parts::handOver(TimePoint deadline)
+{
+    co_await this->lease.release(deadline);
+    co_await this->jobs.releaseAll(deadline);
+}
+
+Gateway::Gateway(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol)
+    : parts(std::make_unique<Parts>(std::move(settings), std::move(identity), protocol))
+{
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::start()
+{
+    auto& parts = *this->parts;
+    BOOST_OUTCOME_TRYV(parts.callerServer.start());
+    BOOST_OUTCOME_TRYV(parts.operatorServer.start());
+    parts.operatorRows.start();
+    parts.serverRows.start();
+    parts.jobs.start();
+    parts.lease.start();
+    parts.weights.start();
+    asio::co_spawn(parts.context.loop(), parts.expire(), asio::detached);
+    parts.context.threads.start();
+    logEvent(LogLevel::Info, "serving",
+        { { "callers", toText(parts.context.settings.callers) },
+            { "operators", toText(parts.context.settings.operators) },
+            { "store", toText(parts.context.settings.platform) } });
+    return boost::outcome_v2::success();
+}
+
+void Gateway::shutDown()
+{
+    auto& parts = *this->parts;
+    auto& loop = parts.context.loop();
+    const auto startedAt = Clock::now();
+    const auto end = startedAt + parts.context.settings.gateway.shutdownTime - shutdownMargin;
+    logEvent(LogLevel::Info, "draining", { { "in_flight", std::to_string(parts.callerServer.inFlight()) } });
+    asio::post(loop, [&parts] { parts.context.isDraining = true; });
+    asio::co_spawn(loop, parts.handOver(startedAt + balancerNotice), asio::use_future).wait();
+    std::this_thread::sleep_until(startedAt + balancerNotice);
+    parts.callerServer.stopAccepting();
+    const auto isServing = [&parts] {
+        return parts.callerServer.isAccepting() || parts.callerServer.openConnections() > 0
+            || parts.callerServer.inFlight() > 0;
+    };
+    while (isServing() && Clock::now() < end)
+        std::this_thread::sleep_for(shutdownCheckInterval);
+    logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(parts.callerServer.inFlight()) } });
+    parts.operatorServer.stopAccepting();
+    parts.context.threads.stop();
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/job_owner.cpp
@@ -0,0 +1,237 @@
+#include "job_owner.hpp"
+
+#include <topaztack/base/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// An owner writes its head every 700 ms or more often; after this silence another VM takes the job.
+    constexpr Duration ownerSilence = 2200ms;
+    /// VMs claim a job one after the other, in an order drawn for each job.
+    constexpr std::uint64_t claimSpreadMs = 400;
+    constexpr std::uint64_t releaseSpreadMs = 60;
+    constexpr Duration watchInterval = 100ms;
+    constexpr std::chrono::milliseconds feedWait { 1000 };
+    constexpr std::chrono::milliseconds feedPause { 100 };
+    /// Added to the time for which results are kept, for differences between the clocks of VMs.
+    constexpr std::chrono::milliseconds clockSlack { 10'000 };
+
+    FollowRules headRules()
+    {
+        FollowRules rules;
+        rules.table = jobHeadsTable;
+        rules.parts = jobParts();
+        rules.wait = feedWait;
+        rules.pause = feedPause;
+        return rules;
+    }
+
+    std::chrono::milliseconds unixNow()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(WallClock::now().time_since_epoch());
+    }
+
+    bool isOpen(const JobHead& head) { return !head.isEnded && head.listed < head.total; }
+
+} // namespace
+
+JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store)
+    : context(context)
+    , servers(servers)
+    , store(store)
+    , heads(context, headRules(),
+          [this](const std::vector<StoreRow>& rows, bool isWhole) { this->takeRows(rows, isWhole); })
+    , changeNotifier(context.loop())
+    , takeovers(context.metrics.counter("topaztack_job_takeovers_total", "Jobs taken over from another VM"))
+{
+}
+
+void JobOwner::start()
+{
+    this->heads.start();
+    asio::co_spawn(this->context.loop(), this->watch(), asio::detached);
+}
+
+void JobOwner::noteHead(const JobId& id, const StoredHead& head)
+{
+    auto& known = this->jobs[id];
+    if (head.version <= known.stored.version)
+        return;
+    known.stored = head;
+    known.seenAt = Clock::now();
+    const auto runner = this->runnerOf(id);
+    if (runner)
+        runner->noteHead(head);
+    this->changeNotifier.notify();
+}
+
+void JobOwner::takeRows(const std::vector<StoreRow>& rows, bool)
+{
+    for (const auto& row : rows) {
+        const JobId id(row.place.key);
+        if (row.isRemoved) {
+            this->jobs.erase(id);
+            continue;
+        }
+        const auto head = toStoredHead(row);
+        if (head)
+            this->noteHead(id, head.value());
+        else
+            logEvent(LogLevel::Error, "job-head-refused",
+                { { "job", id.value() }, { "error", head.error().message } });
+    }
+}
+
+const StoredHead* JobOwner::seen(const JobId& id) const
+{
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second.stored;
+}
+
+std::shared_ptr<JobRunner> JobOwner::runnerOf(const JobId& id) const
+{
+    const auto found = this->runners.find(id);
+    return found == this->runners.end() || found->second->isStopped() ? nullptr : found->second;
+}
+
+void JobOwner::adopt(JobSpec job, StoredHead head, const std::vector<ItemResult>& listed)
+{
+    const auto id = job.id;
+    if (this->runnerOf(id))
+        return;
+    auto runner
+        = std::make_shared<JobRunner>(this->context, this->servers, this->store, std::move(job), head, listed);
+    this->runners[id] = runner;
+    runner->start();
+    this->noteHead(id, head);
+}
+
+bool JobOwner::isClaimable(const JobId& id, const Known& known, TimePoint now) const
+{
+    const auto& head = known.stored.head;
+    if (known.isBeingClaimed || !isOpen(head) || this->runnerOf(id))
+        return false;
+    const auto rank = stableHash(id.value(), this->context.identity.incarnation.value());
+    if (head.owner.name == this->context.identity.name)
+        return true;
+    if (head.owner.name.value().empty())
+        return now - known.seenAt >= std::chrono::milliseconds(rank % releaseSpreadMs);
+    // Silence counts only while changes would have been seen.
+    const auto fresh = this->heads.freshSince();
+    const auto silence = ownerSilence + std::chrono::milliseconds(rank % claimSpreadMs);
+    return fresh && now - *fresh >= silence && now - known.seenAt >= silence;
+}
+
+asio::awaitable<void> JobOwner::watch()
+{
+    while (true) {
+        const auto now = Clock::now();
+        this->dropStoppedRunners();
+        for (auto& [id, known] : this->jobs) {
+            if (!this->context.isDraining && this->isClaimable(id, known, now)) {
+                known.isBeingClaimed = true;
+                asio::co_spawn(this->context.loop(), this->claim(id), asio::detached);
+            } else if (!known.isBeingRemoved && this->isForgettable(known)) {
+                known.isBeingRemoved = true;
+                asio::co_spawn(this->context.loop(), this->forget(id), asio::detached);
+            }
+        }
+        co_await pauseFor(watchInterval);
+    }
+}
+
+void JobOwner::dropStoppedRunners()
+{
+    std::erase_if(this->runners, [](const auto& entry) { return entry.second->isStopped(); });
+}
+
+asio::awaitable<void> JobOwner::claim(JobId id)
+{
+    const auto before = this->jobs[id].stored;
+    auto wanted = before.head;
+    wanted.owner = this->context.identity;
+    ++wanted.writes;
+    std::vector<ItemResult> none;
+    const auto write = co_await this->store.write(id, before.version, wanted, wanted.listed, std::move(none));
+    if (write.end == JobWriteEnd::Written) {
+        this->takeovers.add();
+        logEvent(LogLevel::Info, "job-taken-over",
+            { { "job", id.value() }, { "from", before.head.owner.name.value() },
+                { "silent_ms", std::to_string(toMilliseconds(Clock::now() - this->jobs[id].seenAt).count()) } });
+        co_await this->takeOver(id, *write.current);
+    } else if (write.current) {
+        this->noteHead(id, *write.current);
+    }
+    this->jobs[id].isBeingClaimed = false;
+}
+
+asio::awaitable<void> JobOwner::takeOver(JobId id, StoredHead head)
+{
+    const auto submission = co_await this->store.readSubmission(id, head.head);
+    const auto listed = co_await this->store.readAllResults(id, 0);
+    if (!submission || !listed) {
+        const auto& error = submission ? listed.error() : submission.error();
+        logEvent(LogLevel::Warning, "job-not-read", { { "job", id.value() }, { "error", error.message } });
+        co_return;
+    }
+    auto job = this->context.protocol.decodeSubmission(submission.value());
+    if (!job) {
+        logEvent(LogLevel::Error, "job-refused", { { "job", id.value() }, { "error", job.error().message } });
+        co_return;
+    }
+    this->adopt(std::move(job).value(), head, listed.value());
+}
+
+bool JobOwner::isForgettable(const Known& known) const
+{
+    const auto age = unixNow() - known.stored.head.acceptedAt;
+    return age > this->context.settings.gateway.resultRetention + clockSlack && !isOpen(known.stored.head);
+}
+
+asio::awaitable<void> JobOwner::forget(JobId id)
+{
+    const auto removed = co_await this->store.remove(id, this->jobs[id].stored);
+    if (removed)
+        this->jobs.erase(id);
+    else
+        this->jobs[id].isBeingRemoved = false;
+}
+
+asio::awaitable<void> JobOwner::releaseAll(TimePoint deadline)
+{
+    for (const auto& [id, runner] : this->runners)
+        runner->release();
+    while (!this->runners.empty() && Clock::now() < deadline) {
+        co_await pauseFor(20ms);
+        this->dropStoppedRunners();
+    }
+}
+
+bool JobOwner::hasOpenJob(const ModelName& model) const
+{
+    return std::any_of(this->jobs.begin(), this->jobs.end(), [&model](const auto& entry) {
+        const auto& head = entry.second.stored.head;
+        return head.model == model && isOpen(head);
+    });
+}
+
+json::value JobOwner::dump() const
+{
+    json::array list;
+    for (const auto& [id, runner] : this->runners)
+        list.push_back(runner->dump());
+    return json::object { { "known", this->jobs.size() }, { "running", std::move(list) } };
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/job_owner.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "context.hpp"
+#include "job_runner.hpp"
+#include "job_store.hpp"
+#include "table_follower.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+
+#include <map>
+#include <memory>
+
+/// @file
+/// Which jobs this VM runs: those it accepted, and those whose owner gave them up or fell silent.
+
+namespace topaztack {
+
+class JobOwner {
+public:
+    JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store);
+
+    void start();
+
+    /// @brief Runs a job that this VM has just written as its own.
+    void adopt(JobSpec job, StoredHead head, const std::vector<ItemResult>& listed);
+
+    /// @brief The head as last seen, which may be behind the store; nothing if none was seen.
+    const StoredHead* seen(const JobId& id) const;
+
+    /// @brief A head that was read or written apart from the feed.
+    void noteHead(const JobId& id, const StoredHead& head);
+
+    /// @brief The runner of a job, or nullptr if this VM does not run it.
+    std::shared_ptr<JobRunner> runnerOf(const JobId& id) const;
+
+    /// @brief Told whenever a head changes.
+    Notifier& changed() { return this->changeNotifier; }
+
+    /// @brief Gives up every job; done when none is left or `deadline` has passed.
+    boost::asio::awaitable<void> releaseAll(TimePoint deadline);
+
+    /// @brief Whether any open job asks for this model.
+    bool hasOpenJob(const ModelName& model) const;
+
+    boost::json::value dump() const;
+
+private:
+    struct Known {
+        StoredHead stored;
+        /// When this version was first seen here.
+        TimePoint seenAt;
+        bool isBeingClaimed { false };
+        bool isBeingRemoved { false };
+    };
+
+    void takeRows(const std::vector<StoreRow>& rows, bool isWhole);
+    boost::asio::awaitable<void> watch();
+    bool isClaimable(const JobId& id, const Known& known, TimePoint now) const;
+    bool isForgettable(const Known& known) const;
+    boost::asio::awaitable<void> claim(JobId id);
+    boost::asio::awaitable<void> takeOver(JobId id, StoredHead head);
+    boost::asio::awaitable<void> forget(JobId id);
+    void dropStoppedRunners();
+
+    GatewayContext& context;
+    ServerTable& servers;
+    JobStore& store;
+    TableFollower heads;
+    std::map<JobId, Known> jobs;
+    std::map<JobId, std::shared_ptr<JobRunner>> runners;
+    Notifier changeNotifier;
+    Counter& takeovers;
+};
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/job_service.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "context.hpp"
+#include "job_owner.hpp"
+#include "job_store.hpp"
+
+#include <topaztack/wire/http_server.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <list>
+
+/// @file
+/// What trainers ask of jobs: submit, read results, read an item's body, end. Any VM answers for any job.
+
+namespace topaztack {
+
+class JobService {
+public:
+    JobService(GatewayContext& context, JobStore& store, JobOwner& owner);
+
+    boost::asio::awaitable<HttpResponse> submit(const HttpRequest& request, CallerCall call, Route route);
+    boost::asio::awaitable<HttpResponse> readResults(CallerCall call);
+    boost::asio::awaitable<HttpResponse> readItemBody(CallerCall call);
+    boost::asio::awaitable<HttpResponse> end(CallerCall call);
+
+private:
+    using Found = Result<std::optional<StoredHead>>;
+
+    boost::asio::awaitable<Found> findHead(JobId id);
+    boost::asio::awaitable<HttpResponse> accept(StoredSubmission submission, JobSpec job, TimePoint deadline);
+    boost::asio::awaitable<Result<std::vector<ItemResult>>> waitForResults(const CallerCall& call);
+    boost::asio::awaitable<Result<std::shared_ptr<const JobSpec>>> findSpec(JobId id);
+    HttpResponse unavailable(const Error& error, const RequestId& id) const;
+
+    GatewayContext& context;
+    JobStore& store;
+    JobOwner& owner;
+    /// Submissions read lately, for callers that ask for bodies.
+    std::list<std::shared_ptr<const JobSpec>> specs;
+    Counter& accepted;
+    Counter& refused;
+};
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/job_store.cpp
@@ -0,0 +1,222 @@
+#include "job_store.hpp"
+
+#include <topaztack/base/log.hpp>
+#include <topaztack/base/random.hpp>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::string_view resultsTable = "job-results";
+    /// Transactions of one part wait for each other; this many parts keep the jobs of today's trainers apart.
+    constexpr std::uint64_t partCount = 16;
+    /// Conditions, writes and removals of one transaction at most.
+    constexpr std::size_t writesPerTransaction = 90;
+
+    std::string partOf(const JobId& id) { return "p" + std::to_string(stableHash(id.value()) % partCount); }
+
+    StoreRowKey headPlace(const JobId& id) { return { std::string(jobHeadsTable), partOf(id), id.value() }; }
+
+    std::string resultPrefix(const JobId& id) { return id.value() + "/"; }
+
+    StoreRange resultRange(const JobId& id, std::uint64_t position)
+    {
+        StoreRange range;
+        range.table = resultsTable;
+        range.part = partOf(id);
+        range.from = resultPrefix(id) + resultKey(position);
+        range.to = id.value() + "0";
+        return range;
+    }
+
+    ObjectKey objectKey(const JobId& id, std::uint64_t index)
+    {
+        return ObjectKey("job-" + id.value() + "-" + std::to_string(index));
+    }
+
+    StoreTransaction headWrite(const JobId& id, RowVersion condition, const JobHead& head)
+    {
+        StoreTransaction transaction;
+        transaction.conditions.push_back({ headPlace(id), condition });
+        transaction.writes.push_back({ headPlace(id), toText(head) });
+        return transaction;
+    }
+
+    Result<std::vector<ItemResult>> toResults(const JobId& id, std::uint64_t position, const StoreRows& rows)
+    {
+        const auto prefix = resultPrefix(id).size();
+        std::vector<ResultPiece> pieces;
+        for (const auto& row : rows.rows)
+            pieces.push_back({ row.place.key.substr(std::min(prefix, row.place.key.size())), row.value });
+        return fromPieces(position, pieces);
+    }
+
+    JobWrite toJobWrite(const Result<StoreCommit>& commit, const JobHead& head)
+    {
+        JobWrite write;
+        if (!commit) {
+            const bool mayHaveLanded = commit.error().kind == ErrorKind::PlatformAmbiguous;
+            write.end = mayHaveLanded ? JobWriteEnd::Unknown : JobWriteEnd::Refused;
+            return write;
+        }
+        if (commit.value().isCommitted) {
+            write.end = JobWriteEnd::Written;
+            write.current = StoredHead { commit.value().version, head };
+            return write;
+        }
+        write.end = JobWriteEnd::Conflict;
+        for (const auto& row : commit.value().conflicts) {
+            if (row.version.value() == 0 || row.isRemoved)
+                continue;
+            auto current = toStoredHead(row);
+            if (current)
+                write.current = std::move(current).value();
+            else
+                logEvent(LogLevel::Error, "job-head-refused",
+                    { { "job", row.place.key }, { "error", current.error().message } });
+        }
+        return write;
+    }
+
+} // namespace
+
+std::vector<std::string> jobParts()
+{
+    std::vector<std::string> parts;
+    for (std::uint64_t part = 0; part < partCount; ++part)
+        parts.push_back("p" + std::to_string(part));
+    return parts;
+}
+
+Result<StoredHead> toStoredHead(const StoreRow& row)
+{
+    BOOST_OUTCOME_TRY(auto head, parseJobHead(row.value));
+    return StoredHead { row.version, std::move(head) };
+}
+
+JobStore::JobStore(GatewayContext& context)
+    : context(context)
+{
+}
+
+/// A value is kept as base64, four characters for three bytes.
+std::size_t JobStore::longestPiece() const { return this->context.settings.gateway.rowBytes / 4 * 3; }
+
+std::uint64_t JobStore::objectsFor(std::size_t size) const
+{
+    const auto longest = this->context.settings.gateway.objectBytes;
+    return std::max<std::uint64_t>(1, (size + longest - 1) / longest);
+}
+
+asio::awaitable<Result<void>> JobStore::putSubmission(const StoredSubmission& submission)
+{
+    const auto longest = this->context.settings.gateway.objectBytes;
+    for (std::uint64_t index = 0; index < this->objectsFor(submission.body.size()); ++index) {
+        auto stored = co_await this->context.store.putObject(
+            objectKey(submission.id, index), submission.body.substr(index * longest, longest));
+        if (!stored)
+            co_return std::move(stored).error();
+    }
+    co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<Result<StoredSubmission>> JobStore::readSubmission(JobId id, JobHead head)
+{
+    StoredSubmission submission;
+    submission.id = id;
+    submission.host = head.host;
+    submission.path = head.path;
+    for (std::uint64_t index = 0; index < head.objects; ++index) {
+        auto piece = co_await this->context.store.getObject(objectKey(id, index));
+        if (!piece)
+            co_return std::move(piece).error();
+        submission.body += piece.value();
+    }
+    co_return std::move(submission);
+}
+
+asio::awaitable<JobWrite> JobStore::write(
+    JobId id, RowVersion condition, JobHead head, std::uint64_t position, std::vector<ItemResult> results)
+{
+    auto transaction = headWrite(id, condition, head);
+    for (const auto& result : results) {
+        for (auto& piece : toPieces(position, result, this->longestPiece()))
+            transaction.writes.push_back(
+                { { std::string(resultsTable), partOf(id), resultPrefix(id) + piece.key }, std::move(piece.value) });
+        ++position;
+    }
+    const auto commit = co_await this->context.store.commit(std::move(transaction));
+    co_return toJobWrite(commit, head);
+}
+
+asio::awaitable<Result<std::optional<StoredHead>>> JobStore::readHead(JobId id)
+{
+    const auto place = headPlace(id);
+    StoreRange range;
+    range.table = place.table;
+    range.part = place.part;
+    range.from = place.key;
+    range.to = place.key + '\x01';
+    const auto rows = co_await this->context.store.readPage(range);
+    if (!rows)
+        co_return rows.error();
+    std::optional<StoredHead> found;
+    for (const auto& row : rows.value().rows) {
+        if (row.place.key != place.key)
+            continue;
+        auto head = toStoredHead(row);
+        if (!head)
+            co_return std::move(head).error();
+        found = std::move(head).value();
+    }
+    co_return std::move(found);
+}
+
+asio::awaitable<Result<std::vector<ItemResult>>> JobStore::readResults(JobId id, std::uint64_t position)
+{
+    const auto rows = co_await this->context.store.readPage(resultRange(id, position));
+    if (!rows)
+        co_return rows.error();
+    co_return toResults(id, position, rows.value());
+}
+
+asio::awaitable<Result<std::vector<ItemResult>>> JobStore::readAllResults(JobId id, std::uint64_t position)
+{
+    const auto rows = co_await this->context.store.read(resultRange(id, position));
+    if (!rows)
+        co_return rows.error();
+    co_return toResults(id, position, rows.value());
+}
+
+asio::awaitable<Result<void>> JobStore::remove(JobId id, StoredHead head)
+{
+    const auto rows = co_await this->context.store.read(resultRange(id, 0));
+    if (!rows)
+        co_return rows.error();
+    std::size_t next = 0;
+    const auto& all = rows.value().rows;
+    while (next < all.size()) {
+        StoreTransaction transaction;
+        for (; next < all.size() && transaction.writes.size() < writesPerTransaction; ++next)
+            transaction.writes.push_back({ all[next].place, std::nullopt });
+        const auto removed = co_await this->context.store.commit(std::move(transaction));
+        if (!removed)
+            co_return removed.error();
+    }
+    for (std::uint64_t index = 0; index < head.head.objects; ++index) {
+        const auto dropped = co_await this->context.store.dropObject(objectKey(id, index));
+        if (!dropped)
+            co_return dropped.error();
+    }
+    StoreTransaction last;
+    last.conditions.push_back({ headPlace(id), head.version });
+    last.writes.push_back({ headPlace(id), std::nullopt });
+    const auto removed = co_await this->context.store.commit(std::move(last));
+    if (!removed)
+        co_return removed.error();
+    co_return boost::outcome_v2::success();
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/notifier.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <topaztack/base/time.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+/// @file
+/// Wakes the coroutines of one event loop that wait for a change.
+
+namespace topaztack {
+
+class Notifier {
+public:
+    explicit Notifier(boost::asio::io_context& loop)
+        : timer(loop, TimePoint::max())
+    {
+    }
+
+    /// @brief Wakes everyone who waits.
+    void notify() { this->timer.expires_at(TimePoint::max()); }
+
+    /// @brief Waits for notify(), at most until `deadline`.
+    boost::asio::awaitable<void> waitUntil(TimePoint deadline)
+    {
+        boost::asio::steady_timer limit(this->timer.get_executor(), deadline);
+        limit.async_wait([this](const boost::system::error_code& problem) {
+            // Wakes the others too; each looks again whether it has to wait.
+            if (!problem)
+                this->notify();
+        });
+        co_await this->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+private:
+    boost::asio::steady_timer timer;
+};
+
+/// @brief Waits on the event loop of the calling coroutine.
+inline boost::asio::awaitable<void> pauseFor(Duration duration)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/server_table.cpp
@@ -0,0 +1,255 @@
+#include "server_table.hpp"
+
+#include <topaztack/base/log.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// A full server has room again after about a piece of its work.
+    constexpr Duration refusalPause = 60ms;
+    constexpr double meanGain = 0.2;
+    /// Outages shorter than this let no record lapse: a record lives for three heartbeats.
+    constexpr Duration shortestLapse = 500ms;
+    /// Requests that one VM gives to a server of a plain service beyond its slots: they wait there.
+    constexpr std::uint32_t queuedPerServer = 4;
+
+    /// Versions and counts of one incarnation only rise; a record may be older than what was seen at the server.
+    void keepNewest(const ServerRecord& known, ServerRecord& record)
+    {
+        record.orders = std::max(record.orders, known.orders);
+        for (auto& loaded : record.models)
+            loaded.version = std::max(loaded.version, versionOf(known, loaded.model).value_or(WeightVersion(0)));
+    }
+
+} // namespace
+
+ServerTable::ServerTable(GatewayContext& context)
+    : context(context)
+    , changeNotifier(context.loop())
+{
+}
+
+void ServerTable::takeRecord(ServerRecord record)
+{
+    const auto* known = this->find(record.name);
+    if (known && known->startedAt == record.startedAt)
+        keepNewest(*known, record);
+    if (known && *known == record) {
+        // It may have been missing for a while.
+        putServer(this->servers, std::move(record));
+        return;
+    }
+    const bool isNew = !known || known->startedAt != record.startedAt;
+    if (isNew)
+        this->uses[record.name] = Use { .outstanding = this->uses[record.name].outstanding };
+    if (isNew || known->isLeaving != record.isLeaving)
+        logEvent(LogLevel::Info, isNew ? "server-known" : "server-leaving",
+            { { "server", record.name.value() }, { "pool", record.pool.value() },
+                { "address", toText(record.endpoint) }, { "leaving", record.isLeaving ? "1" : "0" } });
+    putServer(this->servers, std::move(record));
+}
+
+void ServerTable::takeRows(const std::vector<StoreRow>& rows, bool isWhole)
+{
+    const auto now = Clock::now();
+    std::vector<BackendName> present;
+    for (const auto& row : rows) {
+        const BackendName name(row.place.key);
+        if (row.isRemoved) {
+            logEvent(LogLevel::Info, "server-gone", { { "server", name.value() } });
+            removeServer(this->servers, name, now);
+            continue;
+        }
+        auto record = this->context.protocol.decodeServer(row.place.key, row.value);
+        if (!record) {
+            logEvent(LogLevel::Warning, "server-record-refused",
+                { { "server", name.value() }, { "error", record.error().message } });
+            removeServer(this->servers, name, now);
+            continue;
+        }
+        present.push_back(name);
+        this->takeRecord(std::move(record).value());
+    }
+    if (isWhole)
+        keepServers(this->servers, present, now);
+    this->changeNotifier.notify();
+}
+
+void ServerTable::expire()
+{
+    const auto now = Clock::now();
+    const auto& contact = this->context.store.contact();
+    if (contact.regainedAt != this->lastReturn) {
+        this->lastReturn = contact.regainedAt;
+        if (contact.lastOutage >= shortestLapse)
+            noteStoreReturn(this->servers, now);
+    }
+    const bool isAway = contact.lostSince.has_value();
+    for (const auto& name : expireServers(this->servers, now, isAway))
+        logEvent(LogLevel::Info, "server-expired", { { "server", name.value() } });
+}
+
+const ServerRecord* ServerTable::find(const BackendName& name) const
+{
+    const auto found = this->servers.entries.find(name);
+    return found == this->servers.entries.end() ? nullptr : &found->second.record;
+}
+
+bool ServerTable::hasServers(const PoolName& pool) const
+{
+    return std::any_of(this->servers.entries.begin(), this->servers.entries.end(), [&pool](const auto& entry) {
+        return entry.second.record.pool == pool && !entry.second.record.isLeaving;
+    });
+}
+
+bool ServerTable::canServe(const ServerRecord& server, const ServerNeed& need, TimePoint now) const
+{
+    if (server.pool != need.pool || server.isLeaving)
+        return false;
+    if (need.model.value().empty())
+        return true;
+    const auto version = versionOf(server, need.model);
+    if (!version || *version < need.oldestVersion)
+        return false;
+    if (need.exactVersion.value() != 0 && *version != need.exactVersion)
+        return false;
+    const auto use = this->uses.find(server.name);
+    if (use == this->uses.end())
+        return true;
+    const auto reserved = use->second.reservedUntil.find(need.model);
+    return reserved == use->second.reservedUntil.end() || now >= reserved->second;
+}
+
+double ServerTable::meanUnitSeconds(const PoolName& pool) const
+{
+    double sum = 0;
+    int count = 0;
+    for (const auto& [name, entry] : this->servers.entries) {
+        const auto use = this->uses.find(name);
+        if (entry.record.pool != pool || use == this->uses.end() || use->second.unitSeconds == 0)
+            continue;
+        sum += use->second.unitSeconds;
+        ++count;
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
+ServerLoad ServerTable::loadOf(
+    const ServerRecord& server, const ServerNeed& need, double poolSeconds, TimePoint now) const
+{
+    ServerLoad load;
+    load.allowance = static_cast<std::uint32_t>(server.slots);
+    if (need.model.value().empty())
+        load.allowance += queuedPerServer;
+    load.isLocal = server.dataCentre == this->context.settings.dataCentre;
+    load.wasTried = need.tried.contains(server.name);
+    const auto found = this->uses.find(server.name);
+    if (found == this->uses.end())
+        return load;
+    const auto& use = found->second;
+    load.outstanding = use.outstanding;
+    load.isSuspected = now < use.suspectedUntil;
+    if (poolSeconds > 0 && use.unitSeconds > 0)
+        load.slowness = use.unitSeconds / poolSeconds;
+    return load;
+}
+
+std::optional<ServerRecord> ServerTable::acquire(const ServerNeed& need)
+{
+    const auto now = Clock::now();
+    const auto poolSeconds = this->meanUnitSeconds(need.pool);
+    std::vector<const ServerRecord*> candidates;
+    std::vector<ServerLoad> loads;
+    for (const auto& [name, entry] : this->servers.entries) {
+        if (!this->canServe(entry.record, need, now))
+            continue;
+        const auto load = this->loadOf(entry.record, need, poolSeconds, now);
+        const bool isPreferred = name == need.preferred && !load.isSuspected && !load.wasTried && load.slowness < 1.5
+            && load.outstanding < load.allowance;
+        if (isPreferred) {
+            ++this->uses[name].outstanding;
+            return entry.record;
+        }
+        candidates.push_back(&entry.record);
+        loads.push_back(load);
+    }
+    const auto chosen = chooseServer(loads, this->context.random);
+    if (!chosen)
+        return std::nullopt;
+    ++this->uses[candidates[*chosen]->name].outstanding;
+    return *candidates[*chosen];
+}
+
+void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, Duration unitTime)
+{
+    const auto now = Clock::now();
+    auto& use = this->uses[server.name];
+    if (use.outstanding > 0)
+        --use.outstanding;
+    switch (outcome) {
+    case ServerOutcome::Answered:
+        use.failuresInRow = 0;
+        break;
+    case ServerOutcome::Refused:
+        use.suspectedUntil = std::max<TimePoint>(use.suspectedUntil, now + refusalPause);
+        break;
+    case ServerOutcome::Replaced:
+        logEvent(LogLevel::Info, "server-replaced", { { "server", server.name.value() } });
+        this->servers.entries.erase(server.name);
+        break;
+    case ServerOutcome::Failed:
+        ++use.failuresInRow;
+        use.suspectedUntil = now + suspicionTime(use.failuresInRow);
+        break;
+    case ServerOutcome::Cancelled:
+        break;
+    }
+    const auto seconds = std::chrono::duration<double>(unitTime).count();
+    if (seconds > 0)
+        use.unitSeconds = use.unitSeconds == 0 ? seconds : use.unitSeconds + meanGain * (seconds - use.unitSeconds);
+    this->changeNotifier.notify();
+}
+
+void ServerTable::noteVersion(const BackendName& name, const ModelName& model, WeightVersion version)
+{
+    const auto found = this->servers.entries.find(name);
+    if (found == this->servers.entries.end())
+        return;
+    for (auto& loaded : found->second.record.models) {
+        if (loaded.model == model)
+            loaded.version = std::max(loaded.version, version);
+    }
+    this->uses[name].reservedUntil.erase(model);
+    this->changeNotifier.notify();
+}
+
+void ServerTable::reserveForLoad(const BackendName& name, const ModelName& model, TimePoint until)
+{
+    this->uses[name].reservedUntil[model] = until;
+}
+
+json::value ServerTable::dump() const
+{
+    json::array list;
+    for (const auto& [name, entry] : this->servers.entries) {
+        const auto use = this->uses.find(name);
+        json::object versions;
+        for (const auto& loaded : entry.record.models)
+            versions[loaded.model.value()] = loaded.version.value();
+        list.push_back(json::object { { "server", name.value() }, { "pool", entry.record.pool.value() },
+            { "address", toText(entry.record.endpoint) }, { "leaving", entry.record.isLeaving },
+            { "outstanding", use == this->uses.end() ? 0 : use->second.outstanding },
+            { "versions", std::move(versions) } });
+    }
+    return list;
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/server_table.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "context.hpp"
+#include "notifier.hpp"
+
+#include <topaztack/control/server_registry.hpp>
+#include <topaztack/policy/server_choice.hpp>
+
+#include <boost/json/value.hpp>
+
+#include <set>
+
+/// @file
+/// The backend servers as this VM knows them: their records, what this VM has outstanding there and how they answer.
+
+namespace topaztack {
+
+/// @brief What a request needs of a server.
+struct ServerNeed {
+    PoolName pool;
+    std::set<BackendName> tried;
+    /// For generations: the model, and the versions that may serve.
+    ModelName model;
+    WeightVersion oldestVersion;
+    /// Only this version; 0 for any.
+    WeightVersion exactVersion;
+    /// Preferred while it has room, for its prompt cache; empty for none.
+    BackendName preferred;
+};
+
+/// @brief How a request at a server ended.
+enum class ServerOutcome : std::uint8_t {
+    Answered,
+    /// It said that it is full, or that it does not take the request now.
+    Refused,
+    /// Another server has its address.
+    Replaced,
+    Failed,
+    /// The caller gave up.
+    Cancelled,
+};
+
+class ServerTable {
+public:
+    explicit ServerTable(GatewayContext& context);
+
+    void takeRows(const std::vector<StoreRow>& rows, bool isWhole);
+
+    /// @brief Drops servers that stayed away, and notes the store's return.
+    void expire();
+
+    /// @brief Chooses a server and counts a request there; finish() must follow.
+    /// @return nothing if none can take it now.
+    std::optional<ServerRecord> acquire(const ServerNeed& need);
+
+    /// @param unitTime the time of a unit of work, zero if not known.
+    void finish(const ServerRecord& server, ServerOutcome outcome, Duration unitTime = {});
+
+    /// @brief The record as known now.
+    const ServerRecord* find(const BackendName& name) const;
+
+    /// @brief Whether a pool has a server that is not leaving.
+    bool hasServers(const PoolName& pool) const;
+
+    /// @brief The weights that an engine was seen to have, ahead of its record.
+    void noteVersion(const BackendName& name, const ModelName& model, WeightVersion version);
+
+    /// @brief No new generation of this model is sent there for a while: it is about to load weights.
+    void reserveForLoad(const BackendName& name, const ModelName& model, TimePoint until);
+
+    const ServerRegistry& registry() const { return this->servers; }
+
+    /// @brief Told of every change that may let a waiting request go.
+    Notifier& changed() { return this->changeNotifier; }
+
+    boost::json::value dump() const;
+
+private:
+    struct Use {
+        std::uint32_t outstanding { 0 };
+        std::uint32_t failuresInRow { 0 };
+        TimePoint suspectedUntil;
+        double unitSeconds { 0 };
+        std::map<ModelName, TimePoint> reservedUntil;
+    };
+
+    void takeRecord(ServerRecord record);
+    bool canServe(const ServerRecord& server, const ServerNeed& need, TimePoint now) const;
+    ServerLoad loadOf(const ServerRecord& server, const ServerNeed& need, double poolSeconds, TimePoint now) const;
+    double meanUnitSeconds(const PoolName& pool) const;
+
+    GatewayContext& context;
+    ServerRegistry servers;
+    std::map<BackendName, Use> uses;
+    Notifier changeNotifier;
+    std::optional<TimePoint> lastReturn;
+};
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/weight_loader.cpp
@@ -0,0 +1,210 @@
+#include "weight_loader.hpp"
+
+#include "notifier.hpp"
+
+#include <topaztack/base/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr Duration planInterval = 50ms;
+    /// Time for the answer to an order.
+    constexpr Duration orderTime = 1s;
+    /// Time for the answer to a report.
+    constexpr Duration reportTime = 500ms;
+    /// An engine that gave no answer may carry the order out later; it is asked for its state first.
+    constexpr Duration pauseAfterFailure = 1s;
+    constexpr unsigned mostDoublings = 3;
+    /// The time in which an engine loads weights if few do at once.
+    constexpr Duration usualLoadTime = 900ms;
+    constexpr Duration longestLoadTime = 6s;
+    constexpr Duration loadCheckInterval = 50ms;
+    /// Loads that the weight store serves at full speed, as a part of the engines, two at least.
+    constexpr std::size_t enginesPerLoad = 5;
+    constexpr std::size_t fewestAtOnce = 2;
+
+    std::string_view verdictName(OrderVerdict verdict)
+    {
+        static constexpr std::array<std::string_view, 7> names { "accepted", "holds", "conflict", "fenced-off",
+            "refused", "other-server", "unknown" };
+        return names.at(static_cast<std::size_t>(verdict));
+    }
+
+} // namespace
+
+WeightLoader::WeightLoader(GatewayContext& context, ServerTable& servers, JobOwner& jobs, OrderLease& lease)
+    : context(context)
+    , servers(servers)
+    , jobs(jobs)
+    , lease(lease)
+    , orders(context.metrics.counter("topaztack_load_orders_total", "Orders to load weights"))
+    , orderFailures(context.metrics.counter("topaztack_load_order_failures_total", "Orders that were not accepted"))
+    , loadTime(context.metrics.latency("topaztack_load_seconds", "Time from an order to the new weights"))
+{
+}
+
+void WeightLoader::start() { asio::co_spawn(this->context.loop(), this->plan(), asio::detached); }
+
+WeightLoader::Engine& WeightLoader::engineOf(const ServerRecord& server)
+{
+    auto& engine = this->engines[server.name];
+    if (engine.startedAt != server.startedAt) {
+        engine = Engine {};
+        engine.startedAt = server.startedAt;
+    }
+    engine.orders = std::max(engine.orders, server.orders);
+    return engine;
+}
+
+asio::awaitable<void> WeightLoader::plan()
+{
+    while (true) {
+        if (this->context.routes && !this->context.isDraining && this->lease.mayOrder()) {
+            for (const auto& pool : this->context.routes->pools) {
+                if (pool.engines)
+                    this->planPool(pool);
+            }
+        }
+        co_await pauseFor(planInterval);
+    }
+}
+
+void WeightLoader::planPool(const PoolRecord& pool)
+{
+    const auto now = Clock::now();
+    std::vector<PlannedEngine> planned;
+    std::map<ModelName, PlannedModel> models;
+    for (const auto& [name, entry] : this->servers.registry().entries) {
+        const auto& server = entry.record;
+        if (server.pool != pool.name || server.isLeaving)
+            continue;
+        const auto& engine = this->engineOf(server);
+        PlannedEngine each;
+        each.name = name;
+        each.loading = engine.loading;
+        each.isHeldOff = now < engine.notBefore;
+        for (const auto& loaded : server.models) {
+            each.versions[loaded.model] = loaded.version;
+            const auto named = this->context.namedVersions.find(loaded.model);
+            if (named != this->context.namedVersions.end())
+                models[loaded.model] = { named->second, this->jobs.hasOpenJob(loaded.model) };
+        }
+        planned.push_back(std::move(each));
+    }
+    LoadLimits limits;
+    limits.atOnce = std::max(fewestAtOnce, planned.size() / enginesPerLoad);
+    for (auto& load : planLoads(planned, models, limits)) {
+        const auto* server = this->servers.find(load.engine);
+        if (!server)
+            continue;
+        this->engineOf(*server).loading = load.model;
+        asio::co_spawn(this->context.loop(), this->load(*server, std::move(load), limits.atOnce), asio::detached);
+    }
+}
+
+asio::awaitable<std::optional<EngineReport>> WeightLoader::readReport(ServerRecord server)
+{
+    auto answered = co_await this->context.backends.call(
+        server.endpoint, this->context.protocol.encodeReportQuery(server), Clock::now() + reportTime);
+    if (!answered)
+        co_return std::nullopt;
+    auto report = this->context.protocol.decodeReport(answered.value());
+    if (!report) {
+        logEvent(LogLevel::Warning, "engine-report-refused",
+            { { "server", server.name.value() }, { "error", report.error().message } });
+        co_return std::nullopt;
+    }
+    co_return std::move(report).value();
+}
+
+asio::awaitable<OrderVerdict> WeightLoader::give(ServerRecord server, PlannedLoad load)
+{
+    const auto fence = this->lease.mayOrder();
+    if (!fence)
+        co_return OrderVerdict::FencedOff;
+    LoadOrder order;
+    order.model = load.model;
+    order.version = load.version;
+    order.mode = LoadMode::FinishFirst;
+    order.holder = this->context.identity.name;
+    order.fence = *fence;
+    order.expectedOrders = this->engineOf(server).orders;
+    this->orders.add();
+    const auto answered = co_await this->context.backends.call(
+        server.endpoint, this->context.protocol.encodeOrder(order, server), Clock::now() + orderTime);
+    const auto verdict = answered ? this->context.protocol.decodeOrder(answered.value()) : OrderVerdict::Unknown;
+    logEvent(LogLevel::Info, "load-ordered",
+        { { "server", server.name.value() }, { "model", load.model.value() },
+            { "version", std::to_string(load.version.value()) }, { "fence", std::to_string(fence->value()) },
+            { "expected_orders", std::to_string(order.expectedOrders) },
+            { "verdict", std::string(verdictName(verdict)) },
+            { "error", answered ? "" : answered.error().error.message } });
+    co_return verdict;
+}
+
+/// An engine's record follows its state by a heartbeat at most.
+asio::awaitable<bool> WeightLoader::waitUntilLoaded(ServerRecord server, PlannedLoad load, std::size_t)
+{
+    const auto end = Clock::now() + longestLoadTime;
+    while (Clock::now() < end) {
+        const auto* current = this->servers.find(server.name);
+        if (!current || current->startedAt != server.startedAt)
+            co_return false;
+        if (versionOf(*current, load.model) >= load.version)
+            co_return true;
+        co_await pauseFor(loadCheckInterval);
+    }
+    co_return false;
+}
+
+asio::awaitable<void> WeightLoader::load(ServerRecord server, PlannedLoad load, std::size_t atOnce)
+{
+    const auto startedAt = Clock::now();
+    auto verdict = co_await this->give(server, load);
+    auto& engine = this->engineOf(server);
+    bool isLoaded = verdict == OrderVerdict::Holds;
+    if (verdict == OrderVerdict::Accepted) {
+        ++engine.orders;
+        isLoaded = co_await this->waitUntilLoaded(server, load, atOnce);
+    }
+    if (isLoaded) {
+        this->loadTime.record(Clock::now() - startedAt);
+        this->servers.noteVersion(server.name, load.model, load.version);
+        engine.failures = 0;
+    } else {
+        this->orderFailures.add();
+        const auto doublings = std::min(engine.failures, mostDoublings);
+        ++engine.failures;
+        engine.notBefore = Clock::now() + pauseAfterFailure * (1U << doublings);
+        const auto report = co_await this->readReport(server);
+        if (report) {
+            engine.orders = std::max(engine.orders, report->orders);
+            for (const auto& loaded : report->models)
+                this->servers.noteVersion(server.name, loaded.model, loaded.version);
+        }
+    }
+    engine.loading.reset();
+}
+
+json::value WeightLoader::dump() const
+{
+    json::object list;
+    for (const auto& [name, engine] : this->engines)
+        list[name.value()] = json::object { { "orders", engine.orders },
+            { "loading", engine.loading ? engine.loading->value() : "" }, { "failures", engine.failures } };
+    return list;
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/weight_loader.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "context.hpp"
+#include "job_owner.hpp"
+#include "order_lease.hpp"
+#include "server_table.hpp"
+
+#include <topaztack/samples/load_plan.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+
+#include <map>
+
+/// @file
+/// Orders engines to load the weights that trainers named, from the one VM that holds the order lease.
+
+namespace topaztack {
+
+class WeightLoader {
+public:
+    WeightLoader(GatewayContext& context, ServerTable& servers, JobOwner& jobs, OrderLease& lease);
+
+    void start();
+
+    boost::json::value dump() const;
+
+private:
+    /// What is known of one engine's orders, ahead of its record.
+    struct Engine {
+        std::chrono::milliseconds startedAt { 0 };
+        std::uint64_t orders { 0 };
+        std::optional<ModelName> loading;
+        TimePoint notBefore;
+        unsigned failures { 0 };
+    };
+
+    boost::asio::awaitable<void> plan();
+    void planPool(const PoolRecord& pool);
+    boost::asio::awaitable<void> load(ServerRecord server, PlannedLoad load, std::size_t atOnce);
+    boost::asio::awaitable<OrderVerdict> give(ServerRecord server, PlannedLoad load);
+    boost::asio::awaitable<bool> waitUntilLoaded(ServerRecord server, PlannedLoad load, std::size_t atOnce);
+    boost::asio::awaitable<std::optional<EngineReport>> readReport(ServerRecord server);
+    Engine& engineOf(const ServerRecord& server);
+
+    GatewayContext& context;
+    ServerTable& servers;
+    JobOwner& jobs;
+    OrderLease& lease;
+    std::map<BackendName, Engine> engines;
+    Counter& orders;
+    Counter& orderFailures;
+    LatencyHistogram& loadTime;
+};
+
+} // namespace topaztack
--- /dev/null
+++ b/src/policy/server_choice.cpp
@@ -0,0 +1,61 @@
+#include <topaztack/policy/server_choice.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration shortestSuspicion = 500ms;
+    constexpr std::uint32_t mostDoublings = 4;
+    /// A server elsewhere is preferred only if it is less loaded by this share of its allowance.
+    constexpr double remotePenalty = 0.34;
+    constexpr double suspicionPenalty = 100;
+    constexpr double triedPenalty = 1000;
+
+    double costOf(const ServerLoad& server)
+    {
+        double cost = server.slowness * (server.outstanding + 1) / server.allowance;
+        if (!server.isLocal)
+            cost += remotePenalty;
+        if (server.isSuspected)
+            cost += suspicionPenalty;
+        if (server.wasTried)
+            cost += triedPenalty;
+        return cost;
+    }
+
+} // namespace
+
+std::optional<std::size_t> chooseServer(const std::vector<ServerLoad>& servers, Random& random)
+{
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    std::uint64_t ties = 0;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        const auto& server = servers[index];
+        if (server.outstanding >= server.allowance)
+            continue;
+        const double cost = costOf(server);
+        const bool isTie = best && cost == bestCost;
+        ties = isTie ? ties + 1 : 1;
+        if (!best || cost < bestCost || (isTie && random.below(ties) == 0)) {
+            best = index;
+            bestCost = cost;
+        } else if (!isTie) {
+            ties = 1;
+        }
+    }
+    return best;
+}
+
+Duration suspicionTime(std::uint32_t failuresInRow)
+{
+    if (failuresInRow == 0)
+        return 0ms;
+    return shortestSuspicion * (1U << std::min(failuresInRow - 1, mostDoublings));
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/samples/job.cpp
@@ -0,0 +1,125 @@
+#include <topaztack/samples/job.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::size_t positionDigits = 8;
+    constexpr char lastPiece = '.';
+    constexpr char morePieces = '+';
+
+    std::string padded(std::uint64_t number, std::size_t digits)
+    {
+        auto text = std::to_string(number);
+        if (text.size() < digits)
+            text.insert(0, digits - text.size(), '0');
+        return text;
+    }
+
+    std::string resultText(const ItemResult& result)
+    {
+        json::array versions;
+        for (const auto& version : result.versions)
+            versions.emplace_back(version.value());
+        return json::serialize(json::object { { "id", result.id.value() },
+            { "completed", result.state == ItemState::Completed }, { "output", result.output },
+            { "versions", std::move(versions) } });
+    }
+
+    ItemResult parseResult(std::string_view text)
+    {
+        const auto value = json::parse(text);
+        ItemResult result;
+        result.id = ItemId(json::value_to<std::string>(value.at("id")));
+        result.state = value.at("completed").as_bool() ? ItemState::Completed : ItemState::Aborted;
+        result.output = json::value_to<std::string>(value.at("output"));
+        for (const auto& version : value.at("versions").as_array())
+            result.versions.emplace_back(version.to_number<std::uint64_t>());
+        return result;
+    }
+
+} // namespace
+
+std::string toText(const JobHead& head)
+{
+    return json::serialize(json::object {
+        { "owner", head.owner.name.value() },
+        { "incarnation", head.owner.incarnation.value() },
+        { "ended", head.isEnded },
+        { "listed", head.listed },
+        { "total", head.total },
+        { "objects", head.objects },
+        { "writes", head.writes },
+        { "accepted_ms", head.acceptedAt.count() },
+        { "host", head.host },
+        { "path", head.path },
+        { "model", head.model.value() },
+    });
+}
+
+Result<JobHead> parseJobHead(std::string_view text)
+{
+    try {
+        const auto value = json::parse(text);
+        JobHead head;
+        head.owner.name = VmName(json::value_to<std::string>(value.at("owner")));
+        head.owner.incarnation = Incarnation(value.at("incarnation").to_number<std::uint64_t>());
+        head.isEnded = value.at("ended").as_bool();
+        head.listed = value.at("listed").to_number<std::uint64_t>();
+        head.total = value.at("total").to_number<std::uint64_t>();
+        head.objects = value.at("objects").to_number<std::uint64_t>();
+        head.writes = value.at("writes").to_number<std::uint64_t>();
+        head.acceptedAt = std::chrono::milliseconds(value.at("accepted_ms").to_number<std::int64_t>());
+        head.host = json::value_to<std::string>(value.at("host"));
+        head.path = json::value_to<std::string>(value.at("path"));
+        head.model = ModelName(json::value_to<std::string>(value.at("model")));
+        return head;
+    } catch (const std::exception& problem) {
+        return makeError(ErrorKind::BadFrame, std::string("job head not understood: ") + problem.what());
+    }
+}
+
+std::string resultKey(std::uint64_t position) { return padded(position, positionDigits); }
+
+std::vector<ResultPiece> toPieces(std::uint64_t position, const ItemResult& result, std::size_t longest)
+{
+    const auto text = resultText(result);
+    std::vector<ResultPiece> pieces;
+    for (std::size_t start = 0; start < text.size(); start += longest - 1) {
+        const bool isLast = text.size() - start <= longest - 1;
+        auto key = resultKey(position);
+        if (start > 0)
+            key += "/" + padded(pieces.size(), 4);
+        pieces.push_back({ std::move(key), (isLast ? lastPiece : morePieces) + text.substr(start, longest - 1) });
+    }
+    return pieces;
+}
+
+Result<std::vector<ItemResult>> fromPieces(std::uint64_t position, const std::vector<ResultPiece>& pieces)
+{
+    std::vector<ItemResult> results;
+    std::string text;
+    try {
+        for (const auto& piece : pieces) {
+            if (!piece.key.starts_with(resultKey(position)))
+                break;
+            text += piece.value.substr(1);
+            if (piece.value.at(0) == morePieces)
+                continue;
+            results.push_back(parseResult(text));
+            text.clear();
+            ++position;
+        }
+    } catch (const std::exception& problem) {
+        return makeError(ErrorKind::BadFrame, std::string("result row not understood: ") + problem.what());
+    }
+    return results;
+}
+
+} // namespace topaztack
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -4,6 +4,9 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace topaztack {
 
 namespace {
@@ -46,6 +49,14 @@
     return {};
 }
 
+bool isConnectionHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 8> names { "connection", "keep-alive", "transfer-encoding",
+        "content-length", "te", "trailer", "upgrade", "proxy-connection" };
+    return std::any_of(
+        names.begin(), names.end(), [name](std::string_view each) { return boost::beast::iequals(name, each); });
+}
+
 std::string_view targetPath(std::string_view target) { return target.substr(0, target.find('?')); }
 
 std::string queryParameter(std::string_view target, std::string_view name)
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -39,10 +39,6 @@
 
     using LinkPtr = std::unique_ptr<Link>;
 
-    /// Backend servers close idle connections too, many of them after 5 s; one that is closed just as it is taken up
-    /// again would leave the outcome of its request unknown.
-    constexpr std::chrono::seconds longestIdle { 3 };
-
     struct IdleLink {
         LinkPtr link;
         TimePoint since;
@@ -71,6 +67,18 @@
         return problem == asio::error::would_block;
     }
 
+    void guard(CallControl* control, Link& link)
+    {
+        if (control)
+            control->setCloser([&link] { link.stream.close(); });
+    }
+
+    void guard(CallControl* control)
+    {
+        if (control)
+            control->setCloser({});
+    }
+
     http::request<http::string_body> toMessage(HttpRequest request, const Endpoint& endpoint)
     {
         const auto verb = http::string_to_verb(request.method);
@@ -83,7 +91,8 @@
         message.target(request.target);
         for (const auto& header : request.headers)
             message.insert(header.name, header.value);
-        message.set(http::field::host, toText(endpoint));
+        if (message.find(http::field::host) == message.end())
+            message.set(http::field::host, toText(endpoint));
         message.body() = std::move(request.body);
         message.prepare_payload();
         return message;
@@ -102,9 +111,9 @@
 } // namespace
 
 struct HttpClient::State {
-    State(asio::io_context& loop, std::size_t idlePerEndpoint)
+    State(asio::io_context& loop, HttpClientLimits limits)
         : loop(loop)
-        , idlePerEndpoint(idlePerEndpoint)
+        , limits(limits)
     {
     }
 
@@ -114,7 +123,7 @@
         while (!links.empty()) {
             auto kept = std::move(links.back());
             links.pop_back();
-            if (Clock::now() - kept.since < longestIdle && isStillOpen(*kept.link))
+            if (Clock::now() - kept.since < this->limits.longestIdle && isStillOpen(*kept.link))
                 return std::move(kept.link);
         }
         return nullptr;
@@ -124,11 +133,11 @@
     {
         auto& links = this->idle[endpoint];
         link->stream.expires_never();
-        if (links.size() < this->idlePerEndpoint && link->buffer.size() == 0)
+        if (links.size() < this->limits.idlePerEndpoint && link->buffer.size() == 0)
             links.push_back({ std::move(link), Clock::now() });
     }
 
-    asio::awaitable<CallResult<LinkPtr>> connect(Endpoint endpoint, TimePoint deadline)
+    asio::awaitable<CallResult<LinkPtr>> connect(Endpoint endpoint, TimePoint deadline, CallControl* control)
     {
         auto kept = this->takeIdle(endpoint);
         if (kept)
@@ -138,8 +147,10 @@
         const tcp::endpoint address(asio::ip::make_address(endpoint.address, problem), endpoint.port);
         if (problem)
             co_return failure(problem, endpoint, AttemptProgress::NothingWritten);
-        link->stream.expires_at(deadline);
+        link->stream.expires_at(std::min<TimePoint>(deadline, Clock::now() + this->limits.connectTime));
+        guard(control, *link);
         const auto [connectProblem] = co_await link->stream.async_connect(address, asTuple);
+        guard(control);
         if (connectProblem)
             co_return failure(connectProblem, endpoint, AttemptProgress::NothingWritten);
         link->stream.socket().set_option(tcp::no_delay(true), problem);
@@ -147,23 +158,29 @@
     }
 
     /// Connects and writes the request.
-    asio::awaitable<CallResult<LinkPtr>> send(Endpoint endpoint, HttpRequest request, TimePoint deadline)
+    asio::awaitable<CallResult<LinkPtr>> send(
+        Endpoint endpoint, HttpRequest request, TimePoint deadline, CallControl* control)
     {
-        auto connected = co_await this->connect(endpoint, deadline);
+        auto connected = co_await this->connect(endpoint, deadline, control);
         if (!connected)
             co_return std::move(connected).error();
         auto link = std::move(connected).value();
+        if (control && control->isCancelled())
+            co_return failure(asio::error::operation_aborted, endpoint, AttemptProgress::NothingWritten);
+        guard(control, *link);
         const auto message = toMessage(std::move(request), endpoint);
         link->stream.expires_at(deadline);
         const auto [problem, size] = co_await http::async_write(link->stream, message, asTuple);
-        if (problem)
+        if (problem) {
+            guard(control);
             co_return failure(
                 problem, endpoint, size == 0 ? AttemptProgress::NothingWritten : AttemptProgress::Written);
+        }
         co_return std::move(link);
     }
 
     asio::io_context& loop;
-    std::size_t idlePerEndpoint;
+    HttpClientLimits limits;
     std::map<Endpoint, std::vector<IdleLink>> idle;
 };
 
@@ -172,15 +189,22 @@
     class Stream final : public HttpStream {
     public:
         Stream(std::shared_ptr<HttpClient::State> client, Endpoint endpoint, LinkPtr link,
-            std::unique_ptr<http::response_parser<http::buffer_body>> parser)
+            std::unique_ptr<http::response_parser<http::buffer_body>> parser, CallControl* control)
             : client(std::move(client))
             , endpoint(std::move(endpoint))
             , link(std::move(link))
             , parser(std::move(parser))
+            , control(control)
             , answer(toResponse(this->parser->get()))
         {
         }
 
+        ~Stream() override
+        {
+            if (this->link)
+                guard(this->control);
+        }
+
         const HttpResponse& head() const override { return this->answer; }
 
         asio::awaitable<CallResult<std::string>> read(TimePoint deadline) override
@@ -199,6 +223,7 @@
                 if (problem == http::error::need_buffer)
                     problem = {};
                 if (problem) {
+                    guard(this->control);
                     this->link.reset();
                     co_return failure(problem, this->endpoint, AttemptProgress::Written);
                 }
@@ -219,6 +244,7 @@
     private:
         void finish()
         {
+            guard(this->control);
             if (this->parser->get().keep_alive())
                 this->client->keep(this->endpoint, std::move(this->link));
             this->link.reset();
@@ -228,23 +254,49 @@
         Endpoint endpoint;
         LinkPtr link;
         std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+        CallControl* control;
         HttpResponse answer;
     };
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context& loop, std::size_t idlePerEndpoint)
-    : state(std::make_shared<State>(loop, idlePerEndpoint))
+void CallControl::cancel()
+{
+    this->cancelled = true;
+    if (this->close)
+        this->close();
+}
+
+void CallControl::setCloser(std::function<void()> closer) { this->close = std::move(closer); }
+
+HttpClient::HttpClient(asio::io_context& loop, HttpClientLimits limits)
+    : state(std::make_shared<State>(loop, limits))
 {
 }
 
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<CallResult<HttpResponse>> HttpClient::call(Endpoint endpoint, HttpRequest request, TimePoint deadline)
+namespace {
+
+    bool isAccepted(const CallOptions& options, const HttpResponse& response)
+    {
+        return !options.accepts || options.accepts(response);
+    }
+
+    CallFailure notAccepted(const Endpoint& endpoint)
+    {
+        return { makeError(ErrorKind::BackendAnswerMalformed, toText(endpoint) + ": answered another request"),
+            AttemptProgress::Written };
+    }
+
+} // namespace
+
+asio::awaitable<CallResult<HttpResponse>> HttpClient::call(
+    Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options)
 {
     const auto client = this->state;
     const bool isHead = request.method == "HEAD";
-    auto sent = co_await client->send(endpoint, std::move(request), deadline);
+    auto sent = co_await client->send(endpoint, std::move(request), deadline, options.control);
     if (!sent)
         co_return std::move(sent).error();
     auto link = std::move(sent).value();
@@ -253,20 +305,23 @@
     parser.body_limit(longestAnswer);
     parser.skip(isHead);
     const auto [problem, size] = co_await http::async_read(link->stream, link->buffer, parser, asTuple);
+    guard(options.control);
     if (problem)
         co_return failure(problem, endpoint, AttemptProgress::Written);
     auto response = toResponse(parser.get());
     response.body = std::move(parser.get().body());
+    if (!isAccepted(options, response))
+        co_return notAccepted(endpoint);
     if (parser.get().keep_alive())
         client->keep(endpoint, std::move(link));
     co_return std::move(response);
 }
 
 asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> HttpClient::open(
-    Endpoint endpoint, HttpRequest request, TimePoint deadline)
+    Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options)
 {
     const auto client = this->state;
-    auto sent = co_await client->send(endpoint, std::move(request), deadline);
+    auto sent = co_await client->send(endpoint, std::move(request), deadline, options.control);
     if (!sent)
         co_return std::move(sent).error();
     auto link = std::move(sent).value();
@@ -274,10 +329,16 @@
     parser->header_limit(longestAnswerHeader);
     parser->body_limit(boost::none);
     const auto [problem, size] = co_await http::async_read_header(link->stream, link->buffer, *parser, asTuple);
-    if (problem)
+    if (problem) {
+        guard(options.control);
         co_return failure(problem, endpoint, AttemptProgress::Written);
-    std::unique_ptr<HttpStream> stream
-        = std::make_unique<Stream>(client, std::move(endpoint), std::move(link), std::move(parser));
+    }
+    if (!isAccepted(options, toResponse(parser->get()))) {
+        guard(options.control);
+        co_return notAccepted(endpoint);
+    }
+    std::unique_ptr<HttpStream> stream = std::make_unique<Stream>(
+        client, std::move(endpoint), std::move(link), std::move(parser), options.control);
     co_return std::move(stream);
 }
 
--- a/src/wire/sse.cpp
+++ b/src/wire/sse.cpp
@@ -6,26 +6,45 @@
 
     constexpr std::size_t compactAbove = 16 * 1024;
 
-    /// The data lines of one event, joined by line feeds.
-    std::optional<std::string> dataOf(std::string_view event)
+    void takeLine(std::string_view line, SseEvent& event, bool& hasData)
     {
-        std::optional<std::string> data;
-        while (!event.empty()) {
-            const auto end = event.find('\n');
-            auto line = event.substr(0, end);
-            if (!line.empty() && line.back() == '\r')
+        const auto colon = line.find(':');
+        if (colon == 0 || colon == std::string_view::npos)
+            return;
+        const auto name = line.substr(0, colon);
+        auto value = line.substr(colon + 1);
+        if (value.starts_with(' '))
+            value.remove_prefix(1);
+        if (name == "data") {
+            if (hasData)
+                event.data += '\n';
+            event.data += value;
+            hasData = true;
+        } else if (name == "id") {
+            event.id = value;
+        } else {
+            event.others.push_back({ std::string(name), std::string(value) });
+        }
+    }
+
+    /// Nothing if the block has no data.
+    std::optional<SseEvent> toEvent(std::string_view block)
+    {
+        SseEvent event;
+        bool hasData = false;
+        while (!block.empty()) {
+            const auto end = block.find('\n');
+            auto line = block.substr(0, end);
+            if (line.ends_with('\r'))
                 line.remove_suffix(1);
-            if (line.starts_with("data:")) {
-                line.remove_prefix(5);
-                if (line.starts_with(' '))
-                    line.remove_prefix(1);
-                data = data ? *data + "\n" + std::string(line) : std::string(line);
-            }
+            takeLine(line, event, hasData);
             if (end == std::string_view::npos)
                 break;
-            event.remove_prefix(end + 1);
+            block.remove_prefix(end + 1);
         }
-        return data;
+        if (!hasData)
+            return std::nullopt;
+        return event;
     }
 
 } // namespace
@@ -39,24 +58,39 @@
     this->buffer += piece;
 }
 
-std::optional<std::string> SseReader::next()
+/// The bytes up to the next blank line; valid until more is fed.
+std::optional<std::string_view> SseReader::nextBlock()
 {
-    while (true) {
-        const std::string_view rest = std::string_view(this->buffer).substr(this->start);
-        auto end = rest.find("\n\n");
-        std::size_t gap = 2;
-        const auto crlf = rest.find("\r\n\r\n");
-        if (crlf < end) {
-            end = crlf;
-            gap = 4;
-        }
-        if (end == std::string_view::npos)
-            return std::nullopt;
-        auto data = dataOf(rest.substr(0, end));
-        this->start += end + gap;
-        if (data)
-            return data;
+    const std::string_view rest = std::string_view(this->buffer).substr(this->start);
+    auto end = rest.find("\n\n");
+    std::size_t gap = 2;
+    const auto crlf = rest.substr(0, end).find("\r\n\r\n");
+    if (crlf != std::string_view::npos) {
+        end = crlf;
+        gap = 4;
     }
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    this->start += end + gap;
+    return rest.substr(0, end);
+}
+
+std::optional<SseEvent> SseReader::nextEvent()
+{
+    while (const auto block = this->nextBlock()) {
+        auto event = toEvent(*block);
+        if (event)
+            return event;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> SseReader::next()
+{
+    auto event = this->nextEvent();
+    if (!event)
+        return std::nullopt;
+    return std::move(event->data);
 }
 
 std::string sseEvent(std::string_view data) { return "data: " + std::string(data) + "\n\n"; }
--- /dev/null
+++ b/src/wire/store_client.cpp
@@ -0,0 +1,143 @@
+#include <topaztack/wire/store_client.hpp>
+
+#include <topaztack/base/log.hpp>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr unsigned statusThrottled = 429;
+    constexpr unsigned statusRefused = 503;
+
+    Error toStoreError(const CallFailure& failure)
+    {
+        const bool hadNoEffect = failure.progress == AttemptProgress::NothingWritten;
+        return makeError(
+            hadNoEffect ? ErrorKind::PlatformUnreachable : ErrorKind::PlatformAmbiguous, failure.error.message);
+    }
+
+    /// The smallest key after this one.
+    std::string keyAfter(const std::string& key) { return key + '\0'; }
+
+} // namespace
+
+StoreClient::StoreClient(HttpClient& client, Endpoint endpoint, std::chrono::microseconds timeout,
+    const StoreProtocol& protocol, MetricsRegistry& metrics)
+    : client(client)
+    , endpoint(std::move(endpoint))
+    , timeout(timeout)
+    , protocol(protocol)
+    , calls(metrics.counter("topaztack_store_calls_total", "Calls to the platform's store"))
+    , failures(metrics.counter("topaztack_store_failures_total", "Calls that the store refused or did not answer"))
+    , latency(metrics.latency("topaztack_store_seconds", "Time of a call to the store, feeds left out"))
+{
+}
+
+void StoreClient::noteAnswer(bool isAnswered)
+{
+    const auto now = Clock::now();
+    auto& contact = this->lastContact;
+    if (!isAnswered) {
+        this->failures.add();
+        if (!contact.lostSince) {
+            contact.lostSince = now;
+            logEvent(LogLevel::Warning, "store-lost", { { "address", toText(this->endpoint) } });
+        }
+    } else if (contact.lostSince) {
+        contact.lastOutage = now - *contact.lostSince;
+        contact.lostSince.reset();
+        contact.regainedAt = now;
+        logEvent(LogLevel::Info, "store-regained",
+            { { "away_ms", std::to_string(toMilliseconds(contact.lastOutage).count()) } });
+    }
+}
+
+asio::awaitable<Result<HttpResponse>> StoreClient::call(HttpRequest request, std::chrono::microseconds allowed)
+{
+    this->calls.add();
+    auto result = co_await this->client.call(this->endpoint, std::move(request), Clock::now() + allowed);
+    const bool isRefused
+        = result && (result.value().status == statusThrottled || result.value().status == statusRefused);
+    this->noteAnswer(result && !isRefused);
+    if (!result)
+        co_return toStoreError(result.error());
+    if (isRefused)
+        co_return makeError(
+            ErrorKind::PlatformThrottled, "store refused the call with " + std::to_string(result.value().status));
+    co_return std::move(result).value();
+}
+
+asio::awaitable<Result<StoreCommit>> StoreClient::commit(StoreTransaction transaction)
+{
+    const auto started = Clock::now();
+    const auto response = co_await this->call(this->protocol.encodeTransaction(transaction), this->timeout);
+    this->latency.record(Clock::now() - started);
+    if (!response)
+        co_return response.error();
+    co_return this->protocol.decodeCommit(response.value());
+}
+
+asio::awaitable<Result<StoreRows>> StoreClient::readPage(StoreRange range)
+{
+    const auto started = Clock::now();
+    const auto response = co_await this->call(this->protocol.encodeRange(range), this->timeout);
+    this->latency.record(Clock::now() - started);
+    if (!response)
+        co_return response.error();
+    co_return this->protocol.decodeRows(response.value());
+}
+
+asio::awaitable<Result<StoreRows>> StoreClient::read(StoreRange range)
+{
+    StoreRows all;
+    while (true) {
+        auto page = co_await this->readPage(range);
+        if (!page)
+            co_return std::move(page).error();
+        auto& rows = page.value().rows;
+        // The first page's version: changes between two pages are asked for again by a feed.
+        if (all.rows.empty())
+            all.version = page.value().version;
+        for (auto& row : rows)
+            all.rows.push_back(std::move(row));
+        if (!page.value().hasMore || all.rows.empty())
+            co_return std::move(all);
+        range.from = keyAfter(all.rows.back().place.key);
+    }
+}
+
+asio::awaitable<Result<StoreRows>> StoreClient::changes(StoreFeedQuery query)
+{
+    const auto response = co_await this->call(this->protocol.encodeFeed(query), this->timeout + query.wait);
+    if (!response)
+        co_return response.error();
+    co_return this->protocol.decodeRows(response.value());
+}
+
+asio::awaitable<Result<bool>> StoreClient::putObject(ObjectKey key, std::string bytes)
+{
+    const auto response = co_await this->call(this->protocol.encodeObjectPut(key, std::move(bytes)), this->timeout);
+    if (!response)
+        co_return response.error();
+    co_return this->protocol.decodeObjectPut(response.value());
+}
+
+asio::awaitable<Result<std::string>> StoreClient::getObject(ObjectKey key)
+{
+    const auto response = co_await this->call(this->protocol.encodeObjectGet(key), this->timeout);
+    if (!response)
+        co_return response.error();
+    co_return this->protocol.decodeObject(response.value());
+}
+
+asio::awaitable<Result<void>> StoreClient::dropObject(ObjectKey key)
+{
+    const auto response = co_await this->call(this->protocol.encodeObjectDrop(key), this->timeout);
+    if (!response)
+        co_return response.error();
+    co_return boost::outcome_v2::success();
+}
+
+} // namespace topaztack
