Orders to engines: the store's new row version after a renewal, and the order count of the engine's own report

Cause: LeaseHolder took a row's version to grow by one with each write; the store counts transactions, so each renewal lost its condition. Then every order was refused: a server record's count is one of heartbeats, not of orders.

--- a/include/topaztack/control/lease.hpp
+++ b/include/topaztack/control/lease.hpp
@@ -133,7 +133,9 @@
 
     void onReadFailed(TimePoint now, Random& random);
 
-    void onCommit(CommitOutcome outcome, TimePoint now, Random& random);
+    /// @param written the row's version after Committed; a table that doesn't say adds one with each write.
+    void onCommit(
+        CommitOutcome outcome, TimePoint now, Random& random, std::optional<RowVersion> written = std::nullopt);
 
     /// @brief The fencing number if the lease is held at `now`.
     std::optional<FencingNumber> held(TimePoint now) const;
--- a/include/topaztack/control/server_registry.hpp
+++ b/include/topaztack/control/server_registry.hpp
@@ -32,8 +32,6 @@
     std::uint64_t slots { 1 };
     bool isLeaving { false };
     std::vector<LoadedModel> models;
-    /// Orders that it has accepted since its start.
-    std::uint64_t orders { 0 };
     /// Its start, in milliseconds of Unix time; a new one under the same name knows nothing of before. 0 if unknown.
     std::chrono::milliseconds startedAt { 0 };
 
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -57,6 +57,7 @@
     struct SentRelease { };
     struct Committed {
         TimePoint now;
+        std::optional<RowVersion> version;
     };
     struct Conflicted {
         TimePoint now;
@@ -160,13 +161,14 @@
         }
     };
 
-    /// The write was acknowledged: the table adds one to a row's version with each write.
+    /// The write was acknowledged. A table that doesn't say the new version adds one with each write.
     struct Gain {
         template <typename Machine, typename From, typename To>
         void operator()(const Committed& event, Machine& machine, From&, To&) const
         {
             auto& facts = machine.facts;
-            noteRow(facts, RowVersion(facts.version.value() + 1), facts.written, event.now);
+            const auto next = event.version.value_or(RowVersion(facts.version.value() + 1));
+            noteRow(facts, next, facts.written, event.now);
             countFromRow(facts);
         }
     };
@@ -381,11 +383,12 @@
     facts.readAt = now + facts.timing.retryAfter + drawJitter(facts.timing, random);
 }
 
-void LeaseHolder::onCommit(CommitOutcome outcome, TimePoint now, Random& random)
+void LeaseHolder::onCommit(
+    CommitOutcome outcome, TimePoint now, Random& random, std::optional<RowVersion> written)
 {
     switch (outcome) {
     case CommitOutcome::Committed:
-        this->machine->process_event(Committed { now });
+        this->machine->process_event(Committed { now, written });
         break;
     case CommitOutcome::Conflict:
         this->machine->process_event(Conflicted { now });
--- a/src/gateway/order_lease.cpp
+++ b/src/gateway/order_lease.cpp
@@ -112,7 +112,11 @@
     transaction.conditions.push_back({ leasePlace(), write.condition });
     transaction.writes.push_back({ leasePlace(), toText(write.row) });
     const auto committed = co_await this->context.store.commit(std::move(transaction));
-    this->holder.onCommit(toOutcome(committed), timeWithSuspension(), this->context.random);
+    const auto outcome = toOutcome(committed);
+    std::optional<RowVersion> written;
+    if (outcome == CommitOutcome::Committed)
+        written = committed.value().version;
+    this->holder.onCommit(outcome, timeWithSuspension(), this->context.random, written);
 }
 
 void OrderLease::noteHeld()
@@ -122,7 +126,10 @@
     if (held == this->number)
         return;
     if (held) {
-        this->heldSince = now;
+        // Under the same number nobody held it in between.
+        if (held != this->lastNumber)
+            this->heldSince = now;
+        this->lastNumber = held;
         logEvent(LogLevel::Info, "order-lease-held",
             { { "number", std::to_string(held->value()) }, { "first", this->isFirst ? "1" : "0" } });
     } else {
--- a/src/gateway/order_lease.hpp
+++ b/src/gateway/order_lease.hpp
@@ -39,6 +39,7 @@
     bool isFirst { false };
     /// The number under which it is held, and since when.
     std::optional<FencingNumber> number;
+    std::optional<FencingNumber> lastNumber;
     TimePoint heldSince;
     std::uint64_t operations { 0 };
 };
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -21,10 +21,9 @@
     /// Requests that one VM gives to a server of a plain service beyond its slots: they wait there.
     constexpr std::uint32_t queuedPerServer = 4;
 
-    /// Versions and counts of one incarnation only rise; a record may be older than what was seen at the server.
+    /// Versions of one incarnation only rise; a record may be older than what was seen at the server.
     void keepNewest(const ServerRecord& known, ServerRecord& record)
     {
-        record.orders = std::max(record.orders, known.orders);
         for (auto& loaded : record.models)
             loaded.version = std::max(loaded.version, versionOf(known, loaded.model).value_or(WeightVersion(0)));
     }
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -64,7 +64,6 @@
         engine = Engine {};
         engine.startedAt = server.startedAt;
     }
-    engine.orders = std::max(engine.orders, server.orders);
     return engine;
 }
 
@@ -114,19 +113,23 @@
     }
 }
 
-asio::awaitable<std::optional<EngineReport>> WeightLoader::readReport(ServerRecord server)
+/// Asks an engine for its state. Its record says nothing of orders, and follows its versions by a heartbeat.
+asio::awaitable<bool> WeightLoader::ask(ServerRecord server)
 {
     auto answered = co_await this->context.backends.call(
         server.endpoint, this->context.protocol.encodeReportQuery(server), Clock::now() + reportTime);
     if (!answered)
-        co_return std::nullopt;
-    auto report = this->context.protocol.decodeReport(answered.value());
+        co_return false;
+    const auto report = this->context.protocol.decodeReport(answered.value());
     if (!report) {
         logEvent(LogLevel::Warning, "engine-report-refused",
             { { "server", server.name.value() }, { "error", report.error().message } });
-        co_return std::nullopt;
+        co_return false;
     }
-    co_return std::move(report).value();
+    this->engineOf(server).orders = report.value().orders;
+    for (const auto& loaded : report.value().models)
+        this->servers.noteVersion(server.name, loaded.model, loaded.version);
+    co_return !report.value().isBusy;
 }
 
 asio::awaitable<OrderVerdict> WeightLoader::give(ServerRecord server, PlannedLoad load)
@@ -140,7 +143,7 @@
     order.mode = LoadMode::FinishFirst;
     order.holder = this->context.identity.name;
     order.fence = *fence;
-    order.expectedOrders = this->engineOf(server).orders;
+    order.expectedOrders = this->engineOf(server).orders.value_or(0);
     this->orders.add();
     const auto answered = co_await this->context.backends.call(
         server.endpoint, this->context.protocol.encodeOrder(order, server), Clock::now() + orderTime);
@@ -172,11 +175,14 @@
 asio::awaitable<void> WeightLoader::load(ServerRecord server, PlannedLoad load, std::size_t atOnce)
 {
     const auto startedAt = Clock::now();
-    auto verdict = co_await this->give(server, load);
+    bool isReady = this->engineOf(server).orders.has_value();
+    if (!isReady)
+        isReady = co_await this->ask(server);
+    const auto verdict = isReady ? co_await this->give(server, load) : OrderVerdict::Unknown;
     auto& engine = this->engineOf(server);
     bool isLoaded = verdict == OrderVerdict::Holds;
     if (verdict == OrderVerdict::Accepted) {
-        ++engine.orders;
+        engine.orders = engine.orders.value_or(0) + 1;
         isLoaded = co_await this->waitUntilLoaded(server, load, atOnce);
     }
     if (isLoaded) {
@@ -188,12 +194,8 @@
         const auto doublings = std::min(engine.failures, mostDoublings);
         ++engine.failures;
         engine.notBefore = Clock::now() + pauseAfterFailure * (1U << doublings);
-        const auto report = co_await this->readReport(server);
-        if (report) {
-            engine.orders = std::max(engine.orders, report->orders);
-            for (const auto& loaded : report->models)
-                this->servers.noteVersion(server.name, loaded.model, loaded.version);
-        }
+        // What became of the order is asked before the next one.
+        engine.orders.reset();
     }
     engine.loading.reset();
 }
@@ -202,7 +204,7 @@
 {
     json::object list;
     for (const auto& [name, engine] : this->engines)
-        list[name.value()] = json::object { { "orders", engine.orders },
+        list[name.value()] = json::object { { "orders", engine.orders.value_or(0) },
             { "loading", engine.loading ? engine.loading->value() : "" }, { "failures", engine.failures } };
     return list;
 }
--- a/src/gateway/weight_loader.hpp
+++ b/src/gateway/weight_loader.hpp
@@ -29,7 +29,8 @@
     /// What is known of one engine's orders, ahead of its record.
     struct Engine {
         std::chrono::milliseconds startedAt { 0 };
-        std::uint64_t orders { 0 };
+        /// Orders that it has accepted since its start; nothing until it was asked.
+        std::optional<std::uint64_t> orders;
         std::optional<ModelName> loading;
         TimePoint notBefore;
         unsigned failures { 0 };
@@ -40,7 +41,7 @@
     boost::asio::awaitable<void> load(ServerRecord server, PlannedLoad load, std::size_t atOnce);
     boost::asio::awaitable<OrderVerdict> give(ServerRecord server, PlannedLoad load);
     boost::asio::awaitable<bool> waitUntilLoaded(ServerRecord server, PlannedLoad load, std::size_t atOnce);
-    boost::asio::awaitable<std::optional<EngineReport>> readReport(ServerRecord server);
+    boost::asio::awaitable<bool> ask(ServerRecord server);
     Engine& engineOf(const ServerRecord& server);
 
     GatewayContext& context;
