--- a/apps/topaztackd/main.cpp
+++ b/apps/topaztackd/main.cpp
@@ -89,7 +89,7 @@
     }
     auto& settings = loaded->settings;
     const topaztack::VmIdentity identity { settings.name, topaztack::Incarnation(topaztack::systemSeed()) };
-    topaztack::openLog(identity.name.value(), identity.incarnation);
+    topaztack::openLog(identity.name.value(), identity.incarnation, settings.logLevel);
     const auto signals = blockSignals();
     if (settings.isGateway) {
         topaztack::Gateway gateway(std::move(settings), identity, topaztack::platform::protocol());
--- a/include/topaztack/control/settings.hpp
+++ b/include/topaztack/control/settings.hpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/base/ids.hpp>
 #include <topaztack/base/ini.hpp>
+#include <topaztack/base/log.hpp>
 
 #include <chrono>
 #include <optional>
@@ -45,6 +46,7 @@
     Endpoint operators;
     Endpoint peers;
     std::uint64_t threads { 0 };
+    LogLevel logLevel { LogLevel::Info };
     /// Document used until a newer one is known; empty for none.
     std::string documentFile;
     /// Operator token file; empty lets every caller on the operators' port in.
--- a/include/topaztack/policy/server_choice.hpp
+++ b/include/topaztack/policy/server_choice.hpp
@@ -24,6 +24,8 @@
     bool isSuspected { false };
     /// The same request was sent there before.
     bool wasTried { false };
+    /// Its weights are older than those of another candidate.
+    bool isBehind { false };
     /// Mean time of a unit of its work against the pool's; 1 is the mean.
     double slowness { 1 };
 };
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -31,8 +31,22 @@
     std::string body;
     /// Tokens of the prompt and the most tokens made.
     std::uint64_t tokens { 0 };
+    /// The trainer's estimate of the tokens made, right at the median only; 0 if it gave none.
+    std::uint64_t expectedTokens { 0 };
 };
 
+/// @brief What has been generated of an item so far.
+struct ItemText {
+    std::string output;
+    std::vector<WeightVersion> versions;
+    /// The number of its last event; nothing before the first.
+    std::optional<std::uint64_t> lastEvent;
+    bool isWhole { false };
+};
+
+/// @brief Whether a text may be used where only weights from `oldest` on may have made it.
+bool fitsVersions(const ItemText& text, WeightVersion oldest, bool isSingleVersion);
+
 /// @brief A job as submitted.
 struct JobSpec {
     JobId id;
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -2,6 +2,9 @@
 
 #include <topaztack/detail/read_id.hpp>
 
+#include <array>
+#include <utility>
+
 namespace topaztack {
 
 using namespace std::chrono_literals;
@@ -15,6 +18,23 @@
         return {};
     }
 
+    std::string readLogLevel(std::string_view text, LogLevel& value)
+    {
+        static constexpr std::array<std::pair<std::string_view, LogLevel>, 4> levels { {
+            { "debug", LogLevel::Debug },
+            { "info", LogLevel::Info },
+            { "warning", LogLevel::Warning },
+            { "error", LogLevel::Error },
+        } };
+        for (const auto& [name, level] : levels) {
+            if (text == name) {
+                value = level;
+                return {};
+            }
+        }
+        return "`" + std::string(text) + "` is no log level";
+    }
+
 } // namespace
 
 const std::vector<KeyRule<VmSettings>>& vmRules()
@@ -32,6 +52,8 @@
             [](VmSettings& vm, std::string_view text) { return readEndpoint(text, vm.peers); } },
         { "threads", "2", "threads that serve callers, 1..64",
             [](VmSettings& vm, std::string_view text) { return readWhole(text, 1, 64, vm.threads); } },
+        { "log_level", "info", "least level of a log line: debug, info, warning, error",
+            [](VmSettings& vm, std::string_view text) { return readLogLevel(text, vm.logLevel); } },
         { "document", "none", "document to use until a newer one is known: a file, or none",
             [](VmSettings& vm, std::string_view text) { return readFileName(text, vm.documentFile); } },
         { "operator_token", "none", "file with the operators' token, or none to let everyone on the operators' port in",
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -7,7 +7,7 @@
     using namespace std::chrono_literals;
 
     /// Kept connections are closed by backend servers after 5 s of idleness or more.
-    constexpr HttpClientLimits backendLimits { .longestIdle = 3000ms, .connectTime = 1000ms };
+    constexpr HttpClientLimits backendLimits { .idlePerEndpoint = 16, .longestIdle = 3000ms, .connectTime = 1000ms };
     constexpr HttpClientLimits storeLimits { .longestIdle = 10s, .connectTime = 500ms };
 
 } // namespace
--- /dev/null
+++ b/src/gateway/item_attempt.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "context.hpp"
+#include "server_table.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+/// @file
+/// One attempt to generate an item, or the rest of it, at one server.
+
+namespace topaztack {
+
+enum class AttemptEnd : std::uint8_t {
+    /// The text is whole.
+    Whole,
+    /// It broke off; the text so far stays.
+    Interrupted,
+    /// The server is slow; the rest is to be generated elsewhere.
+    Moved,
+    /// The server answered that the item failed.
+    Failed,
+    /// The server answered that the item can never be done.
+    NeverDone,
+    /// The server doesn't take it now.
+    Refused,
+    /// Another server has the address.
+    Replaced,
+    Cancelled,
+};
+
+std::string_view attemptEndName(AttemptEnd end);
+
+/// @brief What an attempt works on. All of it must outlive the attempt.
+struct ItemAttempt {
+    const JobSpec& job;
+    const JobItem& item;
+    /// Grows event by event.
+    ItemText& text;
+    const ServerNeed& need;
+    CallControl& control;
+};
+
+/// @brief Generates from the last event of the text on. Does not tell the servers' table that the attempt has ended.
+boost::asio::awaitable<AttemptEnd> attemptItem(
+    GatewayContext& context, ServerTable& servers, ItemAttempt attempt, const ServerRecord& server);
+
+/// @brief What an attempt's end says of its server.
+ServerOutcome outcomeOf(AttemptEnd end);
+
+} // namespace topaztack
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -24,6 +24,13 @@
     constexpr Duration watchInterval = 100ms;
     constexpr std::chrono::milliseconds feedWait { 1000 };
     constexpr std::chrono::milliseconds feedPause { 100 };
+    /// In which a VM that is handed a job writes that it has it.
+    constexpr Duration handoverTime = 500ms;
+    /// A VM that ran a trainer's last job is preferred for this long.
+    constexpr Duration longestPreference = 15s;
+    /// Texts of ended jobs are kept for this long, and of this many jobs.
+    constexpr Duration textRetention = 15s;
+    constexpr std::size_t keptRunners = 6;
     /// Added to the time for which results are kept, for differences between the clocks of VMs.
     constexpr std::chrono::milliseconds clockSlack { 10'000 };
 
@@ -71,8 +78,14 @@
     known.stored = head;
     known.seenAt = Clock::now();
     const auto runner = this->runnerOf(id);
-    if (runner)
+    if (runner) {
         runner->noteHead(head);
+    } else if (head.head.owner == this->context.identity && isOpen(head.head) && !known.isBeingClaimed
+        && !this->context.isDraining) {
+        // Another VM accepted the job for this one.
+        known.isBeingClaimed = true;
+        asio::co_spawn(this->context.loop(), this->takeOver(id, head, true), asio::detached);
+    }
     this->changeNotifier.notify();
 }
 
@@ -105,18 +118,83 @@
     return found == this->runners.end() || found->second->isStopped() ? nullptr : found->second;
 }
 
-void JobOwner::adopt(JobSpec job, StoredHead head, const std::vector<ItemResult>& listed)
+std::map<ItemId, ItemText> JobOwner::textsFor(const JobSpec& job)
 {
-    const auto id = job.id;
+    std::map<ItemId, ItemText> texts;
+    const auto* route
+        = this->context.routes ? matchRoute(*this->context.routes, job.host, job.path) : nullptr;
+    const bool isSingleVersion = route && route->isSingleVersion;
+    for (const auto& runner : this->ended) {
+        if (runner->spec().model != job.model)
+            continue;
+        for (const auto& item : job.items) {
+            if (texts.contains(item.id))
+                continue;
+            auto text = runner->takeText(item.id, job.oldestVersion, isSingleVersion);
+            if (text)
+                texts.emplace(item.id, std::move(*text));
+        }
+    }
+    return texts;
+}
+
+void JobOwner::adopt(RunnerStart start)
+{
+    const auto id = start.job.id;
     if (this->runnerOf(id))
         return;
-    auto runner
-        = std::make_shared<JobRunner>(this->context, this->servers, this->store, std::move(job), head, listed);
+    start.texts = this->textsFor(start.job);
+    auto runner = std::make_shared<JobRunner>(this->context, this->servers, this->store, std::move(start));
     this->runners[id] = runner;
     runner->start();
+}
+
+VmIdentity JobOwner::preferredOwner(const ModelName& model) const
+{
+    const Known* latest = nullptr;
+    for (const auto& [id, known] : this->jobs) {
+        const auto& head = known.stored.head;
+        if (head.model == model && (!latest || head.acceptedAt > latest->stored.head.acceptedAt))
+            latest = &known;
+    }
+    const bool isUsable = latest && !latest->stored.head.owner.name.value().empty()
+        && latest->stored.head.owner.name != this->context.identity.name
+        && Clock::now() - latest->seenAt < longestPreference;
+    return isUsable ? latest->stored.head.owner : this->context.identity;
+}
+
+void JobOwner::place(JobSpec job, const StoredHead& head)
+{
+    const auto id = job.id;
+    if (head.head.owner == this->context.identity) {
+        RunnerStart start;
+        start.job = std::move(job);
+        start.head = head;
+        this->adopt(std::move(start));
+    } else {
+        asio::co_spawn(this->context.loop(), this->watchHandover(std::move(job), head), asio::detached);
+    }
     this->noteHead(id, head);
 }
 
+/// The VM that is to run the job writes its head as soon as it has taken it.
+asio::awaitable<void> JobOwner::watchHandover(JobSpec job, StoredHead head)
+{
+    const auto id = job.id;
+    co_await pauseFor(handoverTime);
+    if (this->jobs[id].stored.version != head.version)
+        co_return;
+    logEvent(LogLevel::Info, "job-handover-failed",
+        { { "job", id.value() }, { "owner", head.head.owner.name.value() } });
+    const auto claimed = co_await this->claim(id);
+    if (!claimed)
+        co_return;
+    RunnerStart start;
+    start.job = std::move(job);
+    start.head = *claimed;
+    this->adopt(std::move(start));
+}
+
 bool JobOwner::isClaimable(const JobId& id, const Known& known, TimePoint now) const
 {
     const auto& head = known.stored.head;
@@ -141,7 +219,7 @@
         for (auto& [id, known] : this->jobs) {
             if (!this->context.isDraining && this->isClaimable(id, known, now)) {
                 known.isBeingClaimed = true;
-                asio::co_spawn(this->context.loop(), this->claim(id), asio::detached);
+                asio::co_spawn(this->context.loop(), this->claimAndRun(id), asio::detached);
             } else if (!known.isBeingRemoved && this->isForgettable(known)) {
                 known.isBeingRemoved = true;
                 asio::co_spawn(this->context.loop(), this->forget(id), asio::detached);
@@ -153,33 +231,61 @@
 
 void JobOwner::dropStoppedRunners()
 {
-    std::erase_if(this->runners, [](const auto& entry) { return entry.second->isStopped(); });
+    for (auto entry = this->runners.begin(); entry != this->runners.end();) {
+        if (!entry->second->isStopped()) {
+            ++entry;
+            continue;
+        }
+        this->ended.push_front(entry->second);
+        entry = this->runners.erase(entry);
+    }
+    const auto oldest = Clock::now() - textRetention;
+    std::erase_if(this->ended, [oldest](const auto& runner) { return runner->stoppedAt() < oldest; });
+    while (this->ended.size() > keptRunners)
+        this->ended.pop_back();
 }
 
-asio::awaitable<void> JobOwner::claim(JobId id)
+/// Writes this VM into a job's head.
+asio::awaitable<std::optional<StoredHead>> JobOwner::claim(JobId id)
 {
     const auto before = this->jobs[id].stored;
+    const auto silence = Clock::now() - this->jobs[id].seenAt;
+    this->jobs[id].isBeingClaimed = true;
     auto wanted = before.head;
     wanted.owner = this->context.identity;
     ++wanted.writes;
     std::vector<ItemResult> none;
     const auto write = co_await this->store.write(id, before.version, wanted, wanted.listed, std::move(none));
+    auto& known = this->jobs[id];
     if (write.end == JobWriteEnd::Written) {
         this->takeovers.add();
         logEvent(LogLevel::Info, "job-taken-over",
             { { "job", id.value() }, { "from", before.head.owner.name.value() },
-                { "silent_ms", std::to_string(toMilliseconds(Clock::now() - this->jobs[id].seenAt).count()) } });
-        co_await this->takeOver(id, *write.current);
-    } else if (write.current) {
-        this->noteHead(id, *write.current);
+                { "silent_ms", std::to_string(toMilliseconds(silence).count()) } });
+        known.stored = *write.current;
+        known.seenAt = Clock::now();
+        co_return write.current;
     }
-    this->jobs[id].isBeingClaimed = false;
+    known.isBeingClaimed = false;
+    if (write.current)
+        this->noteHead(id, *write.current);
+    co_return std::nullopt;
 }
 
-asio::awaitable<void> JobOwner::takeOver(JobId id, StoredHead head)
+asio::awaitable<void> JobOwner::claimAndRun(JobId id)
 {
-    const auto submission = co_await this->store.readSubmission(id, head.head);
-    const auto listed = co_await this->store.readAllResults(id, 0);
+    const auto claimed = co_await this->claim(id);
+    if (claimed)
+        co_await this->takeOver(id, *claimed, false);
+}
+
+asio::awaitable<void> JobOwner::takeOver(JobId id, StoredHead head, bool isHandedOver)
+{
+    auto submission = co_await this->store.readSubmission(id, head.head);
+    Result<std::vector<ItemResult>> listed = std::vector<ItemResult> {};
+    if (submission && head.head.listed > 0)
+        listed = co_await this->store.readAllResults(id, 0);
+    this->jobs[id].isBeingClaimed = false;
     if (!submission || !listed) {
         const auto& error = submission ? listed.error() : submission.error();
         logEvent(LogLevel::Warning, "job-not-read", { { "job", id.value() }, { "error", error.message } });
@@ -190,7 +296,12 @@
         logEvent(LogLevel::Error, "job-refused", { { "job", id.value() }, { "error", job.error().message } });
         co_return;
     }
-    this->adopt(std::move(job).value(), head, listed.value());
+    RunnerStart start;
+    start.job = std::move(job).value();
+    start.head = head;
+    start.listed = std::move(listed).value();
+    start.isHandedOver = isHandedOver;
+    this->adopt(std::move(start));
 }
 
 bool JobOwner::isForgettable(const Known& known) const
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
+#include <list>
 #include <map>
 #include <memory>
 
@@ -22,8 +23,12 @@
 
     void start();
 
-    /// @brief Runs a job that this VM has just written as its own.
-    void adopt(JobSpec job, StoredHead head, const std::vector<ItemResult>& listed);
+    /// @brief Which VM is to run a trainer's next job: the one that ran the last, which has its connections and texts.
+    VmIdentity preferredOwner(const ModelName& model) const;
+
+    /// @brief A job was accepted here. It is run here, or handed to the owner that its head names; one that does not
+    /// take it at once loses it to this VM.
+    void place(JobSpec job, const StoredHead& head);
 
     /// @brief The head as last seen, which may be behind the store; nothing if none was seen.
     const StoredHead* seen(const JobId& id) const;
@@ -58,8 +63,12 @@
     boost::asio::awaitable<void> watch();
     bool isClaimable(const JobId& id, const Known& known, TimePoint now) const;
     bool isForgettable(const Known& known) const;
-    boost::asio::awaitable<void> claim(JobId id);
-    boost::asio::awaitable<void> takeOver(JobId id, StoredHead head);
+    void adopt(RunnerStart start);
+    std::map<ItemId, ItemText> textsFor(const JobSpec& job);
+    boost::asio::awaitable<std::optional<StoredHead>> claim(JobId id);
+    boost::asio::awaitable<void> claimAndRun(JobId id);
+    boost::asio::awaitable<void> takeOver(JobId id, StoredHead head, bool isHandedOver);
+    boost::asio::awaitable<void> watchHandover(JobSpec job, StoredHead head);
     boost::asio::awaitable<void> forget(JobId id);
     void dropStoppedRunners();
 
@@ -69,6 +78,8 @@
     TableFollower heads;
     std::map<JobId, Known> jobs;
     std::map<JobId, std::shared_ptr<JobRunner>> runners;
+    /// Runners of jobs that have ended, for the texts of items that come again.
+    std::list<std::shared_ptr<JobRunner>> ended;
     Notifier changeNotifier;
     Counter& takeovers;
 };
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -1,6 +1,7 @@
 #include "job_runner.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/samples/item_order.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -27,15 +28,12 @@
     constexpr std::size_t bytesPerWrite = 384UL * 1024;
     /// Without an answer of the store for this long the job may have been ended or taken over; nothing new is started.
     constexpr Duration longestSilence = 2500ms;
-    /// Time for the head of an answer: an engine queues a request before its first token.
-    constexpr Duration headTime = 3s;
-    /// Time between two events of a generation.
-    constexpr Duration eventTime = 2s;
     constexpr Duration dispatchInterval = 100ms;
-
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusServerError = 500;
-    constexpr unsigned statusNeverDone = 422;
+    /// How long items of groups that the trainer can do without wait for the newest weights, whose text the next job
+    /// can use.
+    constexpr Duration spareWait = 1500ms;
+    /// How long generations go on after the end of their job; the trainer's next job comes within this time.
+    constexpr Duration lingerTime = 2500ms;
 
 } // namespace
 
@@ -48,75 +46,126 @@
 /// @brief One item on its way.
 struct ItemRun {
     const JobItem* item { nullptr };
+    bool isSpare { false };
     ItemPhase phase { ItemPhase::Waiting };
-    std::string output;
-    std::vector<WeightVersion> versions;
-    std::optional<std::uint64_t> lastEvent;
+    ItemText text;
+    ItemState state { ItemState::Completed };
     /// Answers that said that it failed.
     std::uint64_t failures { 0 };
     std::uint64_t attempts { 0 };
-    TimePoint notBefore;
     std::set<BackendName> tried;
-    ItemState state { ItemState::Completed };
     /// Set while it runs.
     CallControl* control { nullptr };
 };
 
-JobRunner::JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, JobSpec spec, StoredHead stored,
-    const std::vector<ItemResult>& listed)
+JobRunner::JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, RunnerStart start)
     : context(context)
     , servers(servers)
     , store(store)
-    , job(std::move(spec))
-    , head(std::move(stored))
+    , job(std::move(start.job))
+    , head(start.head)
     , toList(context.loop())
     , listedAt(Clock::now())
     , startedAt(Clock::now())
+{
+    this->takeStart(start);
+}
+
+JobRunner::~JobRunner() = default;
+
+void JobRunner::takeStart(const RunnerStart& start)
 {
     std::set<ItemId> done;
-    for (const auto& result : listed)
+    for (const auto& result : start.listed)
         done.insert(result.id);
-    for (const auto& item : this->job.items) {
+    std::vector<OrderedItem> known;
+    for (const auto& item : this->job.items)
+        known.push_back({ item.group, item.expectedTokens, start.texts.contains(item.id) });
+    for (const auto& place : orderItems(known, this->job.wantedGroups)) {
+        const auto& item = this->job.items[place.item];
         if (done.contains(item.id))
             continue;
         this->items.push_back(std::make_unique<ItemRun>());
-        this->items.back()->item = &item;
+        auto& run = *this->items.back();
+        run.item = &item;
+        run.isSpare = place.isSpare;
+        const auto text = start.texts.find(item.id);
+        if (text == start.texts.end())
+            continue;
+        run.text = text->second;
+        if (run.text.isWhole)
+            this->finish(run, ItemState::Completed, "text of an earlier job");
     }
+    if (start.isHandedOver)
+        this->listedAt -= heartbeatInterval;
 }
 
-JobRunner::~JobRunner() = default;
-
 void JobRunner::start()
 {
+    const auto reused = std::count_if(
+        this->items.begin(), this->items.end(), [](const auto& item) { return item->text.lastEvent.has_value(); });
     logEvent(LogLevel::Info, "job-started",
         { { "job", this->job.id.value() }, { "model", this->job.model.value() },
             { "step", std::to_string(this->job.step.value()) },
             { "oldest_version", std::to_string(this->job.oldestVersion.value()) },
-            { "items", std::to_string(this->items.size()) }, { "listed", std::to_string(this->head.head.listed) } });
+            { "items", std::to_string(this->items.size()) }, { "listed", std::to_string(this->head.head.listed) },
+            { "reused", std::to_string(reused) } });
     asio::co_spawn(this->context.loop(), this->dispatch(), asio::detached);
     asio::co_spawn(this->context.loop(), this->list(), asio::detached);
 }
 
-void JobRunner::stop(RunnerEnd reason)
+void JobRunner::cancelRuns()
 {
-    if (this->end)
-        return;
-    this->end = reason;
-    std::size_t unfinished = 0;
     for (const auto& item : this->items) {
-        unfinished += item->phase == ItemPhase::Finished ? 0 : 1;
         if (item->control)
             item->control->cancel();
     }
+}
+
+asio::awaitable<void> JobRunner::linger()
+{
+    const auto self = this->shared_from_this();
+    co_await pauseFor(lingerTime);
+    this->cancelRuns();
+}
+
+void JobRunner::stop(RunnerEnd reason)
+{
+    if (this->end)
+        return;
+    this->end = reason;
+    this->endedAt = Clock::now();
+    const auto unfinished = std::count_if(this->items.begin(), this->items.end(),
+        [](const auto& item) { return item->phase != ItemPhase::Finished; });
     static constexpr std::array<std::string_view, 4> names { "complete", "ended", "lost", "released" };
     logEvent(LogLevel::Info, "job-stopped",
         { { "job", this->job.id.value() }, { "reason", std::string(names.at(static_cast<std::size_t>(reason))) },
             { "listed", std::to_string(this->head.head.listed) }, { "unfinished", std::to_string(unfinished) },
-            { "took_ms", std::to_string(toMilliseconds(Clock::now() - this->startedAt).count()) } });
+            { "took_ms", std::to_string(toMilliseconds(this->endedAt - this->startedAt).count()) } });
+    if (reason == RunnerEnd::Ended)
+        asio::co_spawn(this->context.loop(), this->linger(), asio::detached);
+    else
+        this->cancelRuns();
     this->toList.notify();
     this->servers.changed().notify();
 }
 
+std::optional<ItemText> JobRunner::takeText(const ItemId& id, WeightVersion oldest, bool isSingleVersion)
+{
+    const auto found = std::find_if(
+        this->items.begin(), this->items.end(), [&id](const auto& run) { return run->item->id == id; });
+    if (found == this->items.end())
+        return std::nullopt;
+    auto& run = **found;
+    const bool isUsable = run.state == ItemState::Completed && run.text.lastEvent
+        && fitsVersions(run.text, oldest, isSingleVersion);
+    if (!isUsable)
+        return std::nullopt;
+    if (run.control)
+        run.control->cancel();
+    return run.text;
+}
+
 void JobRunner::noteHead(const StoredHead& stored)
 {
     if (this->end || stored.version <= this->head.version)
@@ -138,10 +187,7 @@
     return this->context.routes ? matchRoute(*this->context.routes, this->job.host, this->job.path) : nullptr;
 }
 
-bool JobRunner::mayStart() const
-{
-    return !this->isReleasing && Clock::now() - this->listedAt < longestSilence;
-}
+bool JobRunner::mayStart() const { return !this->isReleasing && Clock::now() - this->listedAt < longestSilence; }
 
 ServerNeed JobRunner::needOf(const ItemRun& item, const Route& route) const
 {
@@ -152,8 +198,12 @@
     need.tried = item.tried;
     need.model = this->job.model;
     need.oldestVersion = this->job.oldestVersion;
-    if (route.isSingleVersion && !item.versions.empty())
-        need.exactVersion = item.versions.front();
+    if (route.isSingleVersion && !item.text.versions.empty())
+        need.exactVersion = item.text.versions.front();
+    const auto named = this->context.namedVersions.find(this->job.model);
+    const bool mayWait = item.isSpare && Clock::now() - this->startedAt < spareWait;
+    if (mayWait && named != this->context.namedVersions.end())
+        need.oldestVersion = std::max(need.oldestVersion, named->second);
     const auto preferred = this->groupServers.find(item.item->group);
     if (preferred != this->groupServers.end())
         need.preferred = preferred->second;
@@ -165,21 +215,23 @@
     const auto* found = this->route();
     if (!found || !this->mayStart())
         return;
-    const auto now = Clock::now();
     for (const auto& each : this->items) {
         auto& item = *each;
-        if (item.phase != ItemPhase::Waiting || now < item.notBefore)
+        if (item.phase != ItemPhase::Waiting)
             continue;
-        const auto need = this->needOf(item, *found);
+        auto need = this->needOf(item, *found);
         auto server = this->servers.acquire(need);
         if (!server && need.exactVersion.value() != 0)
             this->restart(item, "no server has its version");
+        if (!server && item.isSpare)
+            continue;
         if (!server)
             break;
         this->groupServers[item.item->group] = server->name;
         item.phase = ItemPhase::Running;
         ++item.attempts;
-        asio::co_spawn(this->context.loop(), this->run(item, std::move(*server)), asio::detached);
+        asio::co_spawn(
+            this->context.loop(), this->run(item, std::move(*server), std::move(need)), asio::detached);
     }
 }
 
@@ -196,9 +248,7 @@
 {
     logEvent(LogLevel::Info, "item-restarted",
         { { "job", this->job.id.value() }, { "item", item.item->id.value() }, { "reason", std::string(reason) } });
-    item.output.clear();
-    item.versions.clear();
-    item.lastEvent.reset();
+    item.text = ItemText {};
 }
 
 void JobRunner::finish(ItemRun& item, ItemState state, std::string_view reason)
@@ -209,145 +259,58 @@
     logEvent(state == ItemState::Completed ? LogLevel::Debug : LogLevel::Warning, "item-finished",
         { { "job", this->job.id.value() }, { "item", item.item->id.value() },
             { "state", state == ItemState::Completed ? "completed" : "aborted" }, { "reason", std::string(reason) },
-            { "attempts", std::to_string(item.attempts) } });
+            { "attempts", std::to_string(item.attempts) }, { "events", std::to_string(item.text.lastEvent.value_or(0)) },
+            { "expected_tokens", std::to_string(item.item->expectedTokens) } });
     this->toList.notify();
 }
 
-asio::awaitable<void> JobRunner::run(ItemRun& item, ServerRecord server)
+void JobRunner::takeEnd(ItemRun& item, const ServerRecord& server, AttemptEnd attemptEnd)
 {
-    const auto self = this->shared_from_this();
-    CallControl control;
-    item.control = &control;
-    Duration unitTime {};
-    auto outcome = co_await this->generate(item, server, unitTime);
-    item.control = nullptr;
-    if (control.isCancelled())
-        outcome = ServerOutcome::Cancelled;
-    if (item.phase == ItemPhase::Running) {
-        item.phase = ItemPhase::Waiting;
-        if (outcome == ServerOutcome::Failed)
-            item.tried.insert(server.name);
-    }
-    this->servers.finish(server, outcome, unitTime);
-}
-
-/// What the head of an answer decides; Answered if events follow.
-ServerOutcome JobRunner::takeStatus(ItemRun& item, const ServerRecord& server, const HttpResponse& response)
-{
-    const auto answer = this->context.protocol.decodeAnswer(response);
-    if (answer.isOtherServer)
-        return ServerOutcome::Replaced;
-    if (answer.saysNotRun)
-        return ServerOutcome::Refused;
-    if (!answer.isSigned)
-        return ServerOutcome::Failed;
-    if (response.status == statusNeverDone) {
+    item.phase = ItemPhase::Waiting;
+    switch (attemptEnd) {
+    case AttemptEnd::Whole:
+        item.text.isWhole = true;
+        this->finish(item, ItemState::Completed, "whole");
+        break;
+    case AttemptEnd::NeverDone:
         this->finish(item, ItemState::Aborted, "server says it can't be done");
-        return ServerOutcome::Cancelled;
-    }
-    if (response.status == statusServerError) {
+        break;
+    case AttemptEnd::Failed: {
         ++item.failures;
+        item.tried.insert(server.name);
         const auto* found = this->route();
         if (found && item.failures >= found->maxAttempts)
             this->finish(item, ItemState::Aborted, "failed at every attempt");
-        return ServerOutcome::Failed;
+        break;
     }
-    if (response.status != statusOk)
-        return ServerOutcome::Failed;
-    const auto version = answer.version.value_or(WeightVersion(0));
-    if (version < this->job.oldestVersion) {
-        logEvent(LogLevel::Warning, "item-version-too-old",
-            { { "item", item.item->id.value() }, { "server", server.name.value() },
-                { "version", std::to_string(version.value()) } });
-        return ServerOutcome::Refused;
+    case AttemptEnd::Interrupted:
+    case AttemptEnd::Moved:
+        item.tried.insert(server.name);
+        break;
+    case AttemptEnd::Refused:
+    case AttemptEnd::Replaced:
+    case AttemptEnd::Cancelled:
+        break;
     }
-    return ServerOutcome::Answered;
 }
 
-/// @return false if the event does not follow the last one.
-bool JobRunner::takeEvent(ItemRun& item, const SseEvent& event, WeightVersion& version)
+asio::awaitable<void> JobRunner::run(ItemRun& item, ServerRecord server, ServerNeed need)
 {
-    auto decoded = this->context.protocol.decodeEvent(event);
-    if (!decoded) {
-        logEvent(LogLevel::Warning, "event-refused",
-            { { "item", item.item->id.value() }, { "error", decoded.error().message } });
-        return false;
-    }
-    auto& next = decoded.value();
-    if (item.lastEvent && next.number != *item.lastEvent + 1)
-        return false;
-    version = next.version.value_or(version);
-    if (item.versions.empty() || std::find(item.versions.begin(), item.versions.end(), version) == item.versions.end())
-        item.versions.push_back(version);
-    if (item.lastEvent)
-        item.output += '\n';
-    item.output += next.data;
-    item.lastEvent = next.number;
-    return true;
-}
-
-asio::awaitable<ServerOutcome> JobRunner::readEvents(
-    ItemRun& item, const ServerRecord& server, HttpStream& stream, Duration& unitTime)
-{
-    const auto answer = this->context.protocol.decodeAnswer(stream.head());
-    auto version = answer.version.value_or(WeightVersion(0));
-    SseReader reader;
-    const auto firstAt = Clock::now();
-    std::uint64_t events = 0;
-    while (true) {
-        auto piece = co_await stream.read(Clock::now() + eventTime);
-        if (!piece) {
-            logEvent(LogLevel::Info, "item-broke-off",
-                { { "job", this->job.id.value() }, { "item", item.item->id.value() },
-                    { "server", server.name.value() },
-                    { "last_event", item.lastEvent ? std::to_string(*item.lastEvent) : "none" },
-                    { "error", piece.error().error.message } });
-            co_return ServerOutcome::Failed;
-        }
-        if (piece.value().empty())
-            break;
-        reader.feed(piece.value());
-        while (const auto event = reader.nextEvent()) {
-            if (!this->takeEvent(item, *event, version)) {
-                stream.cancel();
-                co_return ServerOutcome::Failed;
-            }
-            ++events;
-        }
-    }
-    if (events > 1)
-        unitTime = (Clock::now() - firstAt) / events;
-    if (reader.pending() > 0 || !item.lastEvent)
-        co_return ServerOutcome::Failed;
-    this->finish(item, ItemState::Completed, "whole");
-    co_return ServerOutcome::Answered;
-}
-
-asio::awaitable<ServerOutcome> JobRunner::generate(ItemRun& item, const ServerRecord& server, Duration& unitTime)
-{
-    auto request = this->context.protocol.encodeItemRequest(this->job, *item.item, server, item.lastEvent);
-    CallOptions options;
-    options.control = item.control;
-    options.accepts = [this, &item](const HttpResponse& response) {
-        const auto answer = this->context.protocol.decodeAnswer(response);
-        return answer.request.value().empty() || answer.request.value() == item.item->id.value();
-    };
-    logEvent(LogLevel::Debug, "item-sent",
+    const auto self = this->shared_from_this();
+    CallControl control;
+    item.control = &control;
+    const auto sentAt = Clock::now();
+    need.tried.insert(server.name);
+    const auto attemptEnd = co_await attemptItem(this->context, this->servers,
+        ItemAttempt { this->job, *item.item, item.text, need, control }, server);
+    item.control = nullptr;
+    logEvent(LogLevel::Debug, "item-attempted",
         { { "job", this->job.id.value() }, { "item", item.item->id.value() }, { "server", server.name.value() },
-            { "attempt", std::to_string(item.attempts) } });
-    auto opened = co_await this->context.backends.open(
-        server.endpoint, std::move(request), Clock::now() + headTime, std::move(options));
-    if (!opened) {
-        logEvent(LogLevel::Info, "item-not-answered",
-            { { "job", this->job.id.value() }, { "item", item.item->id.value() }, { "server", server.name.value() },
-                { "error", opened.error().error.message } });
-        co_return ServerOutcome::Failed;
-    }
-    auto& stream = *opened.value();
-    const auto outcome = this->takeStatus(item, server, stream.head());
-    if (outcome != ServerOutcome::Answered)
-        co_return outcome;
-    co_return co_await this->readEvents(item, server, stream, unitTime);
+            { "attempt", std::to_string(item.attempts) }, { "end", std::string(attemptEndName(attemptEnd)) },
+            { "took_ms", std::to_string(toMilliseconds(Clock::now() - sentAt).count()) },
+            { "last_event", std::to_string(item.text.lastEvent.value_or(0)) } });
+    this->takeEnd(item, server, attemptEnd);
+    this->servers.finish(server, outcomeOf(attemptEnd));
 }
 
 /// Takes finished items for the next write.
@@ -356,10 +319,10 @@
     std::vector<ItemResult> results;
     std::size_t bytes = 0;
     for (auto* item : this->finished) {
-        bytes += item->output.size();
+        bytes += item->text.output.size();
         if (results.size() == resultsPerWrite || (!results.empty() && bytes > bytesPerWrite))
             break;
-        results.push_back({ item->item->id, item->state, item->output, item->versions });
+        results.push_back({ item->item->id, item->state, item->text.output, item->text.versions });
     }
     this->finished.erase(this->finished.begin(), this->finished.begin() + static_cast<std::ptrdiff_t>(results.size()));
     return results;
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.hpp"
+#include "item_attempt.hpp"
 #include "job_store.hpp"
 #include "notifier.hpp"
 #include "server_table.hpp"
@@ -22,7 +23,7 @@
 enum class RunnerEnd : std::uint8_t {
     /// Every item is listed.
     Complete,
-    /// The trainer ended the job, or its route is gone.
+    /// The trainer ended the job.
     Ended,
     /// Another VM owns the job now.
     Lost,
@@ -30,12 +31,22 @@
     Released,
 };
 
+/// @brief What a runner starts from.
+struct RunnerStart {
+    JobSpec job;
+    /// As this VM wrote it, or as another VM wrote it for this one.
+    StoredHead head;
+    /// Results that stand in the store already.
+    std::vector<ItemResult> listed;
+    /// Texts of earlier jobs.
+    std::map<ItemId, ItemText> texts;
+    /// Whether other VMs are still to be told that this VM runs the job.
+    bool isHandedOver { false };
+};
+
 class JobRunner : public std::enable_shared_from_this<JobRunner> {
 public:
-    /// @param head as this VM wrote it.
-    /// @param listed results that stand in the store already.
-    JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, JobSpec job, StoredHead head,
-        const std::vector<ItemResult>& listed);
+    JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, RunnerStart start);
     ~JobRunner();
 
     void start();
@@ -47,19 +58,23 @@
     void release();
 
     bool isStopped() const { return this->end.has_value(); }
+    TimePoint stoppedAt() const { return this->endedAt; }
     const JobSpec& spec() const { return this->job; }
+
+    /// @brief Takes the text of an item for a later job; a generation of it under way is stopped.
+    /// @return nothing if there is none that fits.
+    std::optional<ItemText> takeText(const ItemId& id, WeightVersion oldest, bool isSingleVersion);
+
     boost::json::value dump() const;
 
 private:
+    void takeStart(const RunnerStart& start);
     boost::asio::awaitable<void> dispatch();
     boost::asio::awaitable<void> list();
     boost::asio::awaitable<void> listOnce();
-    boost::asio::awaitable<void> run(ItemRun& item, ServerRecord server);
-    boost::asio::awaitable<ServerOutcome> generate(ItemRun& item, const ServerRecord& server, Duration& unitTime);
-    boost::asio::awaitable<ServerOutcome> readEvents(
-        ItemRun& item, const ServerRecord& server, HttpStream& stream, Duration& unitTime);
-    ServerOutcome takeStatus(ItemRun& item, const ServerRecord& server, const HttpResponse& head);
-    bool takeEvent(ItemRun& item, const SseEvent& event, WeightVersion& version);
+    boost::asio::awaitable<void> linger();
+    boost::asio::awaitable<void> run(ItemRun& item, ServerRecord server, ServerNeed need);
+    void takeEnd(ItemRun& item, const ServerRecord& server, AttemptEnd attemptEnd);
     void restart(ItemRun& item, std::string_view reason);
     void finish(ItemRun& item, ItemState state, std::string_view reason);
     void startWhatFits();
@@ -67,6 +82,7 @@
     ServerNeed needOf(const ItemRun& item, const Route& route) const;
     const Route* route() const;
     void stop(RunnerEnd reason);
+    void cancelRuns();
     std::vector<ItemResult> nextResults();
     JobHead nextHead();
     bool takeWrite(const JobWrite& write);
@@ -76,6 +92,7 @@
     JobStore& store;
     const JobSpec job;
     StoredHead head;
+    /// In the order in which they are started.
     std::vector<std::unique_ptr<ItemRun>> items;
     /// Finished items in the order in which they will be listed.
     std::vector<ItemRun*> finished;
@@ -85,6 +102,7 @@
     std::map<GroupId, BackendName> groupServers;
     Notifier toList;
     std::optional<RunnerEnd> end;
+    TimePoint endedAt;
     bool isReleasing { false };
     TimePoint listedAt;
     TimePoint startedAt;
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -92,7 +92,7 @@
     if (!stored)
         co_return this->unavailable(stored.error(), id);
     JobHead head;
-    head.owner = this->context.identity;
+    head.owner = this->owner.preferredOwner(job.model);
     head.total = job.items.size();
     head.objects = this->store.objectsFor(submission.body.size());
     head.acceptedAt = unixNow();
@@ -106,7 +106,7 @@
         const auto write = co_await this->store.write(jobId, RowVersion(0), head, 0, std::move(none));
         const bool isOwn = write.end == JobWriteEnd::Written || (write.current && write.current->head == head);
         if (isOwn) {
-            this->owner.adopt(std::move(job), *write.current, {});
+            this->owner.place(std::move(job), *write.current);
             co_return plainAnswer(statusAccepted);
         }
         if (write.end == JobWriteEnd::Conflict && write.current) {
--- a/src/gateway/order_lease.cpp
+++ b/src/gateway/order_lease.cpp
@@ -17,18 +17,21 @@
 namespace {
 
     constexpr Duration tick = 50ms;
+    /// Orders are given only for this long after a renewal was sent: so the last order of a holder that fell silent is
+    /// known to lie at most this long after the last change of the row.
+    constexpr Duration orderWindow = 600ms;
     /// Added to the silence between two holders' orders: an order is under way for a while.
-    constexpr Duration orderSlack = 300ms;
+    constexpr Duration orderSlack = 200ms;
 
     /// A dead holder's orders are missed by the trainers within seconds: the lease is short.
     LeaseTiming leaseTiming()
     {
         LeaseTiming timing;
-        timing.duration = 2000ms;
-        timing.renewEvery = 500ms;
-        timing.watchEvery = 500ms;
-        timing.driftMargin = 200ms;
-        timing.retryAfter = 200ms;
+        timing.duration = 1500ms;
+        timing.renewEvery = 250ms;
+        timing.watchEvery = 400ms;
+        timing.driftMargin = 150ms;
+        timing.retryAfter = 100ms;
         return timing;
     }
 
@@ -100,6 +103,9 @@
         row = parseLeaseRow(each.value);
     }
     this->isFirst = version.value() == 0;
+    if (version != this->seenVersion && row && row->holder != this->context.identity)
+        this->foreignChangeAt = now;
+    this->seenVersion = version;
     this->holder.onRow(version, row, now, this->context.random);
 }
 
@@ -107,7 +113,8 @@
 {
     const OperationId operation(
         toHex(this->context.identity.incarnation.value()) + "-" + std::to_string(++this->operations));
-    const auto write = this->holder.beginCommit(due, operation, timeWithSuspension());
+    const auto sentAt = timeWithSuspension();
+    const auto write = this->holder.beginCommit(due, operation, sentAt);
     StoreTransaction transaction;
     transaction.conditions.push_back({ leasePlace(), write.condition });
     transaction.writes.push_back({ leasePlace(), toText(write.row) });
@@ -116,6 +123,8 @@
     std::optional<RowVersion> written;
     if (outcome == CommitOutcome::Committed)
         written = committed.value().version;
+    if (written && due != LeaseStep::Release)
+        this->renewedAt = sentAt;
     this->holder.onCommit(outcome, timeWithSuspension(), this->context.random, written);
 }
 
@@ -126,10 +135,6 @@
     if (held == this->number)
         return;
     if (held) {
-        // Under the same number nobody held it in between.
-        if (held != this->lastNumber)
-            this->heldSince = now;
-        this->lastNumber = held;
         logEvent(LogLevel::Info, "order-lease-held",
             { { "number", std::to_string(held->value()) }, { "first", this->isFirst ? "1" : "0" } });
     } else {
@@ -144,11 +149,10 @@
     const auto held = this->holder.held(now);
     if (!held || held != this->number)
         return std::nullopt;
-    // Orders of the holder before may have been given until its lease ran out.
-    const auto silence = Duration(this->context.settings.gateway.orderSilence) + orderSlack;
-    if (!this->isFirst && now - this->heldSince < silence)
-        return std::nullopt;
-    return held;
+    const auto silence = orderWindow + Duration(this->context.settings.gateway.orderSilence) + orderSlack;
+    const bool isSilent = this->isFirst || now - this->foreignChangeAt >= silence;
+    const bool isFresh = now - this->renewedAt < orderWindow;
+    return isSilent && isFresh ? held : std::nullopt;
 }
 
 asio::awaitable<void> OrderLease::release(TimePoint deadline)
--- a/src/gateway/order_lease.hpp
+++ b/src/gateway/order_lease.hpp
@@ -39,8 +39,11 @@
     bool isFirst { false };
     /// The number under which it is held, and since when.
     std::optional<FencingNumber> number;
-    std::optional<FencingNumber> lastNumber;
-    TimePoint heldSince;
+    /// When the row was last seen to be changed by another VM, and the version that it then had.
+    TimePoint foreignChangeAt;
+    RowVersion seenVersion;
+    /// When the last renewal that took effect was sent.
+    TimePoint renewedAt;
     std::uint64_t operations { 0 };
 };
 
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -15,7 +15,9 @@
 
     /// A full server has room again after about a piece of its work.
     constexpr Duration refusalPause = 60ms;
-    constexpr double meanGain = 0.2;
+    constexpr double meanGain = 0.1;
+    /// A server whose events take this many times as long as usual is slow; running generations are moved away.
+    constexpr double slowFactor = 1.7;
     /// Outages shorter than this let no record lapse: a record lives for three heartbeats.
     constexpr Duration shortestLapse = 500ms;
     /// Requests that one VM gives to a server of a plain service beyond its slots: they wait there.
@@ -127,28 +129,30 @@
     return reserved == use->second.reservedUntil.end() || now >= reserved->second;
 }
 
-double ServerTable::meanUnitSeconds(const PoolName& pool) const
+/// The median over the pool's servers, so that one slow server does not pass for usual.
+double ServerTable::usualUnitSeconds(const PoolName& pool) const
 {
-    double sum = 0;
-    int count = 0;
+    std::vector<double> seconds;
     for (const auto& [name, entry] : this->servers.entries) {
         const auto use = this->uses.find(name);
-        if (entry.record.pool != pool || use == this->uses.end() || use->second.unitSeconds == 0)
-            continue;
-        sum += use->second.unitSeconds;
-        ++count;
+        if (entry.record.pool == pool && use != this->uses.end() && use->second.unitSeconds > 0)
+            seconds.push_back(use->second.unitSeconds);
     }
-    return count == 0 ? 0 : sum / count;
+    if (seconds.empty())
+        return 0;
+    const auto middle = seconds.begin() + static_cast<std::ptrdiff_t>(seconds.size() / 2);
+    std::nth_element(seconds.begin(), middle, seconds.end());
+    return *middle;
 }
 
 ServerLoad ServerTable::loadOf(
     const ServerRecord& server, const ServerNeed& need, double poolSeconds, TimePoint now) const
 {
+    const bool isGeneration = !need.model.value().empty();
     ServerLoad load;
-    load.allowance = static_cast<std::uint32_t>(server.slots);
-    if (need.model.value().empty())
-        load.allowance += queuedPerServer;
-    load.isLocal = server.dataCentre == this->context.settings.dataCentre;
+    load.allowance = static_cast<std::uint32_t>(server.slots) + (isGeneration ? 0 : queuedPerServer);
+    // A generation is long against the way to another data centre.
+    load.isLocal = isGeneration || server.dataCentre == this->context.settings.dataCentre;
     load.wasTried = need.tried.contains(server.name);
     const auto found = this->uses.find(server.name);
     if (found == this->uses.end())
@@ -161,33 +165,74 @@
     return load;
 }
 
-std::optional<ServerRecord> ServerTable::acquire(const ServerNeed& need)
+std::vector<const ServerRecord*> ServerTable::candidatesFor(const ServerNeed& need, TimePoint now) const
 {
-    const auto now = Clock::now();
-    const auto poolSeconds = this->meanUnitSeconds(need.pool);
     std::vector<const ServerRecord*> candidates;
-    std::vector<ServerLoad> loads;
     for (const auto& [name, entry] : this->servers.entries) {
-        if (!this->canServe(entry.record, need, now))
-            continue;
-        const auto load = this->loadOf(entry.record, need, poolSeconds, now);
-        const bool isPreferred = name == need.preferred && !load.isSuspected && !load.wasTried && load.slowness < 1.5
-            && load.outstanding < load.allowance;
-        if (isPreferred) {
-            ++this->uses[name].outstanding;
-            return entry.record;
-        }
-        candidates.push_back(&entry.record);
-        loads.push_back(load);
+        if (this->canServe(entry.record, need, now))
+            candidates.push_back(&entry.record);
+    }
+    return candidates;
+}
+
+std::vector<ServerLoad> ServerTable::loadsOf(
+    const std::vector<const ServerRecord*>& candidates, const ServerNeed& need, TimePoint now) const
+{
+    const auto usual = this->usualUnitSeconds(need.pool);
+    std::optional<WeightVersion> newest;
+    for (const auto* server : candidates)
+        newest = std::max(newest, versionOf(*server, need.model));
+    std::vector<ServerLoad> loads;
+    for (const auto* server : candidates) {
+        loads.push_back(this->loadOf(*server, need, usual, now));
+        loads.back().isBehind = versionOf(*server, need.model) < newest;
+    }
+    return loads;
+}
+
+std::optional<ServerRecord> ServerTable::acquire(const ServerNeed& need)
+{
+    const auto now = Clock::now();
+    const auto candidates = this->candidatesFor(need, now);
+    const auto loads = this->loadsOf(candidates, need, now);
+    auto chosen = chooseServer(loads, this->context.random);
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto& load = loads[index];
+        const bool isPreferred = candidates[index]->name == need.preferred && !load.isSuspected && !load.wasTried
+            && !load.isBehind && load.slowness < slowFactor && load.outstanding < load.allowance;
+        if (isPreferred)
+            chosen = index;
     }
-    const auto chosen = chooseServer(loads, this->context.random);
     if (!chosen)
         return std::nullopt;
     ++this->uses[candidates[*chosen]->name].outstanding;
     return *candidates[*chosen];
 }
 
-void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, Duration unitTime)
+bool ServerTable::hasGoodServer(const ServerNeed& need) const
+{
+    const auto now = Clock::now();
+    const auto loads = this->loadsOf(this->candidatesFor(need, now), need, now);
+    return std::any_of(loads.begin(), loads.end(), [](const ServerLoad& load) {
+        return !load.isSuspected && !load.wasTried && load.slowness < slowFactor && load.outstanding < load.allowance;
+    });
+}
+
+bool ServerTable::isSlow(const ServerRecord& server) const
+{
+    const auto use = this->uses.find(server.name);
+    const auto usual = this->usualUnitSeconds(server.pool);
+    return use != this->uses.end() && usual > 0 && use->second.unitSeconds > slowFactor * usual;
+}
+
+void ServerTable::noteUnit(const BackendName& name, Duration unitTime)
+{
+    auto& use = this->uses[name];
+    const auto seconds = std::chrono::duration<double>(unitTime).count();
+    use.unitSeconds = use.unitSeconds == 0 ? seconds : use.unitSeconds + meanGain * (seconds - use.unitSeconds);
+}
+
+void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome)
 {
     const auto now = Clock::now();
     auto& use = this->uses[server.name];
@@ -211,9 +256,6 @@
     case ServerOutcome::Cancelled:
         break;
     }
-    const auto seconds = std::chrono::duration<double>(unitTime).count();
-    if (seconds > 0)
-        use.unitSeconds = use.unitSeconds == 0 ? seconds : use.unitSeconds + meanGain * (seconds - use.unitSeconds);
     this->changeNotifier.notify();
 }
 
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -53,8 +53,17 @@
     /// @return nothing if none can take it now.
     std::optional<ServerRecord> acquire(const ServerNeed& need);
 
-    /// @param unitTime the time of a unit of work, zero if not known.
-    void finish(const ServerRecord& server, ServerOutcome outcome, Duration unitTime = {});
+    /// @brief Ends what acquire() began.
+    void finish(const ServerRecord& server, ServerOutcome outcome);
+
+    /// @brief Learns from the time between two events of a generation.
+    void noteUnit(const BackendName& name, Duration unitTime);
+
+    /// @brief Whether a server is much slower than others of its pool.
+    bool isSlow(const ServerRecord& server) const;
+
+    /// @brief Whether acquire() would find a server that is neither slow nor suspected.
+    bool hasGoodServer(const ServerNeed& need) const;
 
     /// @brief The record as known now.
     const ServerRecord* find(const BackendName& name) const;
@@ -87,7 +96,10 @@
     void takeRecord(ServerRecord record);
     bool canServe(const ServerRecord& server, const ServerNeed& need, TimePoint now) const;
     ServerLoad loadOf(const ServerRecord& server, const ServerNeed& need, double poolSeconds, TimePoint now) const;
-    double meanUnitSeconds(const PoolName& pool) const;
+    double usualUnitSeconds(const PoolName& pool) const;
+    std::vector<const ServerRecord*> candidatesFor(const ServerNeed& need, TimePoint now) const;
+    std::vector<ServerLoad> loadsOf(
+        const std::vector<const ServerRecord*>& candidates, const ServerNeed& need, TimePoint now) const;
 
     GatewayContext& context;
     ServerRegistry servers;
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -140,7 +140,7 @@
     LoadOrder order;
     order.model = load.model;
     order.version = load.version;
-    order.mode = LoadMode::FinishFirst;
+    order.mode = LoadMode::Continue;
     order.holder = this->context.identity.name;
     order.fence = *fence;
     order.expectedOrders = this->engineOf(server).orders.value_or(0);
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -12,6 +12,8 @@
     constexpr std::uint32_t mostDoublings = 4;
     /// A server elsewhere is preferred only if it is less loaded by this share of its allowance.
     constexpr double remotePenalty = 0.34;
+    /// Text made by the newest weights can be used by the next job too.
+    constexpr double behindPenalty = 0.25;
     constexpr double suspicionPenalty = 100;
     constexpr double triedPenalty = 1000;
 
@@ -20,6 +22,8 @@
         double cost = server.slowness * (server.outstanding + 1) / server.allowance;
         if (!server.isLocal)
             cost += remotePenalty;
+        if (server.isBehind)
+            cost += behindPenalty;
         if (server.isSuspected)
             cost += suspicionPenalty;
         if (server.wasTried)
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -46,6 +46,14 @@
 
 } // namespace
 
+bool fitsVersions(const ItemText& text, WeightVersion oldest, bool isSingleVersion)
+{
+    if (isSingleVersion && text.versions.size() > 1)
+        return false;
+    return std::all_of(text.versions.begin(), text.versions.end(),
+        [oldest](const WeightVersion& version) { return version >= oldest; });
+}
+
 std::string toText(const JobHead& head)
 {
     return json::serialize(json::object {
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <vector>
@@ -41,9 +42,25 @@
 
     struct IdleLink {
         LinkPtr link;
-        TimePoint since;
+        /// Not to be used again after this.
+        TimePoint until;
     };
 
+    /// The time limit that a `Keep-Alive` header states in whole seconds; nothing if it states none.
+    std::optional<std::chrono::seconds> statedTimeout(std::string_view keepAlive)
+    {
+        static constexpr std::string_view name = "timeout=";
+        const auto place = keepAlive.find(name);
+        if (place == std::string_view::npos)
+            return std::nullopt;
+        const auto digits = keepAlive.substr(place + name.size());
+        std::uint32_t seconds = 0;
+        const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        if (problem != std::errc {})
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
+
     CallFailure failure(const boost::system::error_code& problem, const Endpoint& endpoint, AttemptProgress progress)
     {
         ErrorKind kind = ErrorKind::BackendBroke;
@@ -123,18 +140,25 @@
         while (!links.empty()) {
             auto kept = std::move(links.back());
             links.pop_back();
-            if (Clock::now() - kept.since < this->limits.longestIdle && isStillOpen(*kept.link))
+            if (Clock::now() < kept.until && isStillOpen(*kept.link))
                 return std::move(kept.link);
         }
         return nullptr;
     }
 
-    void keep(const Endpoint& endpoint, LinkPtr link)
+    /// How long a connection may be idle after an answer.
+    Duration idleTime(const HttpResponse& response) const
+    {
+        const auto stated = statedTimeout(findHeader(response.headers, "Keep-Alive"));
+        return stated ? Duration(*stated) - this->limits.keepAliveMargin : Duration(this->limits.longestIdle);
+    }
+
+    void keep(const Endpoint& endpoint, LinkPtr link, const HttpResponse& response)
     {
         auto& links = this->idle[endpoint];
         link->stream.expires_never();
         if (links.size() < this->limits.idlePerEndpoint && link->buffer.size() == 0)
-            links.push_back({ std::move(link), Clock::now() });
+            links.push_back({ std::move(link), Clock::now() + this->idleTime(response) });
     }
 
     asio::awaitable<CallResult<LinkPtr>> connect(Endpoint endpoint, TimePoint deadline, CallControl* control)
@@ -246,7 +270,7 @@
         {
             guard(this->control);
             if (this->parser->get().keep_alive())
-                this->client->keep(this->endpoint, std::move(this->link));
+                this->client->keep(this->endpoint, std::move(this->link), this->answer);
             this->link.reset();
         }
 
@@ -313,7 +337,7 @@
     if (!isAccepted(options, response))
         co_return notAccepted(endpoint);
     if (parser.get().keep_alive())
-        client->keep(endpoint, std::move(link));
+        client->keep(endpoint, std::move(link), response);
     co_return std::move(response);
 }
 
