--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -310,7 +310,7 @@
             { "took_ms", std::to_string(toMilliseconds(Clock::now() - sentAt).count()) },
             { "last_event", std::to_string(item.text.lastEvent.value_or(0)) } });
     this->takeEnd(item, server, attemptEnd);
-    this->servers.finish(server, outcomeOf(attemptEnd));
+    this->servers.finish(server, outcomeOf(attemptEnd), this->job.model);
 }
 
 /// Takes finished items for the next write.
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-    /// A full server has room again after about a piece of its work.
-    constexpr Duration refusalPause = 60ms;
+    /// A server that refuses is full or loads weights: it is left alone for a while, longer each time in a row.
+    constexpr Duration shortestRefusalPause = 60ms;
+    constexpr std::uint32_t mostRefusalDoublings = 2;
     constexpr double meanGain = 0.1;
     /// A server whose events take this many times as long as usual is slow; running generations are moved away.
     constexpr double slowFactor = 1.7;
@@ -115,18 +116,18 @@
 {
     if (server.pool != need.pool || server.isLeaving)
         return false;
+    const auto use = this->uses.find(server.name);
+    if (use != this->uses.end()) {
+        const auto refusing = use->second.refusingUntil.find(need.model);
+        if (refusing != use->second.refusingUntil.end() && now < refusing->second)
+            return false;
+    }
     if (need.model.value().empty())
         return true;
     const auto version = versionOf(server, need.model);
     if (!version || *version < need.oldestVersion)
         return false;
-    if (need.exactVersion.value() != 0 && *version != need.exactVersion)
-        return false;
-    const auto use = this->uses.find(server.name);
-    if (use == this->uses.end())
-        return true;
-    const auto reserved = use->second.reservedUntil.find(need.model);
-    return reserved == use->second.reservedUntil.end() || now >= reserved->second;
+    return need.exactVersion.value() == 0 || *version == need.exactVersion;
 }
 
 /// The median over the pool's servers, so that one slow server does not pass for usual.
@@ -232,7 +233,7 @@
     use.unitSeconds = use.unitSeconds == 0 ? seconds : use.unitSeconds + meanGain * (seconds - use.unitSeconds);
 }
 
-void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome)
+void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, const ModelName& model)
 {
     const auto now = Clock::now();
     auto& use = this->uses[server.name];
@@ -241,10 +242,15 @@
     switch (outcome) {
     case ServerOutcome::Answered:
         use.failuresInRow = 0;
+        use.refusalsInRow = 0;
         break;
-    case ServerOutcome::Refused:
-        use.suspectedUntil = std::max<TimePoint>(use.suspectedUntil, now + refusalPause);
+    case ServerOutcome::Refused: {
+        // Requests that were under way together are refused together.
+        auto& until = use.refusingUntil[model];
+        if (now >= until)
+            until = now + shortestRefusalPause * (1U << std::min(use.refusalsInRow++, mostRefusalDoublings));
         break;
+    }
     case ServerOutcome::Replaced:
         logEvent(LogLevel::Info, "server-replaced", { { "server", server.name.value() } });
         this->servers.entries.erase(server.name);
@@ -268,15 +274,10 @@
         if (loaded.model == model)
             loaded.version = std::max(loaded.version, version);
     }
-    this->uses[name].reservedUntil.erase(model);
+    this->uses[name].refusingUntil.erase(model);
     this->changeNotifier.notify();
 }
 
-void ServerTable::reserveForLoad(const BackendName& name, const ModelName& model, TimePoint until)
-{
-    this->uses[name].reservedUntil[model] = until;
-}
-
 json::value ServerTable::dump() const
 {
     json::array list;
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -54,7 +54,8 @@
     std::optional<ServerRecord> acquire(const ServerNeed& need);
 
     /// @brief Ends what acquire() began.
-    void finish(const ServerRecord& server, ServerOutcome outcome);
+    /// @param model of a generation; empty for other requests.
+    void finish(const ServerRecord& server, ServerOutcome outcome, const ModelName& model = {});
 
     /// @brief Learns from the time between two events of a generation.
     void noteUnit(const BackendName& name, Duration unitTime);
@@ -74,9 +75,6 @@
     /// @brief The weights that an engine was seen to have, ahead of its record.
     void noteVersion(const BackendName& name, const ModelName& model, WeightVersion version);
 
-    /// @brief No new generation of this model is sent there for a while: it is about to load weights.
-    void reserveForLoad(const BackendName& name, const ModelName& model, TimePoint until);
-
     const ServerRegistry& registry() const { return this->servers; }
 
     /// @brief Told of every change that may let a waiting request go.
@@ -90,7 +88,8 @@
         std::uint32_t failuresInRow { 0 };
         TimePoint suspectedUntil;
         double unitSeconds { 0 };
-        std::map<ModelName, TimePoint> reservedUntil;
+        std::uint32_t refusalsInRow { 0 };
+        std::map<ModelName, TimePoint> refusingUntil;
     };
 
     void takeRecord(ServerRecord record);
--- a/src/samples/load_plan.cpp
+++ b/src/samples/load_plan.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/samples/load_plan.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace topaztack {
 
@@ -19,13 +20,30 @@
         return versionAt(engine, model).value() + lag >= wanted.named.value();
     }
 
-    /// Engines that have the newest version or are loading the model.
-    std::size_t countFresh(
-        const std::vector<PlannedEngine>& engines, const ModelName& model, const PlannedModel& wanted)
+    /// How far a model is from its share.
+    struct Progress {
+        /// Engines that have the newest version or are loading the model.
+        std::size_t fresh { 0 };
+        /// Engines that can serve it, at most its share.
+        std::size_t serving { 0 };
+
+        auto operator<=>(const Progress& other) const
+        {
+            return std::tie(this->serving, this->fresh) <=> std::tie(other.serving, other.fresh);
+        }
+    };
+
+    Progress progressOf(const std::vector<PlannedEngine>& engines, const ModelName& model, const PlannedModel& wanted,
+        const LoadLimits& limits, std::size_t share)
     {
-        return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [&](const auto& engine) {
-            return engine.loading == model || versionAt(engine, model) >= wanted.named;
-        }));
+        Progress progress;
+        for (const auto& engine : engines) {
+            const bool isLoading = engine.loading == model;
+            progress.fresh += isLoading || versionAt(engine, model) >= wanted.named ? 1 : 0;
+            progress.serving += isLoading || canServe(engine, model, wanted, limits.lag) ? 1 : 0;
+        }
+        progress.serving = std::min(progress.serving, share);
+        return progress;
     }
 
     /// Models that an engine can serve now: loads are spread to engines that serve few.
@@ -96,17 +114,17 @@
     std::map<ModelName, bool> isExhausted;
     while (running < limits.atOnce) {
         const ModelName* next = nullptr;
-        std::size_t fewest = 0;
+        Progress least;
         for (const auto& [model, wanted] : models) {
-            const auto fresh = countFresh(engines, model, wanted);
-            if (isExhausted[model] || fresh >= share || (next && fresh >= fewest))
+            const auto progress = progressOf(engines, model, wanted, limits, share);
+            if (isExhausted[model] || progress.fresh >= share || (next && progress >= least))
                 continue;
             next = &model;
-            fewest = fresh;
+            least = progress;
         }
         if (!next)
             break;
-        const bool mayTakeServing = !models.at(*next).isBusy || fewest * 2 < share;
+        const bool mayTakeServing = !models.at(*next).isBusy || least.fresh * 2 < share;
         auto* engine = chooseEngine(engines, models, *next, mayTakeServing, limits);
         if (!engine) {
             isExhausted[*next] = true;
