--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -3,6 +3,7 @@
 enable_testing()
 add_custom_target(unit-tests)
 
+# topaztack_test_program(LIBRARY [OTHER LIBRARIES])
 function(topaztack_test_program library)
     file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/src/${library}/unit-*.cpp")
     if(NOT sources)
@@ -11,16 +12,23 @@
     add_executable(test-${library} ${sources} "${PROJECT_SOURCE_DIR}/tests/src/main.cpp")
     target_include_directories(test-${library} PRIVATE "${PROJECT_SOURCE_DIR}/tests/src")
     target_compile_definitions(test-${library} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED TOPAZTACK_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
-    target_link_libraries(test-${library} PRIVATE topaztack-${library} PkgConfig::CPPUTEST rapidcheck)
+    target_link_libraries(test-${library} PRIVATE topaztack-${library} ${ARGN} PkgConfig::CPPUTEST rapidcheck)
     set_target_properties(test-${library} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
     add_dependencies(unit-tests test-${library})
     add_test(NAME unit-${library} COMMAND test-${library} -v)
     set_tests_properties(unit-${library} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
 endfunction()
 
-foreach(library base policy samples control wire node gateway platform)
+foreach(library base policy samples control wire node platform)
     topaztack_test_program(${library})
 endforeach()
+# Stand-ins of the platform's store and of backend servers.
+file(GLOB standins CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/src/standins/*.cpp")
+add_library(test-standins STATIC ${standins})
+target_include_directories(test-standins PUBLIC "${PROJECT_SOURCE_DIR}/tests/src")
+target_link_libraries(test-standins PUBLIC topaztack-wire)
+# A gateway is tested through the one protocol that there is.
+topaztack_test_program(gateway topaztack-platform test-standins)
 
 # Damaged inputs of every parser, a bounded number from a fixed seed.
 file(GLOB fuzzers CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/fuzzing/fuzz-*.cpp")
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -273,7 +273,7 @@
 {
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() { this->parts->context.threads.stop(); }
 
 Result<void> Gateway::start()
 {
--- a/src/wire/sse.cpp
+++ b/src/wire/sse.cpp
@@ -64,8 +64,8 @@
     const std::string_view rest = std::string_view(this->buffer).substr(this->start);
     auto end = rest.find("\n\n");
     std::size_t gap = 2;
-    const auto crlf = rest.substr(0, end).find("\r\n\r\n");
-    if (crlf != std::string_view::npos) {
+    const auto crlf = rest.find("\r\n\r\n");
+    if (crlf < end) {
         end = crlf;
         gap = 4;
     }
--- /dev/null
+++ b/tests/src/gateway/fixture.hpp
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "standins/store.hpp"
+#include "standins/worker.hpp"
+#include "wire/run_awaitable.hpp"
+
+#include <platform/protocol.hpp>
+#include <topaztack/gateway/gateway.hpp>
+#include <topaztack/wire/http_client.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+/// @file
+/// Gateways, a store and workers on loopback, and a caller.
+
+namespace topaztack::test {
+
+inline constexpr std::chrono::seconds longestCall { 15 };
+
+/// @brief Waits for a condition; a test fails if it does not come.
+inline bool waitFor(const std::function<bool()>& condition, std::chrono::milliseconds longest = std::chrono::seconds(15))
+{
+    const auto end = Clock::now() + longest;
+    while (Clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+}
+
+/// @brief Two ports that were free a moment ago.
+inline Endpoint freeEndpoint()
+{
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::acceptor acceptor(
+        loop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+/// @brief One gateway and its addresses.
+struct RunningGateway {
+    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation)
+        : callers(freeEndpoint())
+        , operators(freeEndpoint())
+    {
+        VmSettings settings;
+        settings.name = VmName(name);
+        settings.dataCentre = DataCentre("z1");
+        settings.callers = this->callers;
+        settings.operators = this->operators;
+        settings.platform = store;
+        settings.platformTimeout = std::chrono::milliseconds(1000);
+        settings.isGateway = true;
+        settings.gateway.shutdownTime = std::chrono::seconds(8);
+        settings.gateway.orderSilence = std::chrono::milliseconds(0);
+        settings.gateway.resultRetention = std::chrono::minutes(2);
+        settings.gateway.rowBytes = 64 * 1024;
+        settings.gateway.objectBytes = 1024;
+        this->gateway = std::make_unique<Gateway>(
+            std::move(settings), VmIdentity { VmName(name), Incarnation(incarnation) }, platform::protocol());
+        if (!this->gateway->start())
+            throw std::runtime_error("gateway can't listen");
+    }
+
+    Endpoint callers;
+    Endpoint operators;
+    std::unique_ptr<Gateway> gateway;
+};
+
+struct World {
+    World()
+    {
+        this->threads.start();
+        this->store.put("op", "", "config", configuration(1));
+        this->list(this->booking, "app");
+        this->list(this->engine, "lm");
+    }
+
+    ~World()
+    {
+        this->gateways.clear();
+        this->threads.stop();
+    }
+
+    static std::string configuration(std::uint64_t version, const std::string& bookingTimeout = "2000")
+    {
+        return R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[{"name":"jobs","hostname":"a.example","prefix":"/j/","type":"rollout","timeoutMs":10000,)"
+              R"("targetLatencyMs":400,"service":"lm","maxAttempts":2,"retentionS":40.0,"runTargetMs":7500},)"
+              R"({"name":"safe","hostname":"a.example","prefix":"/b/","type":"safe","timeoutMs":)"
+            + bookingTimeout
+            + R"(,"targetLatencyMs":150,"service":"app","maxAttempts":2},)"
+              R"({"name":"once","hostname":"a.example","prefix":"/u/","type":"unsafe","timeoutMs":2000,)"
+              R"("targetLatencyMs":150,"service":"app","maxAttempts":2}],)"
+              R"("services":[{"name":"lm","engine":{"slots":4,"models":[{"name":"m"}]}},{"name":"app"}],)"
+              R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"idleTimeoutMs":15000}})";
+    }
+
+    void list(const WorkerStandin& worker, const std::string& pool, const std::string& state = "ready")
+    {
+        this->store.put("servers", "", worker.name, worker.record(pool, state));
+    }
+
+    RunningGateway& startGateway(const std::string& name = "vm-1", std::uint64_t incarnation = 1)
+    {
+        this->gateways.push_back(std::make_unique<RunningGateway>(this->store.endpoint(), name, incarnation));
+        auto& gateway = *this->gateways.back();
+        waitFor([&] { return this->call(gateway.operators, "GET", "/-/readyz").status == 200; });
+        return gateway;
+    }
+
+    /// Status 0 stands for no answer.
+    HttpResponse call(const Endpoint& endpoint, const std::string& method, const std::string& target,
+        std::vector<HttpHeader> headers = {}, std::string body = {})
+    {
+        HttpRequest request;
+        request.method = method;
+        request.target = target;
+        request.headers = std::move(headers);
+        request.headers.push_back({ "Host", "a.example" });
+        request.headers.push_back({ "Connection", "close" });
+        request.body = std::move(body);
+        auto answered = runOn(
+            this->threads.at(0), this->client.call(endpoint, std::move(request), Clock::now() + longestCall));
+        if (answered)
+            return std::move(answered).value();
+        HttpResponse none;
+        none.status = 0;
+        return none;
+    }
+
+    HttpResponse book(const RunningGateway& gateway, const std::string& id, const std::string& path = "/b/1")
+    {
+        return this->call(gateway.callers, "POST", path,
+            { { "Topaztack-Request-Id", id }, { "Topaztack-Deadline-Ms", "2000" } }, "nine o clock");
+    }
+
+    static std::string jobBody(const std::vector<std::string>& items, std::uint64_t minVersion = 1)
+    {
+        boost::json::array list;
+        for (const auto& id : items)
+            list.push_back(boost::json::object { { "id", id }, { "path", "/j/" + id }, { "body", "Ym9keQ==" },
+                { "group", "g-" + id }, { "tokenCount", 10 },
+                { "headers", boost::json::object { { "Topaztack-Model", "m" } } } });
+        return boost::json::serialize(boost::json::object { { "step", 0 }, { "model", "m" },
+            { "minVersion", minVersion }, { "desiredCount", 1 }, { "items", std::move(list) } });
+    }
+
+    HttpResponse submit(const RunningGateway& gateway, const std::string& job, const std::vector<std::string>& items,
+        std::uint64_t minVersion = 1)
+    {
+        return this->call(gateway.callers, "POST", "/j/" + job, { { "Topaztack-Request-Id", job } },
+            jobBody(items, minVersion));
+    }
+
+    /// The results of a job from a position on as the trainer reads them.
+    boost::json::object read(const RunningGateway& gateway, const std::string& job, std::uint64_t after = 0)
+    {
+        const auto answer = this->call(gateway.callers, "GET",
+            "/-/lots/" + job + "?after=" + std::to_string(after), { { "Topaztack-Wait-Ms", "200" } });
+        if (answer.status != 200)
+            return { { "status", answer.status } };
+        return boost::json::parse(answer.body).as_object();
+    }
+
+    bool waitForResults(const RunningGateway& gateway, const std::string& job, std::size_t count)
+    {
+        return waitFor([&] {
+            const auto page = this->read(gateway, job);
+            return page.contains("results") && page.at("results").as_array().size() >= count;
+        });
+    }
+
+    IoThreads threads { 1 };
+    HttpClient client { threads.at(0) };
+    StoreStandin store { threads };
+    WorkerStandin booking { threads, "i-app" };
+    WorkerStandin engine { threads, "i-lm" };
+    std::vector<std::unique_ptr<RunningGateway>> gateways;
+};
+
+} // namespace topaztack::test
--- /dev/null
+++ b/tests/src/platform/unit-callers.cpp
@@ -0,0 +1,107 @@
+#include <platform/callers.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+using namespace topaztack::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest requestOf(const std::string& method, const std::string& target, std::vector<HttpHeader> headers = {})
+{
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.headers = std::move(headers);
+    return request;
+}
+
+const std::string wholeJob = R"({"step":7,"model":"m","minVersion":6,"desiredCount":12,"items":[)"
+                             R"({"id":"i1","path":"/p/1","headers":{"Topaztack-Model":"m","Topaztack-Length-Hint":"71"},)"
+                             R"("body":"q83vEjRWeJA=","tokenCount":940,"group":"g1"}]})";
+
+Result<JobSpec> submitted(const std::string& body)
+{
+    return decodeSubmission({ JobId("j1"), "a.example", "/p/j1", body });
+}
+
+} // namespace
+
+TEST_GROUP(Callers) {};
+
+TEST(Callers, ARequestForARouteSaysWhoItIsAndHowLongItWaits)
+{
+    const auto call = decodeCall(requestOf("POST", "/x/1?a=b",
+        { { "Host", "a.example" }, { "Topaztack-Request-Id", "r1" }, { "Topaztack-Deadline-Ms", "800" } }));
+    CHECK_TRUE(call.value().ask == CallerAsk::Route);
+    STRCMP_EQUAL("r1", call.value().id.value().c_str());
+    STRCMP_EQUAL("a.example", call.value().host.c_str());
+    CHECK_TRUE(call.value().allowed == 800ms);
+}
+
+TEST(Callers, CallsOfTrainersAreToldByMethodAndPath)
+{
+    const auto read = decodeCall(requestOf("GET", "/-/lots/j1?after=12", { { "Topaztack-Wait-Ms", "1000" } }));
+    CHECK_TRUE(read.value().ask == CallerAsk::ReadResults);
+    STRCMP_EQUAL("j1", read.value().job.value().c_str());
+    LONGS_EQUAL(12, read.value().position);
+    CHECK_TRUE(read.value().wait == 1s);
+    const auto body = decodeCall(requestOf("GET", "/-/items/j1?id=i1"));
+    CHECK_TRUE(body.value().ask == CallerAsk::ReadItemBody);
+    STRCMP_EQUAL("i1", body.value().item.value().c_str());
+    CHECK_TRUE(decodeCall(requestOf("DELETE", "/-/lots/j1")).value().ask == CallerAsk::EndJob);
+    CHECK_TRUE(decodeCall(requestOf("POST", "/-/lots/j1")).value().ask == CallerAsk::Route);
+}
+
+TEST(Callers, ANumberThatIsNoneIsAnErrorThatNamesItsField)
+{
+    const auto bad = decodeCall(requestOf("GET", "/", { { "Topaztack-Deadline-Ms", "soon" } }));
+    CHECK_TRUE(bad.error().kind == ErrorKind::BadRequest);
+    CHECK_TRUE(bad.error().message.find("Topaztack-Deadline-Ms") != std::string::npos);
+    CHECK_FALSE(decodeCall(requestOf("GET", "/-/lots/j?after=-1")).has_value());
+    CHECK_FALSE(decodeCall(requestOf("GET", "/-/lots/j?after=99999999999999999999")).has_value());
+}
+
+TEST(Callers, AJobIsReadWhole)
+{
+    const auto job = submitted(wholeJob);
+    LONGS_EQUAL(7, job.value().step.value());
+    LONGS_EQUAL(6, job.value().oldestVersion.value());
+    LONGS_EQUAL(12, job.value().wantedGroups);
+    const auto& item = job.value().items.at(0);
+    STRCMP_EQUAL("i1", item.id.value().c_str());
+    STRCMP_EQUAL("/p/1", item.path.c_str());
+    LONGS_EQUAL(8, item.body.size());
+    LONGS_EQUAL(940, item.tokens);
+    LONGS_EQUAL(71, item.expectedTokens);
+    LONGS_EQUAL(2, item.headers.size());
+}
+
+TEST(Callers, AnyDamagedJobGivesAnError)
+{
+    for (std::size_t length = 0; length < wholeJob.size(); ++length)
+        CHECK_TRUE(submitted(wholeJob.substr(0, length)).error().kind == ErrorKind::BadRequest);
+    const auto missing = submitted(R"({"items":[{"id":"i1"}]})");
+    CHECK_TRUE(missing.error().message.find("`path`") != std::string::npos);
+    const auto wrong = submitted(R"({"items":[{"id":"i1","path":"/","body":"?"}]})");
+    CHECK_TRUE(wrong.error().message.find("`body`") != std::string::npos);
+}
+
+TEST(Callers, AnEstimateThatIsNoNumberIsNone)
+{
+    const auto job = submitted(R"({"items":[{"id":"i","path":"/","headers":{"Topaztack-Length-Hint":"many"}}]})");
+    LONGS_EQUAL(0, job.value().items.at(0).expectedTokens);
+}
+
+TEST(Callers, APageOfResultsIsWrittenAsTrainersReadIt)
+{
+    ResultPage page;
+    page.total = 40;
+    page.next = 13;
+    page.results.push_back({ ItemId("i1"), ItemState::Completed, "a\nb", { WeightVersion(6), WeightVersion(7) } });
+    page.results.push_back({ ItemId("i2"), ItemState::Aborted, "", {} });
+    STRCMP_EQUAL(R"({"total":40,"next":13,"results":[{"id":"i1","state":"completed","output":"a\nb","versions":[6,7]},)"
+                 R"({"id":"i2","state":"aborted","output":"","versions":[]}]})",
+        encodeResults(page).body.c_str());
+}
--- /dev/null
+++ b/tests/src/platform/unit-records.cpp
@@ -0,0 +1,89 @@
+#include <platform/records.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+using namespace topaztack::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string wholeConfiguration
+    = R"({"version":7,"routes":[{"name":"r1","hostname":"a.example","prefix":"/p/","type":"rollout","timeoutMs":10000,)"
+      R"("targetLatencyMs":400,"priority":1,"service":"lm","maxAttempts":3,"retentionS":40.0,"runTargetMs":7500,)"
+      R"("singleVersion":true,"sessionAffinity":true,"resumable":true},)"
+      R"({"name":"r2","hostname":"a.example","prefix":"/b/","type":"safe","timeoutMs":800,)"
+      R"("trafficSplit":[{"service":"lm","weight":90},{"service":"app","weight":10}],"maxAttempts":2}],)"
+      R"("services":[{"name":"lm","healthPath":"/healthz","maxConnections":160,"engine":{"slots":12,"kvCapacity":45276,)"
+      R"("models":[{"name":"m"}]}},{"name":"app","maxConnections":110}],)"
+      R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":33554432,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+const std::string wholeServer
+    = R"({"service":"lm","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":12,"state":"ready",)"
+      R"("coldRemainingMs":0,"models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1800000000123})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_GROUP(Records) {};
+
+TEST(Records, AConfigurationBecomesRoutesAndPools)
+{
+    const auto table = decodeConfiguration(wholeConfiguration);
+    LONGS_EQUAL(7, table.value()->version.value());
+    const auto& batch = table.value()->routes.at(0);
+    CHECK_TRUE(batch.kind == RouteKind::Batch);
+    CHECK_TRUE(batch.retention == 40s);
+    CHECK_TRUE(batch.jobTarget == 7500ms);
+    CHECK_TRUE(batch.isSingleVersion);
+    const auto& plain = table.value()->routes.at(1);
+    CHECK_TRUE(plain.kind == RouteKind::Idempotent);
+    LONGS_EQUAL(2, plain.pools.size());
+    LONGS_EQUAL(90, plain.pools.at(0).weight);
+    LONGS_EQUAL(12, table.value()->pools.at(0).engines->slots);
+    CHECK_FALSE(table.value()->pools.at(1).engines.has_value());
+    LONGS_EQUAL(33554432, table.value()->callers.maxBody);
+}
+
+TEST(Records, ADamagedConfigurationIsAnErrorThatNamesTheField)
+{
+    for (std::size_t length = 0; length < wholeConfiguration.size(); ++length)
+        CHECK_FALSE(decodeConfiguration(wholeConfiguration.substr(0, length)).has_value());
+    const auto wrong = decodeConfiguration(replaced(wholeConfiguration, "\"safe\"", "\"odd\""));
+    CHECK_TRUE(wrong.error().message.find("`type`") != std::string::npos);
+    const auto fraction = decodeConfiguration(replaced(wholeConfiguration, "\"version\":7", "\"version\":7.5"));
+    CHECK_TRUE(fraction.error().message.find("`version`") != std::string::npos);
+}
+
+TEST(Records, AServersRecord)
+{
+    const auto server = decodeServer("i-1", wholeServer);
+    STRCMP_EQUAL("i-1", server.value().name.value().c_str());
+    STRCMP_EQUAL("lm", server.value().pool.value().c_str());
+    CHECK_TRUE(server.value().endpoint == Endpoint({ "10.128.0.9", 8080 }));
+    CHECK_FALSE(server.value().isLeaving);
+    CHECK_TRUE(versionOf(server.value(), ModelName("m")) == WeightVersion(3));
+    CHECK_TRUE(server.value().startedAt == 1800000000123ms);
+    CHECK_TRUE(decodeServer("i-1", replaced(wholeServer, "\"ready\"", "\"draining\"")).value().isLeaving);
+}
+
+TEST(Records, ARecordOfAnotherWriterNamesNoServer)
+{
+    for (const std::string& bytes : { std::string("\xff\x00\x01", 3), std::string("null"), std::string("{}"),
+             replaced(wholeServer, "\"ready\"", "\"resting\""), replaced(wholeServer, "\"ready\"", "1"),
+             replaced(wholeServer, "10.128.0.9:8080", "somewhere"), replaced(wholeServer, "\"slots\":12", "\"slots\":[]"),
+             replaced(wholeServer, "1800000000123", "\"then\""), replaced(wholeServer, "\"lm\"", "null") })
+        CHECK_FALSE(decodeServer("i-1", bytes).has_value());
+}
+
+TEST(Records, ANamedVersion)
+{
+    const auto version = decodeNamedVersion("version/m", R"({"model":"m","version":5})");
+    STRCMP_EQUAL("m", version.value().model.value().c_str());
+    LONGS_EQUAL(5, version.value().version.value());
+    CHECK_FALSE(decodeNamedVersion("version/m", R"({"model":"m"})").has_value());
+}
--- /dev/null
+++ b/tests/src/platform/unit-workers.cpp
@@ -0,0 +1,149 @@
+#include <platform/workers.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+using namespace topaztack::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+ServerRecord someServer()
+{
+    ServerRecord server;
+    server.name = BackendName("i-1");
+    return server;
+}
+
+std::string headerOf(const HttpRequest& request, std::string_view name)
+{
+    return std::string(findHeader(request.headers, name));
+}
+
+HttpResponse answerWith(unsigned status, std::vector<HttpHeader> headers)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers = std::move(headers);
+    return response;
+}
+
+SseEvent eventOf(const std::string& id, const std::string& data, std::vector<SseField> others = {})
+{
+    return { id, data, std::move(others) };
+}
+
+} // namespace
+
+TEST_GROUP(Workers) {};
+
+TEST(Workers, ARequestIsPassedOnWithItsHeadersAndTheTimeLeft)
+{
+    HttpRequest original;
+    original.method = "PUT";
+    original.target = "/x/1?y=2";
+    original.body = "bytes";
+    original.headers = { { "Host", "a.example" }, { "Topaztack-Request-Id", "r1" }, { "X-Own", "1" },
+        { "Connection", "close" }, { "Topaztack-Deadline-Ms", "800" }, { "Topaztack-Expect-Instance", "i-9" } };
+    const auto request = encodeServiceRequest(original, someServer(), 640ms);
+    STRCMP_EQUAL("PUT", request.method.c_str());
+    STRCMP_EQUAL("/x/1?y=2", request.target.c_str());
+    STRCMP_EQUAL("bytes", request.body.c_str());
+    STRCMP_EQUAL("a.example", headerOf(request, "Host").c_str());
+    STRCMP_EQUAL("r1", headerOf(request, "Topaztack-Request-Id").c_str());
+    STRCMP_EQUAL("1", headerOf(request, "X-Own").c_str());
+    STRCMP_EQUAL("640", headerOf(request, "Topaztack-Deadline-Ms").c_str());
+    STRCMP_EQUAL("i-1", headerOf(request, "Topaztack-Expect-Instance").c_str());
+    STRCMP_EQUAL("", headerOf(request, "Connection").c_str());
+}
+
+TEST(Workers, AnItemIsARequestOfItsOwnAndResumesAfterItsLastEvent)
+{
+    JobSpec job;
+    job.host = "a.example";
+    JobItem item;
+    item.id = ItemId("i1");
+    item.path = "/p/1";
+    item.body = "bytes";
+    item.headers = { { "Topaztack-Model", "m" } };
+    const auto fresh = encodeItemRequest(job, item, someServer(), std::nullopt);
+    STRCMP_EQUAL("POST", fresh.method.c_str());
+    STRCMP_EQUAL("/p/1", fresh.target.c_str());
+    STRCMP_EQUAL("a.example", headerOf(fresh, "Host").c_str());
+    STRCMP_EQUAL("i1", headerOf(fresh, "Topaztack-Request-Id").c_str());
+    STRCMP_EQUAL("m", headerOf(fresh, "Topaztack-Model").c_str());
+    STRCMP_EQUAL("", headerOf(fresh, "Last-Event-Id").c_str());
+    const auto resumed = encodeItemRequest(job, item, someServer(), 12);
+    STRCMP_EQUAL("12", headerOf(resumed, "Last-Event-Id").c_str());
+}
+
+TEST(Workers, OnlyASignOfNotRunningProvesIt)
+{
+    CHECK_TRUE(decodeAnswer(answerWith(503, { { "Topaztack-Not-Executed", "1" } })).saysNotRun);
+    CHECK_FALSE(decodeAnswer(answerWith(503, {})).saysNotRun);
+    CHECK_TRUE(decodeAnswer(answerWith(421, {})).isOtherServer);
+}
+
+TEST(Workers, AnAnswersHeadSaysWhoseItIs)
+{
+    const auto answer = decodeAnswer(answerWith(200,
+        { { "topaztack-request-id", "r1" }, { "Topaztack-Server-Stamp", "s" }, { "Connection", "Close" },
+            { "Topaztack-Weight-Versions", "6" } }));
+    STRCMP_EQUAL("r1", answer.request.value().c_str());
+    CHECK_TRUE(answer.isSigned);
+    CHECK_TRUE(answer.closes);
+    CHECK_TRUE(answer.version == WeightVersion(6));
+    CHECK_FALSE(decodeAnswer(answerWith(200, { { "Topaztack-Weight-Versions", "six" } })).version.has_value());
+}
+
+TEST(Workers, AnEventNamesNewWeightsInItsFirstLine)
+{
+    const auto event = decodeEvent(eventOf("7", "text", { { "topaztack-weight-versions", "8" } }));
+    LONGS_EQUAL(7, event.value().number);
+    STRCMP_EQUAL("text", event.value().data.c_str());
+    CHECK_TRUE(event.value().version == WeightVersion(8));
+    CHECK_FALSE(decodeEvent(eventOf("7", "text")).value().version.has_value());
+    CHECK_FALSE(decodeEvent(eventOf("", "text")).has_value());
+    CHECK_FALSE(decodeEvent(eventOf("7", "text", { { "topaztack-weight-versions", "" } })).has_value());
+}
+
+TEST(Workers, AnOrderCarriesItsFenceAndTheOrdersExpectedBefore)
+{
+    LoadOrder order;
+    order.model = ModelName("m");
+    order.version = WeightVersion(2);
+    order.mode = LoadMode::Continue;
+    order.holder = VmName("vm-1");
+    order.fence = FencingNumber(41);
+    order.expectedOrders = 3;
+    const auto request = encodeOrder(order, someServer());
+    STRCMP_EQUAL("/-/order", request.target.c_str());
+    STRCMP_EQUAL("i-1", headerOf(request, "Topaztack-Expect-Instance").c_str());
+    STRCMP_EQUAL(R"({"operation":"version","model":"m","version":2,"mode":"retain","holder":"vm-1","fencingToken":41,)"
+                 R"("expected":3})",
+        request.body.c_str());
+}
+
+TEST(Workers, AnOrdersAnswerIsAVerdictAndAnythingElseIsUnknown)
+{
+    CHECK_TRUE(decodeOrder(answerWith(202, {})) == OrderVerdict::Accepted);
+    CHECK_TRUE(decodeOrder(answerWith(200, {})) == OrderVerdict::Holds);
+    CHECK_TRUE(decodeOrder(answerWith(409, {})) == OrderVerdict::Conflict);
+    CHECK_TRUE(decodeOrder(answerWith(412, {})) == OrderVerdict::FencedOff);
+    CHECK_TRUE(decodeOrder(answerWith(400, {})) == OrderVerdict::Refused);
+    CHECK_TRUE(decodeOrder(answerWith(421, {})) == OrderVerdict::OtherServer);
+    CHECK_TRUE(decodeOrder(answerWith(500, {})) == OrderVerdict::Unknown);
+}
+
+TEST(Workers, AReportGivesVersionsAndTheNumberOfOrders)
+{
+    auto response = answerWith(200, {});
+    response.body = R"({"stage":"both","models":[{"name":"m","version":3,"adapters":[]}],"busy":true,"sequence":2})";
+    const auto report = decodeReport(response);
+    CHECK_TRUE(report.value().models.at(0) == LoadedModel({ ModelName("m"), WeightVersion(3) }));
+    LONGS_EQUAL(2, report.value().orders);
+    CHECK_TRUE(report.value().isBusy);
+    response.body = R"({"models":[{"name":"m","version":-3}]})";
+    CHECK_FALSE(decodeReport(response).has_value());
+    CHECK_FALSE(decodeReport(answerWith(503, {})).has_value());
+}
--- /dev/null
+++ b/tests/src/policy/unit-server_choice.cpp
@@ -0,0 +1,90 @@
+#include <topaztack/policy/server_choice.hpp>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace topaztack;
+using namespace std::chrono_literals;
+
+namespace {
+
+ServerLoad serverWith(std::uint32_t outstanding, std::uint32_t allowance = 12)
+{
+    ServerLoad load;
+    load.outstanding = outstanding;
+    load.allowance = allowance;
+    load.isLocal = true;
+    return load;
+}
+
+} // namespace
+
+TEST_GROUP(ServerChoice) { Random random { 7 }; };
+
+TEST(ServerChoice, TheLeastLoadedServerIsChosen)
+{
+    LONGS_EQUAL(1, *chooseServer({ serverWith(5), serverWith(2), serverWith(8) }, this->random));
+}
+
+TEST(ServerChoice, AFullServerIsNeverChosen)
+{
+    CHECK_FALSE(chooseServer({ serverWith(12), serverWith(13) }, this->random).has_value());
+    CHECK_FALSE(chooseServer({}, this->random).has_value());
+}
+
+TEST(ServerChoice, ASlowServerCountsAsMoreLoaded)
+{
+    auto slow = serverWith(1);
+    slow.slowness = 4;
+    LONGS_EQUAL(1, *chooseServer({ slow, serverWith(4) }, this->random));
+}
+
+TEST(ServerChoice, ASuspectedServerIsTheLastResort)
+{
+    auto suspected = serverWith(0);
+    suspected.isSuspected = true;
+    LONGS_EQUAL(1, *chooseServer({ suspected, serverWith(11) }, this->random));
+    LONGS_EQUAL(0, *chooseServer({ suspected, serverWith(12) }, this->random));
+}
+
+TEST(ServerChoice, ATriedServerComesAfterASuspectedOne)
+{
+    auto suspected = serverWith(3);
+    suspected.isSuspected = true;
+    auto tried = serverWith(0);
+    tried.wasTried = true;
+    LONGS_EQUAL(0, *chooseServer({ suspected, tried }, this->random));
+}
+
+TEST(ServerChoice, AnIdleServerElsewhereBeatsABusyLocalOne)
+{
+    auto remote = serverWith(0);
+    remote.isLocal = false;
+    LONGS_EQUAL(0, *chooseServer({ serverWith(2), remote }, this->random));
+    LONGS_EQUAL(1, *chooseServer({ serverWith(9), remote }, this->random));
+}
+
+TEST(ServerChoice, NewerWeightsArePreferredWhileThereIsRoom)
+{
+    auto behind = serverWith(3);
+    behind.isBehind = true;
+    LONGS_EQUAL(1, *chooseServer({ behind, serverWith(4) }, this->random));
+    LONGS_EQUAL(0, *chooseServer({ behind, serverWith(11) }, this->random));
+}
+
+TEST(ServerChoice, EqualServersShareTheLoad)
+{
+    std::vector<int> chosen(4, 0);
+    const std::vector<ServerLoad> servers(4, serverWith(0));
+    for (int draw = 0; draw < 400; ++draw)
+        ++chosen[*chooseServer(servers, this->random)];
+    for (const int count : chosen)
+        CHECK_TRUE(count > 60);
+}
+
+TEST(ServerChoice, SuspicionGrowsWithFailuresAndIsBounded)
+{
+    CHECK_TRUE(suspicionTime(0) == 0ms);
+    CHECK_TRUE(suspicionTime(1) < suspicionTime(2));
+    CHECK_TRUE(suspicionTime(5) == suspicionTime(500));
+}
--- /dev/null
+++ b/tests/src/samples/unit-item_order.cpp
@@ -0,0 +1,102 @@
+#include <topaztack/samples/item_order.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+
+using namespace topaztack;
+
+namespace {
+
+OrderedItem itemOf(const std::string& group, std::uint64_t expected, bool hasText = false)
+{
+    return { GroupId(group), expected, hasText };
+}
+
+/// When each group is whole if items start in this order on a number of slots.
+std::map<GroupId, std::uint64_t> wholeAt(
+    const std::vector<OrderedItem>& items, const std::vector<ItemPlace>& order, std::size_t slots)
+{
+    std::priority_queue<std::uint64_t, std::vector<std::uint64_t>, std::greater<>> free;
+    for (std::size_t slot = 0; slot < slots; ++slot)
+        free.push(0);
+    std::map<GroupId, std::uint64_t> ends;
+    for (const auto& place : order) {
+        const auto end = free.top() + items[place.item].expectedTokens;
+        free.pop();
+        free.push(end);
+        auto& whole = ends[items[place.item].group];
+        whole = std::max(whole, end);
+    }
+    return ends;
+}
+
+std::uint64_t stepEnd(
+    const std::vector<OrderedItem>& items, const std::vector<ItemPlace>& order, std::size_t slots, std::size_t wanted)
+{
+    std::vector<std::uint64_t> ends;
+    for (const auto& [group, end] : wholeAt(items, order, slots))
+        ends.push_back(end);
+    std::sort(ends.begin(), ends.end());
+    return ends[wanted - 1];
+}
+
+std::vector<ItemPlace> firstCome(std::size_t items)
+{
+    std::vector<ItemPlace> order;
+    for (std::size_t index = 0; index < items; ++index)
+        order.push_back({ index, false });
+    return order;
+}
+
+} // namespace
+
+TEST_GROUP(ItemOrder) {};
+
+TEST(ItemOrder, EachItemIsStartedOnce)
+{
+    const std::vector<OrderedItem> items { itemOf("a", 5), itemOf("b", 0), itemOf("a", 9), itemOf("c", 5) };
+    auto order = orderItems(items, 2);
+    std::vector<std::size_t> indices;
+    for (const auto& place : order)
+        indices.push_back(place.item);
+    std::sort(indices.begin(), indices.end());
+    CHECK_TRUE((indices == std::vector<std::size_t> { 0, 1, 2, 3 }));
+}
+
+TEST(ItemOrder, TheGroupsWithTheLongestItemsAreSpareAndComeLast)
+{
+    const std::vector<OrderedItem> items { itemOf("long", 900), itemOf("short", 10), itemOf("mid", 50) };
+    const auto order = orderItems(items, 2);
+    CHECK_TRUE((order == std::vector<ItemPlace> { { 2, false }, { 1, false }, { 0, true } }));
+}
+
+TEST(ItemOrder, AGroupThatComesAgainIsNeverSpare)
+{
+    const std::vector<OrderedItem> items { itemOf("again", 900, true), itemOf("mid", 50), itemOf("short", 10) };
+    const auto order = orderItems(items, 2);
+    CHECK_TRUE((order == std::vector<ItemPlace> { { 0, false }, { 2, false }, { 1, true } }));
+}
+
+TEST(ItemOrder, WithoutANumberOfWantedGroupsNoneIsSpare)
+{
+    for (const auto& place : orderItems({ itemOf("a", 1), itemOf("b", 2) }, 0))
+        CHECK_FALSE(place.isSpare);
+}
+
+// Pattern: a few items are five times as long as the rest, and slots are scarce.
+TEST(ItemOrder, AStepOnScarceSlotsEndsSoonerThanFirstCome)
+{
+    std::vector<OrderedItem> items;
+    for (int group = 0; group < 10; ++group) {
+        for (int item = 0; item < 4; ++item)
+            items.push_back(itemOf("g" + std::to_string(group), group >= 7 && item == 3 ? 135 : 27));
+    }
+    const std::size_t slots = 12;
+    const auto ordered = stepEnd(items, orderItems(items, 9), slots, 9);
+    const auto first = stepEnd(items, firstCome(items.size()), slots, 9);
+    CHECK_TRUE(ordered < first);
+    LONGS_EQUAL(135, ordered);
+}
--- /dev/null
+++ b/tests/src/samples/unit-load_plan.cpp
@@ -0,0 +1,139 @@
+#include <topaztack/samples/load_plan.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace topaztack;
+
+namespace {
+
+const ModelName modelA { "a" };
+const ModelName modelB { "b" };
+
+PlannedEngine engineWith(const std::string& name, std::uint64_t versionA)
+{
+    PlannedEngine engine;
+    engine.name = BackendName(name);
+    engine.versions[modelA] = WeightVersion(versionA);
+    return engine;
+}
+
+PlannedEngine engineWith(const std::string& name, std::uint64_t versionA, std::uint64_t versionB)
+{
+    auto engine = engineWith(name, versionA);
+    engine.versions[modelB] = WeightVersion(versionB);
+    return engine;
+}
+
+PlannedModel named(std::uint64_t version, bool isBusy) { return { WeightVersion(version), isBusy }; }
+
+PlannedLoad loadOf(const std::string& engine, const ModelName& model, std::uint64_t version)
+{
+    return { BackendName(engine), model, WeightVersion(version) };
+}
+
+/// Carries loads out for some rounds, each as long as one load, while a trainer names a version every few rounds.
+/// @return the fewest engines that could serve the newest version at any time.
+std::size_t fewestServing(std::size_t engines, std::size_t roundsPerVersion, std::size_t rounds)
+{
+    std::vector<PlannedEngine> pool;
+    for (std::size_t index = 0; index < engines; ++index)
+        pool.push_back(engineWith("e" + std::to_string(index), 1));
+    std::map<ModelName, PlannedModel> models { { modelA, named(1, true) } };
+    std::size_t fewest = engines;
+    for (std::size_t round = 1; round <= rounds; ++round) {
+        auto& wanted = models[modelA].named;
+        if (round % roundsPerVersion == 0)
+            wanted = WeightVersion(wanted.value() + 1);
+        for (const auto& load : planLoads(pool, models, {})) {
+            const auto engine = std::find_if(
+                pool.begin(), pool.end(), [&load](const auto& each) { return each.name == load.engine; });
+            engine->versions[load.model] = load.version;
+        }
+        const auto serving = std::count_if(pool.begin(), pool.end(), [&](const auto& each) {
+            return each.versions.at(modelA).value() + 1 >= wanted.value();
+        });
+        fewest = std::min(fewest, static_cast<std::size_t>(serving));
+    }
+    return fewest;
+}
+
+} // namespace
+
+TEST_GROUP(LoadPlan) {};
+
+TEST(LoadPlan, NothingIsLoadedWhereAllHaveTheNamedVersion)
+{
+    CHECK_TRUE(planLoads({ engineWith("e1", 3) }, { { modelA, named(3, false) } }, {}).empty());
+}
+
+TEST(LoadPlan, EnginesThatAreTooFarBehindToServeComeFirst)
+{
+    const auto loads = planLoads(
+        { engineWith("e1", 2), engineWith("e2", 1), engineWith("e3", 2) }, { { modelA, named(3, true) } }, {});
+    LONGS_EQUAL(2, loads.size());
+    CHECK_TRUE(loads[0] == loadOf("e2", modelA, 3));
+}
+
+TEST(LoadPlan, ABusyModelKeepsHalfOfItsEnginesServing)
+{
+    const auto loads
+        = planLoads({ engineWith("e1", 3), engineWith("e2", 2) }, { { modelA, named(3, true) } }, {});
+    CHECK_TRUE(loads.empty());
+    const auto idle = planLoads({ engineWith("e1", 3), engineWith("e2", 2) }, { { modelA, named(3, false) } }, {});
+    CHECK_TRUE((idle == std::vector<PlannedLoad> { loadOf("e2", modelA, 3) }));
+}
+
+TEST(LoadPlan, NoMoreLoadsRunAtOnceThanTheStoreServesAtFullSpeed)
+{
+    auto loading = engineWith("e1", 1);
+    loading.loading = modelA;
+    const auto loads = planLoads({ loading, engineWith("e2", 1), engineWith("e3", 1), engineWith("e4", 1) },
+        { { modelA, named(3, true) } }, {});
+    LONGS_EQUAL(1, loads.size());
+}
+
+TEST(LoadPlan, AnEngineThatTakesNoOrdersIsPassedOver)
+{
+    auto held = engineWith("e1", 1);
+    held.isHeldOff = true;
+    const auto loads = planLoads({ held, engineWith("e2", 1) }, { { modelA, named(3, true) } }, {});
+    CHECK_TRUE((loads == std::vector<PlannedLoad> { loadOf("e2", modelA, 3) }));
+}
+
+TEST(LoadPlan, TrainersShareTheEnginesOfAVersion)
+{
+    std::vector<PlannedEngine> engines;
+    for (int index = 0; index < 8; ++index)
+        engines.push_back(engineWith("e" + std::to_string(index), 1, 1));
+    const std::map<ModelName, PlannedModel> models { { modelA, named(3, false) }, { modelB, named(3, false) } };
+    std::map<ModelName, int> loaded;
+    for (int round = 0; round < 20; ++round) {
+        for (const auto& load : planLoads(engines, models, {})) {
+            const auto engine = std::find_if(
+                engines.begin(), engines.end(), [&load](const auto& each) { return each.name == load.engine; });
+            engine->versions[load.model] = load.version;
+            ++loaded[load.model];
+        }
+    }
+    LONGS_EQUAL(4, loaded[modelA]);
+    LONGS_EQUAL(4, loaded[modelB]);
+}
+
+// Pattern: after an outage one trainer has named two versions and another none; the one without engines goes first.
+TEST(LoadPlan, TheModelWithTheFewestServingEnginesLoadsFirst)
+{
+    std::vector<PlannedEngine> engines { engineWith("e1", 5, 3), engineWith("e2", 5, 3), engineWith("e3", 4, 3),
+        engineWith("e4", 4, 3) };
+    const auto loads = planLoads(engines, { { modelA, named(6, true) }, { modelB, named(5, true) } }, {});
+    LONGS_EQUAL(2, loads.size());
+    CHECK_TRUE(loads[0].model == modelB);
+    CHECK_TRUE(loads[1].model == modelB);
+}
+
+// Pattern: a version every four load times, two loads at once, twelve engines.
+TEST(LoadPlan, AThirdOfTheEnginesServesAtAnyTimeThoughLoadsCantKeepUp)
+{
+    CHECK_TRUE(fewestServing(12, 4, 200) >= 4);
+}
--- /dev/null
+++ b/tests/src/standins/worker.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <topaztack/wire/http_server.hpp>
+#include <topaztack/wire/io_threads.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// @file
+/// A backend server on loopback: answers plain requests, streams generations and takes orders.
+
+namespace topaztack::test {
+
+/// @brief How a worker behaves now.
+struct WorkerFaults {
+    /// Every request is refused as not run.
+    std::atomic<bool> isFull { false };
+    /// Requests are run and the connection is closed without an answer.
+    std::atomic<int> answersToLose { 0 };
+    /// Streams are closed after this many events; 0 for never.
+    std::atomic<int> breakAfter { 0 };
+    /// Answers carry the id of another request.
+    std::atomic<int> foreignAnswers { 0 };
+    /// Each generation is answered with this status instead.
+    std::atomic<unsigned> generationStatus { 200 };
+    std::atomic<std::chrono::milliseconds> eventTime { std::chrono::milliseconds(1) };
+};
+
+/// @brief A request that reached the worker.
+struct SeenRequest {
+    std::string id;
+    std::string target;
+    std::string body;
+    std::string lastEvent;
+};
+
+class WorkerStandin {
+public:
+    WorkerStandin(IoThreads& threads, std::string name, int events = 5);
+
+    Endpoint endpoint() const { return { "127.0.0.1", this->server.port() }; }
+
+    /// @brief The record by which the worker is listed in the store.
+    std::string record(const std::string& pool, const std::string& state = "ready") const;
+
+    std::vector<SeenRequest> seen() const;
+    std::uint64_t version() const { return this->weightVersion; }
+    std::uint64_t orders() const { return this->orderCount; }
+
+    /// @brief The whole text of a generation of the request with this id.
+    std::string textOf(const std::string& id) const;
+
+    const std::string name;
+    const std::string model { "m" };
+    WorkerFaults faults;
+
+private:
+    boost::asio::awaitable<void> handle(HttpExchange& exchange);
+    boost::asio::awaitable<void> generate(HttpExchange& exchange);
+    HttpResponse takeOrder(const HttpRequest& request);
+
+    const int events;
+    std::atomic<std::uint64_t> weightVersion { 1 };
+    std::atomic<std::uint64_t> orderCount { 0 };
+    mutable std::mutex lock;
+    std::vector<SeenRequest> requests;
+    MetricsRegistry metrics;
+    HttpServer server;
+};
+
+} // namespace topaztack::test
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -4,6 +4,7 @@
 #include <topaztack/wire/io_threads.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -127,3 +128,88 @@
     Caller caller;
     CHECK_TRUE(caller.call(server.endpoint()).has_value());
 }
+
+namespace {
+
+HttpRequest requestTo(const std::string& host)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/x";
+    request.headers.push_back({ "Host", host });
+    return request;
+}
+
+std::string readWholeHead(tcp::socket& socket)
+{
+    std::string head;
+    asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
+    return head;
+}
+
+} // namespace
+
+TEST(HttpClient, TheRequestsOwnHostIsSent)
+{
+    std::string head;
+    ScriptedServer server("127.0.0.1", { [&head](tcp::socket& socket) {
+        head = readWholeHead(socket);
+        asio::write(socket, asio::buffer(std::string(wholeAnswer)));
+    } });
+    Caller caller;
+    CHECK_TRUE(test::runOn(caller.threads.at(0),
+        caller.client.call(server.endpoint(), requestTo("booking.example"), Clock::now() + 20s))
+                   .has_value());
+    CHECK_TRUE(head.find("Host: booking.example\r\n") != std::string::npos);
+}
+
+TEST(HttpClient, AnAnswerToAnotherRequestIsNotTakenAndItsConnectionIsClosed)
+{
+    ScriptedServer server("127.0.0.1", { ScriptedServer::answerOnce, ScriptedServer::answerOnce });
+    Caller caller;
+    CallOptions options;
+    options.accepts = [](const HttpResponse&) { return false; };
+    const auto first = test::runOn(caller.threads.at(0),
+        caller.client.call(server.endpoint(), requestTo("a"), Clock::now() + 20s, std::move(options)));
+    CHECK_TRUE(first.error().error.kind == ErrorKind::BackendAnswerMalformed);
+    CHECK_TRUE(first.error().progress == AttemptProgress::Written);
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+}
+
+TEST(HttpClient, ACancelledCallEndsAtOnceAndClosesItsConnection)
+{
+    bool wasClosed = false;
+    ScriptedServer server("127.0.0.1", { [&wasClosed](tcp::socket& socket) {
+        ScriptedServer::readHead(socket);
+        char byte = 0;
+        boost::system::error_code problem;
+        socket.read_some(asio::buffer(&byte, 1), problem);
+        wasClosed = static_cast<bool>(problem);
+    } });
+    {
+        Caller caller;
+        CallControl control;
+        CallOptions options;
+        options.control = &control;
+        test::Pending<CallResult<HttpResponse>> pending(caller.threads.at(0),
+            caller.client.call(server.endpoint(), requestTo("a"), Clock::now() + 20s, std::move(options)));
+        std::this_thread::sleep_for(50ms);
+        asio::post(caller.threads.at(0), [&control] { control.cancel(); });
+        CHECK_FALSE(pending.get().has_value());
+    }
+}
+
+TEST(HttpClient, AConnectionIsKeptNoLongerThanTheServerStates)
+{
+    // The margin is longer than the stated second: the connection is not used again, though it is still open.
+    ScriptedServer server("127.0.0.1", { [&](tcp::socket& socket) {
+                                            ScriptedServer::readHead(socket);
+                                            asio::write(socket,
+                                                asio::buffer(std::string("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                                                                         "Content-Length: 2\r\n\r\nok")));
+                                        },
+                                         ScriptedServer::answerOnce });
+    Caller caller;
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+    CHECK_TRUE(caller.call(server.endpoint()).has_value());
+}
