Owners tell each other their load in job heads; an item queued for 0.6 s goes to another engine

Cause: three owners each gave an engine of 8 slots up to 8 generations; above 8 an item waits for seconds though another engine is idle (measured by attempt: 49 ms an event up to 8 at once, 50 to 210 ms above).

--- a/include/topaztack/policy/server_choice.hpp
+++ b/include/topaztack/policy/server_choice.hpp
@@ -26,6 +26,8 @@
     bool wasTried { false };
     /// Its weights are older than those of another candidate.
     bool isBehind { false };
+    /// How much longer a request takes, as a part, where the server has all that it is allowed.
+    double slowdownWhenFull { 1 };
     /// Mean time of a unit of its work against the pool's; 1 is the mean.
     double slowness { 1 };
 };
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -103,6 +104,8 @@
     std::string host;
     std::string path;
     ModelName model;
+    /// Generations that the owner's VM has at each engine, for the other VMs that use them.
+    std::map<BackendName, std::uint32_t> inFlight;
 
     bool operator==(const JobHead&) const = default;
 };
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -80,8 +80,7 @@
     const bool isDelivered = co_await exchange.respond(std::move(response));
     logEvent(isSuccess(status) ? LogLevel::Debug : LogLevel::Info, "request-answered",
         { { "id", call.id.value() }, { "route", route.name.value() }, { "status", std::to_string(status) },
-            { "attempts", std::to_string(forwarding.attempts) },
-            { "unreached", std::to_string(forwarding.unreached) },
+            { "attempts", std::to_string(forwarding.attempts) }, { "unreached", std::to_string(forwarding.unreached) },
             { "took_ms", std::to_string(toMilliseconds(took).count()) },
             { "error", forwarding.problem ? forwarding.problem->message : "" },
             { "delivered", isDelivered ? "1" : "0" } });
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-    /// Time for the head of an answer: an engine may queue a request before its first token, but another has room.
-    constexpr Duration headTime = 1500ms;
+    /// Time for the head of an answer. An engine that queues a request for longer has more than its slots, and another
+    /// may have room.
+    constexpr Duration headTime = 600ms;
     /// Time between two events. An engine that loads weights stands still for a second or two.
     constexpr Duration eventTime = 2500ms;
     /// How long a generation stays at a server before it may be moved to a faster one, and how often that is asked.
@@ -138,8 +139,8 @@
 
 std::string_view attemptEndName(AttemptEnd end)
 {
-    static constexpr std::array<std::string_view, 8> names { "whole", "interrupted", "moved", "failed", "never-done",
-        "refused", "replaced", "cancelled" };
+    static constexpr std::array<std::string_view, 9> names { "whole", "interrupted", "moved", "failed", "never-done",
+        "crowded", "refused", "replaced", "cancelled" };
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -152,6 +153,7 @@
     case AttemptEnd::Interrupted:
     case AttemptEnd::Failed:
         return ServerOutcome::Failed;
+    case AttemptEnd::Crowded:
     case AttemptEnd::Refused:
         return ServerOutcome::Refused;
     case AttemptEnd::Replaced:
@@ -177,6 +179,10 @@
         server.endpoint, std::move(request), Clock::now() + headTime, std::move(options));
     if (attempt.control.isCancelled())
         co_return AttemptEnd::Cancelled;
+    if (!opened && opened.error().error.kind == ErrorKind::BackendTimeout) {
+        logBreak(attempt, server, "item-queued-too-long", opened.error().error.message);
+        co_return AttemptEnd::Crowded;
+    }
     if (!opened) {
         logBreak(attempt, server, "item-not-answered", opened.error().error.message);
         co_return AttemptEnd::Interrupted;
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -23,6 +23,8 @@
     Failed,
     /// The server answered that the item can never be done.
     NeverDone,
+    /// The server had not begun after a while.
+    Crowded,
     /// The server doesn't take it now.
     Refused,
     /// Another server has the address.
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -78,6 +78,9 @@
         return;
     known.stored = head;
     known.seenAt = Clock::now();
+    const auto& owner = head.head.owner.name;
+    if (!owner.value().empty() && owner != this->context.identity.name && !head.head.isEnded)
+        this->servers.noteOtherVm(owner, head.head.inFlight);
     const auto runner = this->runners.find(id);
     if (runner != this->runners.end()) {
         runner->second->noteHead(head);
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -293,6 +293,7 @@
     }
     case AttemptEnd::Interrupted:
     case AttemptEnd::Moved:
+    case AttemptEnd::Crowded:
         item.tried.insert(server.name);
         break;
     case AttemptEnd::Refused:
@@ -342,6 +343,10 @@
     this->beingListed = this->nextResults();
     next.listed += this->beingListed.size();
     ++next.writes;
+    const auto* found = this->route();
+    const auto* pool = found ? choosePool(*found, 0) : nullptr;
+    if (pool)
+        next.inFlight = this->servers.inFlight(*pool);
     if (this->isReleasing && this->finished.empty())
         next.owner = VmIdentity {};
     return next;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -16,6 +16,10 @@
     /// A server that refuses is full or loads weights: it is left alone for a while, longer each time in a row.
     constexpr Duration shortestRefusalPause = 60ms;
     constexpr std::uint32_t mostRefusalDoublings = 2;
+    /// Engines make each token nearly as fast with full slots as with one; the rest spreads generations.
+    constexpr double engineSlowdownWhenFull = 0.3;
+    /// What another VM said of its generations counts for this long; an owner writes every 700 ms or more often.
+    constexpr Duration longestWord = 1000ms;
     constexpr double meanGain = 0.1;
     /// A server whose events take this many times as long as usual is slow; running generations are moved away.
     constexpr double slowFactor = 1.7;
@@ -132,6 +136,34 @@
     return need.exactVersion.value() == 0 || *version == need.exactVersion;
 }
 
+std::map<BackendName, std::uint32_t> ServerTable::inFlight(const PoolName& pool) const
+{
+    std::map<BackendName, std::uint32_t> counts;
+    for (const auto& [name, use] : this->uses) {
+        const auto* server = this->find(name);
+        if (use.outstanding > 0 && server && server->pool == pool)
+            counts[name] = use.outstanding;
+    }
+    return counts;
+}
+
+void ServerTable::noteOtherVm(const VmName& vm, std::map<BackendName, std::uint32_t> counts)
+{
+    this->others[vm] = { std::move(counts), Clock::now() };
+    this->changeNotifier.notify();
+}
+
+std::uint32_t ServerTable::countOfOthers(const BackendName& name, TimePoint now) const
+{
+    std::uint32_t count = 0;
+    for (const auto& [vm, other] : this->others) {
+        const auto found = other.counts.find(name);
+        if (found != other.counts.end() && now - other.saidAt < longestWord)
+            count += found->second;
+    }
+    return count;
+}
+
 /// The median over the pool's servers, so that one slow server does not pass for usual.
 double ServerTable::usualUnitSeconds(const PoolName& pool) const
 {
@@ -157,11 +189,15 @@
     // A generation is long against the way to another data centre.
     load.isLocal = isGeneration || server.dataCentre == this->context.settings.dataCentre;
     load.wasTried = need.tried.contains(server.name);
+    if (isGeneration) {
+        load.outstanding = this->countOfOthers(server.name, now);
+        load.slowdownWhenFull = engineSlowdownWhenFull;
+    }
     const auto found = this->uses.find(server.name);
     if (found == this->uses.end())
         return load;
     const auto& use = found->second;
-    load.outstanding = use.outstanding;
+    load.outstanding += use.outstanding;
     load.isSuspected = now < use.suspectedUntil;
     if (poolSeconds > 0 && use.unitSeconds > 0)
         load.slowness = use.unitSeconds / poolSeconds;
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -57,6 +57,12 @@
     /// @param model of a generation; empty for other requests.
     void finish(const ServerRecord& server, ServerOutcome outcome, const ModelName& model = {});
 
+    /// @brief Generations of this VM at each engine.
+    std::map<BackendName, std::uint32_t> inFlight(const PoolName& pool) const;
+
+    /// @brief What another VM said of its generations, counted for a while.
+    void noteOtherVm(const VmName& vm, std::map<BackendName, std::uint32_t> counts);
+
     /// @brief Learns from the time between two events of a generation.
     void noteUnit(const BackendName& name, Duration unitTime);
 
@@ -89,6 +95,13 @@
         std::map<ModelName, TimePoint> refusingUntil;
     };
 
+    /// What another VM last said.
+    struct OtherVm {
+        std::map<BackendName, std::uint32_t> counts;
+        TimePoint saidAt;
+    };
+
+    std::uint32_t countOfOthers(const BackendName& name, TimePoint now) const;
     void takeRecord(ServerRecord record);
     bool canServe(const ServerRecord& server, const ServerNeed& need, TimePoint now) const;
     ServerLoad loadOf(const ServerRecord& server, const ServerNeed& need, double poolSeconds, TimePoint now) const;
@@ -100,6 +113,7 @@
     GatewayContext& context;
     ServerRegistry servers;
     std::map<BackendName, Use> uses;
+    std::map<VmName, OtherVm> others;
     Notifier changeNotifier;
     std::optional<TimePoint> lastReturn;
 };
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -12,8 +12,6 @@
     constexpr std::uint32_t mostDoublings = 2;
     /// A server elsewhere is preferred only if it is less loaded by this share of its allowance.
     constexpr double remotePenalty = 0.34;
-    /// How much longer a request is expected to take at a server that has all that it is allowed.
-    constexpr double loadWeight = 1;
     /// Text made by the newest weights can be used by the next job too.
     constexpr double behindPenalty = 0.25;
     /// A running generation is moved where it goes on this many times as fast: a move costs about one event.
@@ -24,7 +22,7 @@
     double costOf(const ServerLoad& server)
     {
         const double load = static_cast<double>(server.outstanding + 1) / server.allowance;
-        double cost = server.slowness * (1 + loadWeight * load);
+        double cost = server.slowness * (1 + server.slowdownWhenFull * load);
         if (!server.isLocal)
             cost += remotePenalty;
         if (server.isBehind)
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -56,6 +56,9 @@
 
 std::string toText(const JobHead& head)
 {
+    json::object inFlight;
+    for (const auto& [server, count] : head.inFlight)
+        inFlight[server.value()] = count;
     return json::serialize(json::object {
         { "owner", head.owner.name.value() },
         { "incarnation", head.owner.incarnation.value() },
@@ -68,6 +71,7 @@
         { "host", head.host },
         { "path", head.path },
         { "model", head.model.value() },
+        { "in_flight", std::move(inFlight) },
     });
 }
 
@@ -87,6 +91,8 @@
         head.host = json::value_to<std::string>(value.at("host"));
         head.path = json::value_to<std::string>(value.at("path"));
         head.model = ModelName(json::value_to<std::string>(value.at("model")));
+        for (const auto& entry : value.at("in_flight").as_object())
+            head.inFlight[BackendName(std::string(entry.key()))] = entry.value().to_number<std::uint32_t>();
         return head;
     } catch (const std::exception& problem) {
         return makeError(ErrorKind::BadFrame, std::string("job head not understood: ") + problem.what());
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -289,3 +289,18 @@
     this->world->list(this->world->engine, "lm");
     CHECK_TRUE(this->world->waitForResults(gateway, "j1", 10));
 }
+
+// Pattern: several trainers' owners share the engines, and each alone would fill them.
+TEST(Jobs, AnOwnerSaysInItsHeadWhatItHasAtEachEngine)
+{
+    auto& gateway = this->world->startGateway();
+    this->world->engine.faults.eventTime = 100ms;
+    LONGS_EQUAL(202, this->world->submit(gateway, "j1", manyItems(20)).status);
+    const auto says = [&] {
+        const auto head = parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value();
+        const auto found = head.inFlight.find(BackendName("i-lm"));
+        return found != head.inFlight.end() && found->second == 4;
+    };
+    CHECK_TRUE(waitFor(says));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 20));
+}
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -19,6 +19,7 @@
     head.host = "a.example";
     head.path = "/x/1";
     head.model = ModelName("m");
+    head.inFlight[BackendName("i-1")] = 4;
     return head;
 }
 
