--- a/apps/topaztack-bench/relay.cpp
+++ b/apps/topaztack-bench/relay.cpp
@@ -76,7 +76,7 @@
         Relay(const RelayOptions& options, asio::io_context& loop)
             : options(options)
             , loop(loop)
-            , client(loop, 4096)
+            , client(loop, { .idlePerEndpoint = 4096 })
         {
         }
 
--- a/include/topaztack/wire/store_client.hpp
+++ b/include/topaztack/wire/store_client.hpp
@@ -103,13 +103,19 @@
     HttpRequest (*encodeObjectDrop)(const ObjectKey&);
 };
 
-/// @brief Since when the store has not answered a call of this VM, and when it last came back.
+/// Calls that fail for less than this are no outage: the store refuses single calls where many come at once.
+inline constexpr std::chrono::milliseconds shortestOutage { 500 };
+
+/// @brief Since when the store has not answered a call of this VM, and when the last outage ended.
 struct StoreContact {
     std::optional<TimePoint> lostSince;
     std::optional<TimePoint> regainedAt;
-    Duration lastOutage {};
 };
 
+/// @brief Takes in whether a call was answered.
+/// @return the length of the outage that has just ended; nothing if none has.
+std::optional<Duration> noteAnswer(StoreContact& contact, bool isAnswered, TimePoint now);
+
 /// @brief A client for one thread.
 ///
 /// Errors of every call: PlatformUnreachable (it did not take effect), PlatformAmbiguous (it may have taken effect, or
@@ -141,13 +147,14 @@
 
 private:
     boost::asio::awaitable<Result<HttpResponse>> call(HttpRequest request, std::chrono::microseconds allowed);
-    void noteAnswer(bool isAnswered);
+    void noteCall(bool isAnswered);
 
     HttpClient& client;
     const Endpoint endpoint;
     const std::chrono::microseconds timeout;
     const StoreProtocol& protocol;
     StoreContact lastContact;
+    bool isOutageLogged { false };
     Counter& calls;
     Counter& failures;
     LatencyHistogram& latency;
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -31,6 +31,7 @@
         return count;
     }
 
+    // NOLINTBEGIN(readability-identifier-naming): Boost.Log looks for these names
     /// Overflow strategy of the queue: drops the line and counts it.
     struct CountDropped {
         template <typename Lock> static bool on_overflow(const boost::log::record_view&, Lock&)
@@ -41,6 +42,7 @@
         static void on_queue_space_available() { }
         static void interrupt() { }
     };
+    // NOLINTEND(readability-identifier-naming)
 
     using LogSink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
         boost::log::sinks::bounded_fifo_queue<queuedLines, CountDropped>>;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -23,8 +23,6 @@
     constexpr double meanGain = 0.1;
     /// A server whose events take this many times as long as usual is slow; running generations are moved away.
     constexpr double slowFactor = 1.7;
-    /// Outages shorter than this let no record lapse: a record lives for three heartbeats.
-    constexpr Duration shortestLapse = 500ms;
     /// Requests that one VM gives to a server of a plain service beyond its slots: they wait there.
     constexpr std::uint32_t queuedPerServer = 4;
 
@@ -95,8 +93,7 @@
     const auto& contact = this->context.store.contact();
     if (contact.regainedAt != this->lastReturn) {
         this->lastReturn = contact.regainedAt;
-        if (contact.lastOutage >= shortestLapse)
-            noteStoreReturn(this->servers, now);
+        noteStoreReturn(this->servers, now);
     }
     const bool isAway = contact.lostSince.has_value();
     for (const auto& name : expireServers(this->servers, now, isAway))
--- a/src/samples/item_order.cpp
+++ b/src/samples/item_order.cpp
@@ -24,6 +24,7 @@
             group.hasText = group.hasText || item.hasText;
         }
         std::vector<GroupLength> lengths;
+        lengths.reserve(groups.size());
         for (const auto& [name, group] : groups)
             lengths.push_back(group);
         return lengths;
@@ -50,6 +51,7 @@
 {
     const auto spare = spareGroups(items, wantedGroups);
     std::vector<ItemPlace> order;
+    order.reserve(items.size());
     for (std::size_t index = 0; index < items.size(); ++index)
         order.push_back({ index, spare.contains(items[index].group) });
     std::stable_sort(order.begin(), order.end(), [&items](const ItemPlace& one, const ItemPlace& other) {
--- a/src/wire/store_client.cpp
+++ b/src/wire/store_client.cpp
@@ -35,22 +35,37 @@
 {
 }
 
-void StoreClient::noteAnswer(bool isAnswered)
+std::optional<Duration> noteAnswer(StoreContact& contact, bool isAnswered, TimePoint now)
 {
-    const auto now = Clock::now();
-    auto& contact = this->lastContact;
     if (!isAnswered) {
-        this->failures.add();
-        if (!contact.lostSince) {
+        if (!contact.lostSince)
             contact.lostSince = now;
-            logEvent(LogLevel::Warning, "store-lost", { { "address", toText(this->endpoint) } });
-        }
-    } else if (contact.lostSince) {
-        contact.lastOutage = now - *contact.lostSince;
-        contact.lostSince.reset();
-        contact.regainedAt = now;
-        logEvent(LogLevel::Info, "store-regained",
-            { { "away_ms", std::to_string(toMilliseconds(contact.lastOutage).count()) } });
+        return std::nullopt;
+    }
+    if (!contact.lostSince)
+        return std::nullopt;
+    const auto away = now - *contact.lostSince;
+    contact.lostSince.reset();
+    if (away < shortestOutage)
+        return std::nullopt;
+    contact.regainedAt = now;
+    return away;
+}
+
+void StoreClient::noteCall(bool isAnswered)
+{
+    const auto now = Clock::now();
+    if (!isAnswered)
+        this->failures.add();
+    const auto away = topaztack::noteAnswer(this->lastContact, isAnswered, now);
+    const bool isAway = this->lastContact.lostSince && now - *this->lastContact.lostSince >= shortestOutage;
+    if (isAway && !this->isOutageLogged) {
+        this->isOutageLogged = true;
+        logEvent(LogLevel::Warning, "store-lost", { { "address", toText(this->endpoint) } });
+    }
+    if (away) {
+        this->isOutageLogged = false;
+        logEvent(LogLevel::Info, "store-regained", { { "away_ms", std::to_string(toMilliseconds(*away).count()) } });
     }
 }
 
@@ -60,7 +75,7 @@
     auto result = co_await this->client.call(this->endpoint, std::move(request), Clock::now() + allowed);
     const bool isRefused
         = result && (result.value().status == statusThrottled || result.value().status == statusRefused);
-    this->noteAnswer(result && !isRefused);
+    this->noteCall(result && !isRefused);
     if (!result)
         co_return toStoreError(result.error());
     if (isRefused)
