Resume test: the swap comes after the first token has arrived, by stream and not by guess

Seen once beside load: spans [2] in place of [1, 2]. Cause: the test ordered the swap as soon as the engine said that it ran the request, which may be before its first token; then every token is truly of version 2. The checks are the same.

--- a/tests/functional/test_requests_resume.py
+++ b/tests/functional/test_requests_resume.py
@@ -1,11 +1,12 @@
 """Generations through real daemons: broken streams go on at another engine, callers that go away free the engine."""
 
+import http.client
 import json
 import socket
-import threading
 import unittest
 
 from support import ServiceTestCase, call, wait_until
+from loopback import Answer  # on the path since support was imported
 
 TOKENS = 60
 
@@ -73,19 +74,31 @@
         answer = json.loads(received.split(b"\r\n\r\n", 1)[1])
         self.assertEqual(answer["choices"][0]["token_ids"], wanted)
 
-    def test_a_swap_in_the_midst_is_gone_on_with_and_labelled(self):
-        wanted = self.reference()
-        answers = []
-        asker = threading.Thread(target=lambda: answers.append(self.complete()))
-        asker.start()
-        wait_until(lambda: any(self.running(index) for index in range(2)), what="generation under way")
+    def complete_and_act(self, act):
+        """A streamed generation; `act` is called once its first token has arrived."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.callers[0], timeout=30)
+        self.addCleanup(connection.close)
+        body = {"model": "lm", "prompt": "a wake at nine", "max_tokens": TOKENS, "stream": True}
+        connection.request("POST", "/v1/completions", body=json.dumps(body))
+        response = connection.getresponse()
+        text = b""
+        while b"token_ids" not in text:
+            piece = response.read1()
+            self.assertTrue(piece, "the stream ended before its first token")
+            text += piece
+        act()
+        return self.tokens_of(Answer(response.status, response.getheaders(), text + response.read()))
+
+    def swap_engines(self):
         for port in self.engines:
             order = {"order": "load-weights", "version": 2, "fencing": 1, "mode": "interrupt", "operation": "swap"}
             self.assertEqual(call(port, "POST", "/engine/orders", order).status, 200)
-        asker.join()
-        answer = answers[0].json()
-        self.assertEqual(answer["choices"][0]["token_ids"], wanted)
-        spans = answer["weight_versions"]
+
+    def test_a_swap_in_the_midst_is_gone_on_with_and_labelled(self):
+        wanted = self.reference()
+        tokens, events = self.complete_and_act(self.swap_engines)
+        self.assertEqual(tokens, wanted)
+        spans = events[-1]["weight_versions"]
         self.assertEqual([span["version"] for span in spans], [1, 2])
         self.assertEqual((spans[0]["from"], spans[0]["to"], spans[1]["to"]), (0, spans[1]["from"], TOKENS))
 
