--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -178,6 +178,9 @@
         if (connectProblem)
             co_return failure(connectProblem, endpoint, AttemptProgress::NothingWritten);
         link->stream.socket().set_option(tcp::no_delay(true), problem);
+        // A connection that is given up is reset: after an orderly close, what a partition holds up would still be
+        // delivered when the partition ends.
+        link->stream.socket().set_option(asio::socket_base::linger(true, 0), problem);
         co_return std::move(link);
     }
 
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -214,3 +214,20 @@
     CHECK_TRUE(caller.call(server.endpoint()).has_value());
     CHECK_TRUE(caller.call(server.endpoint()).has_value());
 }
+
+// Pattern: a partition holds an order up, and the caller gives it up; after the partition it must not arrive.
+TEST(HttpClient, ACallThatIsGivenUpResetsItsConnection)
+{
+    boost::system::error_code problem;
+    ScriptedServer server("127.0.0.1", { [&problem](tcp::socket& socket) {
+        ScriptedServer::readHead(socket);
+        char byte = 0;
+        socket.read_some(asio::buffer(&byte, 1), problem);
+    } });
+    Caller caller;
+    const auto answer = test::runOn(
+        caller.threads.at(0), caller.client.call(server.endpoint(), requestTo("a"), Clock::now() + 100ms));
+    CHECK_TRUE(answer.error().error.kind == ErrorKind::BackendTimeout);
+    std::this_thread::sleep_for(50ms);
+    CHECK_TRUE(problem == asio::error::connection_reset);
+}
