--- a/include/topaztack/node/retry_desk.hpp
+++ b/include/topaztack/node/retry_desk.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <mutex>
+#include <optional>
 
 /// @file
 /// The retry budget of one VM, shared by its threads.
@@ -28,7 +29,8 @@
 
     NodeContext& context;
     std::mutex lock;
-    RetryBudget budget;
+    /// Empty until a document says what is allowed.
+    std::optional<RetryBudget> budget;
     Random random;
     Counter& retries;
     Counter& refused;
--- a/include/topaztack/policy/retry.hpp
+++ b/include/topaztack/policy/retry.hpp
@@ -23,6 +23,13 @@
 /// Credit is kept up to this many attempts, so that a quiet hour does not pay for a storm.
 inline constexpr std::uint64_t mostRetryCredit = 100;
 
+/// Attempts that a VM may repeat before it has earned any: its first request may meet a server that breaks.
+inline constexpr std::uint64_t startingRetryCredit = 10;
+
+/// @brief Credit of a VM that has just started.
+/// @param percent extra attempts allowed for each hundred first ones; none are granted where none are allowed.
+RetryBudget startingBudget(std::uint64_t percent);
+
 /// @brief Earns credit for one first attempt.
 /// @param percent extra attempts allowed for each hundred first ones.
 void earnRetry(RetryBudget& budget, std::uint64_t percent);
--- a/src/node/retry_desk.cpp
+++ b/src/node/retry_desk.cpp
@@ -20,13 +20,19 @@
 {
     const auto accepted = this->context.document();
     const std::lock_guard guard(this->lock);
-    earnRetry(this->budget, accepted ? accepted->document.limits.retryBudgetPercent : 0);
+    if (!accepted)
+        return;
+    const auto percent = accepted->document.limits.retryBudgetPercent;
+    if (!this->budget)
+        this->budget = startingBudget(percent);
+    earnRetry(*this->budget, percent);
 }
 
 std::chrono::microseconds RetryDesk::decide(const RetryFacts& facts)
 {
     const std::lock_guard guard(this->lock);
-    return decideRetry(this->budget, facts, this->random);
+    RetryBudget none;
+    return decideRetry(this->budget ? *this->budget : none, facts, this->random);
 }
 
 asio::awaitable<bool> RetryDesk::waitForRetry(RetryFacts facts)
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -15,6 +15,8 @@
 
 } // namespace
 
+RetryBudget startingBudget(std::uint64_t percent) { return { percent == 0 ? 0 : startingRetryCredit * oneAttempt }; }
+
 void earnRetry(RetryBudget& budget, std::uint64_t percent)
 {
     budget.credit = std::min(budget.credit + percent, mostRetryCredit * oneAttempt);
--- a/tests/functional/test_requests_limits.py
+++ b/tests/functional/test_requests_limits.py
@@ -30,6 +30,13 @@
     def state(self, vm=0):
         return call(self.operators[vm], "GET", "/debug/state").json()
 
+    def pool(self, vm=0):
+        """The pool's state; it stands in the dump once it has been asked for."""
+        return self.state(vm)["pools"].get("app", {"waiting": 0, "servers": {}})
+
+    def in_flight(self):
+        return sum(server["in_flight"] for server in self.pool()["servers"].values())
+
 
 class Overload(LimitCase):
     vm_count = 1
@@ -54,7 +61,7 @@
         for index in range(self.service_count):
             self.cluster.signal(f"service-{index}", signal.SIGSTOP)
         threads, answers = self.crowd(8)
-        wait_until(lambda: self.state()["pools"]["app"]["waiting"] == 4, what="queue full")
+        wait_until(lambda: self.pool()["waiting"] == 4, what="queue full")
         in_flight = [server["in_flight"] for server in self.state()["pools"]["app"]["servers"].values()]
         self.assertEqual(in_flight, [2, 2])
         refused = self.book("one too many")
@@ -69,8 +76,7 @@
         for index in range(self.service_count):
             self.cluster.signal(f"service-{index}", signal.SIGSTOP)
         threads, _ = self.crowd(4)
-        wait_until(lambda: sum(server["in_flight"] for server in
-                               self.state()["pools"]["app"]["servers"].values()) == 4, what="slots taken")
+        wait_until(lambda: self.in_flight() == 4, what="slots taken")
         late = self.book("late", headers={"Topaztack-Deadline-Ms": "200"})
         self.assertEqual((late.outcome, late.json()["error"]["kind"]), ("not-run", "deadline-too-short"))
         for index in range(self.service_count):
@@ -87,14 +93,12 @@
         for index in range(self.service_count):
             self.cluster.signal(f"service-{index}", signal.SIGSTOP)
         threads, answers = self.crowd(2, headers={"Topaztack-Caller": "greedy"})
-        wait_until(lambda: sum(server["in_flight"] for server in
-                               self.state()["pools"]["app"]["servers"].values()) == 2, what="two in flight")
+        wait_until(lambda: self.in_flight() == 2, what="two in flight")
         refused = self.book("third", headers={"Topaztack-Caller": "greedy"})
         self.assertEqual((refused.status, refused.outcome), (429, "not-run"))
         self.assertGreaterEqual(int(refused.headers["retry-after"]), 1)
         others, more = self.crowd(1, headers={"Topaztack-Caller": "modest"})
-        wait_until(lambda: sum(server["in_flight"] for server in
-                               self.state()["pools"]["app"]["servers"].values()) == 3, what="another caller served")
+        wait_until(lambda: self.in_flight() == 3, what="another caller served")
         for index in range(self.service_count):
             self.cluster.signal(f"service-{index}", signal.SIGCONT)
         for thread in threads + others:
--- a/tests/functional/test_requests_resume.py
+++ b/tests/functional/test_requests_resume.py
@@ -51,6 +51,13 @@
         self.assertEqual(answer.json()["choices"][0]["token_ids"], wanted)
         self.assertEqual(answer.json()["weight_versions"], [{"version": 1, "from": 0, "to": TOKENS}])
 
+    def test_a_generation_that_breaks_before_its_first_token_is_run_elsewhere(self):
+        wanted = self.reference()
+        self.break_all(0)
+        answer = self.complete()
+        self.assertEqual((answer.status, answer.outcome), (200, "ran"), answer.body)
+        self.assertEqual(answer.json()["choices"][0]["token_ids"], wanted)
+
     def test_a_streamed_answer_shows_no_seam(self):
         wanted = self.reference()
         self.break_all(7)
--- a/tests/src/policy/unit-retry.cpp
+++ b/tests/src/policy/unit-retry.cpp
@@ -44,6 +44,19 @@
     CHECK_TRUE(decideRetry(budget, { 1, true, false, 30s }, random) < 0us);
 }
 
+// Pattern: a VM has just started, and the engine of its first request dies before the first token.
+TEST(RetryTest, AVmThatHasJustStartedMayRepeatAFewAttempts)
+{
+    Random random(1);
+    auto budget = startingBudget(10);
+    std::uint64_t repeated = 0;
+    while (decideRetry(budget, { 1, true, false, 30s }, random) >= 0us)
+        ++repeated;
+    LONGS_EQUAL(startingRetryCredit, repeated);
+    auto none = startingBudget(0);
+    CHECK_TRUE(decideRetry(none, { 1, true, false, 30s }, random) < 0us);
+}
+
 TEST(RetryTest, BackoffGrowsToItsCap)
 {
     Random random(7);
