--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -76,6 +76,7 @@
     for (const std::string& bytes : { std::string("\xff\x00\x01", 3), std::string("null"), std::string("{}"),
              replaced(wholeServer, "\"ready\"", "\"resting\""), replaced(wholeServer, "\"ready\"", "1"),
              replaced(wholeServer, "10.128.0.9:8080", "somewhere"),
+             replaced(wholeServer, "10.128.0.9:8080", "10.128.0.9:0"), replaced(wholeServer, "\"lm\"", "\"\""),
              replaced(wholeServer, "\"slots\":12", "\"slots\":[]"), replaced(wholeServer, "1800000000123", "\"then\""),
              replaced(wholeServer, "\"lm\"", "null") })
         CHECK_FALSE(decodeServer("i-1", bytes).has_value());
