--- a/include/topaztack/base/time.hpp
+++ b/include/topaztack/base/time.hpp
@@ -20,6 +20,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+/// @brief Unix time as this VM's clock has it.
+inline std::chrono::milliseconds unixTime()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(WallClock::now().time_since_epoch());
+}
+
 /// @brief Time since boot, suspension included: the steady clock stands still while a VM is suspended, a lease does
 /// not.
 TimePoint timeWithSuspension();
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -101,6 +101,10 @@
     std::uint64_t writes { 0 };
     /// When it was accepted, in milliseconds of Unix time as the accepting VM had it.
     std::chrono::milliseconds acceptedAt { 0 };
+    /// The configuration by which it was accepted; an older one may lack its routes.
+    ConfigVersion configuration;
+    /// Objects with texts of unfinished items that VMs left when they gave the job up; the last one counts.
+    std::uint64_t textObjects { 0 };
     std::string host;
     std::string path;
     ModelName model;
@@ -115,6 +119,12 @@
 /// @return BadFrame with what is wrong.
 Result<JobHead> parseJobHead(std::string_view text);
 
+/// @brief Texts of unfinished items, as a VM that gives a job up leaves them to the next one.
+std::string toText(const std::map<ItemId, ItemText>& texts);
+
+/// @return BadFrame with what is wrong.
+Result<std::map<ItemId, ItemText>> parseItemTexts(std::string_view text);
+
 /// @name Result rows
 /// A result stands in one row or, if it is long, in several: `position/piece`, the last one marked as such.
 /// @{
--- a/include/topaztack/wire/store_client.hpp
+++ b/include/topaztack/wire/store_client.hpp
@@ -116,6 +116,9 @@
 /// @return the length of the outage that has just ended; nothing if none has.
 std::optional<Duration> noteAnswer(StoreContact& contact, bool isAnswered, TimePoint now);
 
+/// @brief Whether the store has not answered this VM for longer than single calls fail.
+bool isStoreAway(const StoreContact& contact, TimePoint now);
+
 /// @brief A client for one thread.
 ///
 /// Errors of every call: PlatformUnreachable (it did not take effect), PlatformAmbiguous (it may have taken effect, or
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,8 @@
 #include "job_service.hpp"
 #include "job_store.hpp"
 #include "order_lease.hpp"
+#include "peer_directory.hpp"
+#include "peer_relay.hpp"
 #include "server_table.hpp"
 #include "table_follower.hpp"
 #include "weight_loader.hpp"
@@ -37,6 +39,9 @@
     constexpr std::chrono::milliseconds serversPause { 200 };
     constexpr Duration expiryInterval = 100ms;
     constexpr std::chrono::milliseconds notReadyRetryAfter { 300 };
+    /// Outages of the store last seconds.
+    constexpr std::chrono::milliseconds storeRetryAfter { 1500 };
+    constexpr unsigned statusNotRun = 503;
     /// A configuration older than this may lack a route that callers use already.
     constexpr Duration oldestView = 1500ms;
     /// The balancer takes a VM out after two questions a second apart.
@@ -75,7 +80,10 @@
     bool isViewOld() const;
     HttpServerLimits callerLimits() const;
     asio::awaitable<void> handle(HttpExchange& exchange);
+    asio::awaitable<void> handlePeer(HttpExchange& exchange);
     asio::awaitable<void> handleRoute(HttpExchange& exchange, const CallerCall& call);
+    asio::awaitable<HttpResponse> answerJobCall(const HttpRequest& request, const CallerCall& call, const Route* route);
+    asio::awaitable<HttpResponse> answerOrPass(const HttpRequest& request, const CallerCall& call, const Route* route);
     asio::awaitable<void> expire();
     asio::awaitable<void> handOver(TimePoint deadline);
     json::value dump() const;
@@ -88,11 +96,14 @@
     Forwarder forwarder;
     OrderLease lease;
     WeightLoader weights;
+    PeerDirectory peers;
+    PeerRelay peerRelay;
     TableFollower operatorRows;
     TableFollower serverRows;
     HttpRouter operatorRoutes;
     HttpServer callerServer;
     HttpServer operatorServer;
+    HttpServer peerServer;
 };
 
 Gateway::Parts::Parts(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol)
@@ -104,6 +115,8 @@
     , forwarder(this->context, this->servers)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
+    , peers(this->context)
+    , peerRelay(this->context, this->peers)
     , operatorRows(this->context, followRules(protocol.places.operatorTable, configurationWait, 0ms),
           [this](const std::vector<StoreRow>& rows, bool) { this->takeOperatorRows(rows); })
     , serverRows(this->context, followRules(protocol.places.serversTable, serversWait, serversPause),
@@ -115,6 +128,9 @@
           this->context.threads, this->context.settings.operators, [] { return HttpServerLimits {}; },
           [this](HttpExchange& exchange) { return this->operatorRoutes.handle(exchange); }, this->context.metrics,
           "operators")
+    , peerServer(
+          this->context.threads, this->context.settings.peers, [this] { return this->callerLimits(); },
+          [this](HttpExchange& exchange) { return this->handlePeer(exchange); }, this->context.metrics, "peers")
 {
     this->addOperatorRoutes();
 }
@@ -145,7 +161,7 @@
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "weights", this->weights.dump() } };
+        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -211,26 +227,72 @@
 bool Gateway::Parts::isViewOld() const { return Clock::now() - this->operatorRows.answeredAt() > oldestView; }
 
 asio::awaitable<void> Gateway::Parts::handle(HttpExchange& exchange)
+{
+    const auto call = this->context.protocol.decodeCall(exchange.request());
+    if (!call)
+        co_await exchange.respond(errorResponse(call.error()));
+    else if (call.value().ask == CallerAsk::Route)
+        co_await this->handleRoute(exchange, call.value());
+    else
+        co_await exchange.respond(co_await this->answerOrPass(exchange.request(), call.value(), nullptr));
+}
+
+/// A call that another VM passed on is answered here or not at all.
+asio::awaitable<void> Gateway::Parts::handlePeer(HttpExchange& exchange)
 {
     const auto call = this->context.protocol.decodeCall(exchange.request());
     if (!call) {
         co_await exchange.respond(errorResponse(call.error()));
         co_return;
     }
-    switch (call.value().ask) {
+    const auto table = this->context.routes;
+    const auto* route = table && call.value().ask == CallerAsk::Route
+        ? matchRoute(*table, call.value().host, targetPath(exchange.request().target))
+        : nullptr;
+    const bool isJobCall = call.value().ask != CallerAsk::Route || (route && route->kind == RouteKind::Batch);
+    if (!isJobCall || isStoreAway(this->context.store.contact(), Clock::now())) {
+        const auto error = isJobCall
+            ? makeError(ErrorKind::PlatformUnreachable, "the store does not answer this VM either")
+            : makeError(ErrorKind::NotReady, "no route for jobs of this host and path");
+        co_await exchange.respond(notRunAnswer(error, call.value().id, notReadyRetryAfter));
+        co_return;
+    }
+    co_await exchange.respond(co_await this->answerJobCall(exchange.request(), call.value(), route));
+}
+
+asio::awaitable<HttpResponse> Gateway::Parts::answerJobCall(
+    const HttpRequest& request, const CallerCall& call, const Route* route)
+{
+    switch (call.ask) {
     case CallerAsk::Route:
-        co_await this->handleRoute(exchange, call.value());
         break;
     case CallerAsk::ReadResults:
-        co_await exchange.respond(co_await this->jobService.readResults(call.value()));
-        break;
+        co_return co_await this->jobService.readResults(call);
     case CallerAsk::ReadItemBody:
-        co_await exchange.respond(co_await this->jobService.readItemBody(call.value()));
-        break;
+        co_return co_await this->jobService.readItemBody(call);
     case CallerAsk::EndJob:
-        co_await exchange.respond(co_await this->jobService.end(call.value()));
-        break;
+        co_return co_await this->jobService.end(call);
+    }
+    co_return co_await this->jobService.submit(request, call, *route);
+}
+
+/// While the store does not answer this VM, other VMs are asked at once.
+asio::awaitable<HttpResponse> Gateway::Parts::answerOrPass(
+    const HttpRequest& request, const CallerCall& call, const Route* route)
+{
+    if (!isStoreAway(this->context.store.contact(), Clock::now())) {
+        auto response = co_await this->answerJobCall(request, call, route);
+        if (response.status != statusNotRun)
+            co_return std::move(response);
     }
+    auto passed = co_await this->peerRelay.pass(request, call);
+    if (passed.answer)
+        co_return std::move(*passed.answer);
+    if (passed.mayHaveRun)
+        co_return mayHaveRunAnswer(
+            makeError(ErrorKind::PlatformAmbiguous, "neither the store nor another VM answered"), call.id);
+    co_return notRunAnswer(
+        makeError(ErrorKind::PlatformUnreachable, "no VM that was asked reaches the store"), call.id, storeRetryAfter);
 }
 
 asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, const CallerCall& call)
@@ -250,7 +312,7 @@
         co_return;
     }
     if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
-        co_await exchange.respond(co_await this->jobService.submit(exchange.request(), call, *route));
+        co_await exchange.respond(co_await this->answerOrPass(exchange.request(), call, route));
     else
         co_await this->forwarder.handle(exchange, call, *route);
 }
@@ -267,6 +329,7 @@
 {
     co_await this->lease.release(deadline);
     co_await this->jobs.releaseAll(deadline);
+    co_await this->peers.withdraw();
 }
 
 Gateway::Gateway(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol)
@@ -281,11 +344,13 @@
     auto& parts = *this->parts;
     BOOST_OUTCOME_TRYV(parts.callerServer.start());
     BOOST_OUTCOME_TRYV(parts.operatorServer.start());
+    BOOST_OUTCOME_TRYV(parts.peerServer.start());
     parts.operatorRows.start();
     parts.serverRows.start();
     parts.jobs.start();
     parts.lease.start();
     parts.weights.start();
+    parts.peers.start();
     asio::co_spawn(parts.context.loop(), parts.expire(), asio::detached);
     parts.context.threads.start();
     logEvent(LogLevel::Info, "serving",
@@ -314,6 +379,7 @@
         std::this_thread::sleep_for(shutdownCheckInterval);
     logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(parts.callerServer.inFlight()) } });
     parts.operatorServer.stopAccepting();
+    parts.peerServer.stopAccepting();
     parts.context.threads.stop();
 }
 
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -31,6 +31,9 @@
     /// Texts of ended jobs are kept for this long, and of this many jobs.
     constexpr Duration textRetention = 15s;
     constexpr std::size_t keptRunners = 6;
+    /// VMs other than the last owner remove a job within this time after it.
+    constexpr std::uint64_t removalSpreadMs = 300'000;
+    constexpr Duration removalRetry = 10s;
     /// Added to the time for which results are kept, for differences between the clocks of VMs.
     constexpr std::chrono::milliseconds clockSlack { 10'000 };
 
@@ -44,11 +47,6 @@
         return rules;
     }
 
-    std::chrono::milliseconds unixNow()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(WallClock::now().time_since_epoch());
-    }
-
     bool isOpen(const JobHead& head) { return !head.isEnded && head.listed < head.total; }
 
 } // namespace
@@ -121,23 +119,26 @@
     return found == this->runners.end() || found->second->isStopped() ? nullptr : found->second;
 }
 
-std::map<ItemId, ItemText> JobOwner::textsFor(const JobSpec& job)
+/// Texts of this trainer's other jobs here, for items that come again. Those that the VM before left go first.
+void JobOwner::addTexts(RunnerStart& start) const
 {
-    std::map<ItemId, ItemText> texts;
+    const auto& job = start.job;
     const auto* route = this->context.routes ? matchRoute(*this->context.routes, job.host, job.path) : nullptr;
     const bool isSingleVersion = route && route->isSingleVersion;
-    for (const auto& runner : this->ended) {
+    std::vector<std::shared_ptr<JobRunner>> others(this->ended.begin(), this->ended.end());
+    for (const auto& [id, runner] : this->runners)
+        others.push_back(runner);
+    for (const auto& runner : others) {
         if (runner->spec().model != job.model)
             continue;
         for (const auto& item : job.items) {
-            if (texts.contains(item.id))
+            if (start.texts.contains(item.id))
                 continue;
             auto text = runner->takeText(item.id, job.oldestVersion, isSingleVersion);
             if (text)
-                texts.emplace(item.id, std::move(*text));
+                start.texts.emplace(item.id, std::move(*text));
         }
     }
-    return texts;
 }
 
 void JobOwner::adopt(RunnerStart start)
@@ -145,7 +146,7 @@
     const auto id = start.job.id;
     if (this->runnerOf(id))
         return;
-    start.texts = this->textsFor(start.job);
+    this->addTexts(start);
     auto runner = std::make_shared<JobRunner>(this->context, this->servers, this->store, std::move(start));
     this->runners[id] = runner;
     this->starts.add();
@@ -223,7 +224,7 @@
             if (!this->context.isDraining && this->isClaimable(id, known, now)) {
                 known.isBeingClaimed = true;
                 asio::co_spawn(this->context.loop(), this->claimAndRun(id), asio::detached);
-            } else if (!known.isBeingRemoved && this->isForgettable(known)) {
+            } else if (!known.isBeingRemoved && this->isForgettable(id, known)) {
                 known.isBeingRemoved = true;
                 asio::co_spawn(this->context.loop(), this->forget(id), asio::detached);
             }
@@ -292,6 +293,9 @@
     Result<std::vector<ItemResult>> listed = std::vector<ItemResult> {};
     if (submission && head.head.listed > 0)
         listed = co_await this->store.readAllResults(id, 0);
+    const auto texts = co_await this->store.readTexts(id, head.head.textObjects);
+    if (!texts)
+        logEvent(LogLevel::Warning, "texts-not-read", { { "job", id.value() }, { "error", texts.error().message } });
     this->jobs[id].isBeingClaimed = false;
     if (!submission || !listed) {
         const auto& error = submission ? listed.error() : submission.error();
@@ -307,23 +311,36 @@
     start.job = std::move(job).value();
     start.head = head;
     start.listed = std::move(listed).value();
+    if (texts)
+        start.texts = texts.value();
     start.isHandedOver = isHandedOver;
     this->adopt(std::move(start));
 }
 
-bool JobOwner::isForgettable(const Known& known) const
+/// The last owner removes a job; the others follow one after the other, should it be gone.
+bool JobOwner::isForgettable(const JobId& id, const Known& known) const
 {
-    const auto age = unixNow() - known.stored.head.acceptedAt;
-    return age > this->context.settings.gateway.resultRetention + clockSlack && !isOpen(known.stored.head);
+    const auto& head = known.stored.head;
+    if (isOpen(head))
+        return false;
+    const bool isOwn = head.owner.name == this->context.identity.name;
+    const auto rank = stableHash(id.value(), this->context.identity.incarnation.value());
+    const auto turn = std::chrono::milliseconds(isOwn ? 0 : 1 + rank % removalSpreadMs);
+    return unixTime() - head.acceptedAt > this->context.settings.gateway.resultRetention + clockSlack + turn;
 }
 
 asio::awaitable<void> JobOwner::forget(JobId id)
 {
     const auto removed = co_await this->store.remove(id, this->jobs[id].stored);
-    if (removed)
+    if (removed) {
         this->jobs.erase(id);
-    else
-        this->jobs[id].isBeingRemoved = false;
+        co_return;
+    }
+    logEvent(LogLevel::Info, "job-not-removed", { { "job", id.value() }, { "error", removed.error().message } });
+    co_await pauseFor(removalRetry);
+    const auto known = this->jobs.find(id);
+    if (known != this->jobs.end())
+        known->second.isBeingRemoved = false;
 }
 
 asio::awaitable<void> JobOwner::releaseAll(TimePoint deadline)
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -62,14 +62,14 @@
     void takeRows(const std::vector<StoreRow>& rows, bool isWhole);
     boost::asio::awaitable<void> watch();
     bool isClaimable(const JobId& id, const Known& known, TimePoint now) const;
-    bool isForgettable(const Known& known) const;
+    bool isForgettable(const JobId& id, const Known& known) const;
     void adopt(RunnerStart start);
-    std::map<ItemId, ItemText> textsFor(const JobSpec& job);
     boost::asio::awaitable<std::optional<StoredHead>> claim(JobId id);
     boost::asio::awaitable<void> claimAndRun(JobId id);
     boost::asio::awaitable<void> takeOver(JobId id, StoredHead head, bool isHandedOver);
     boost::asio::awaitable<void> watchHandover(JobSpec job, StoredHead head);
     boost::asio::awaitable<void> forget(JobId id);
+    void addTexts(RunnerStart& start) const;
     void dropStoppedRunners();
 
     GatewayContext& context;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -54,6 +54,8 @@
     std::uint64_t failures { 0 };
     std::uint64_t attempts { 0 };
     std::set<BackendName> tried;
+    /// By the item's own path; nullptr if it has none.
+    const Route* route { nullptr };
     /// Set while it runs.
     CallControl* control { nullptr };
 };
@@ -67,6 +69,7 @@
     , toList(context.loop())
     , listedAt(Clock::now())
     , startedAt(Clock::now())
+    , textObjects(start.head.head.textObjects)
     , attempts(context.metrics.counter("topaztack_item_attempts_total", "Generations begun or resumed at a server"))
 {
     this->takeStart(start);
@@ -158,6 +161,9 @@
     if (found == this->items.end())
         return std::nullopt;
     auto& run = **found;
+    // A job that still runs keeps what it has begun.
+    if (!this->end && run.phase != ItemPhase::Finished)
+        return std::nullopt;
     const bool isUsable
         = run.state == ItemState::Completed && run.text.lastEvent && fitsVersions(run.text, oldest, isSingleVersion);
     if (!isUsable)
@@ -183,9 +189,31 @@
     this->toList.notify();
 }
 
-const Route* JobRunner::route() const
+void JobRunner::followRoutes()
+{
+    if (!this->context.routes || this->table == this->context.routes)
+        return;
+    this->table = this->context.routes;
+    this->route = matchRoute(*this->table, this->job.host, this->job.path);
+    for (const auto& item : this->items)
+        item->route = matchRoute(*this->table, this->job.host, item->item->path);
+}
+
+/// Lists items as aborted whose route is gone or whose time is up. A configuration older than the one that accepted the
+/// job may lack its routes. The time is counted from this VM's start of the job, which is later than its submission.
+void JobRunner::giveUpOldItems()
 {
-    return this->context.routes ? matchRoute(*this->context.routes, this->job.host, this->job.path) : nullptr;
+    if (!this->table || this->table->version < this->head.head.configuration || this->isReleasing)
+        return;
+    const auto age = Clock::now() - this->startedAt;
+    for (const auto& each : this->items) {
+        auto& item = *each;
+        const bool isOld = item.route && item.route->retention > 0ms && age >= item.route->retention;
+        if (isOld && item.control)
+            item.control->cancel();
+        if (item.phase == ItemPhase::Waiting && (isOld || !item.route))
+            this->finish(item, ItemState::Aborted, isOld ? "not done within its retention" : "its route is gone");
+    }
 }
 
 bool JobRunner::isAnyWaiting() const
@@ -196,16 +224,16 @@
 
 bool JobRunner::mayStart() const { return !this->isReleasing && Clock::now() - this->listedAt < longestSilence; }
 
-ServerNeed JobRunner::needOf(const ItemRun& item, const Route& route) const
+ServerNeed JobRunner::needOf(const ItemRun& item) const
 {
     ServerNeed need;
-    const auto* pool = choosePool(route, stableHash(item.item->id.value()));
+    const auto* pool = choosePool(*item.route, stableHash(item.item->id.value()));
     if (pool)
         need.pool = *pool;
     need.tried = item.tried;
     need.model = this->job.model;
     need.oldestVersion = this->job.oldestVersion;
-    if (route.isSingleVersion && !item.text.versions.empty())
+    if (item.route->isSingleVersion && !item.text.versions.empty())
         need.exactVersion = item.text.versions.front();
     const auto named = this->context.namedVersions.find(this->job.model);
     const bool mayWait = item.isSpare && Clock::now() - this->startedAt < spareWait;
@@ -219,14 +247,15 @@
 
 void JobRunner::startWhatFits()
 {
-    const auto* found = this->route();
-    if (!found || !this->mayStart())
+    this->followRoutes();
+    this->giveUpOldItems();
+    if (!this->mayStart())
         return;
     for (const auto& each : this->items) {
         auto& item = *each;
-        if (item.phase != ItemPhase::Waiting)
+        if (item.phase != ItemPhase::Waiting || !item.route)
             continue;
-        auto need = this->needOf(item, *found);
+        auto need = this->needOf(item);
         auto server = this->servers.acquire(need);
         if (!server && need.exactVersion.value() != 0)
             this->restart(item, "no server has its version");
@@ -283,14 +312,12 @@
     case AttemptEnd::NeverDone:
         this->finish(item, ItemState::Aborted, "server says it can't be done");
         break;
-    case AttemptEnd::Failed: {
+    case AttemptEnd::Failed:
         ++item.failures;
         item.tried.insert(server.name);
-        const auto* found = this->route();
-        if (found && item.failures >= found->maxAttempts)
+        if (item.route && item.failures >= item.route->maxAttempts)
             this->finish(item, ItemState::Aborted, "failed at every attempt");
         break;
-    }
     case AttemptEnd::Interrupted:
     case AttemptEnd::Moved:
     case AttemptEnd::Crowded:
@@ -343,10 +370,10 @@
     this->beingListed = this->nextResults();
     next.listed += this->beingListed.size();
     ++next.writes;
-    const auto* found = this->route();
-    const auto* pool = found ? choosePool(*found, 0) : nullptr;
+    const auto* pool = this->route ? choosePool(*this->route, 0) : nullptr;
     if (pool)
         next.inFlight = this->servers.inFlight(*pool);
+    next.textObjects = this->textObjects;
     if (this->isReleasing && this->finished.empty())
         next.owner = VmIdentity {};
     return next;
@@ -377,8 +404,32 @@
     return false;
 }
 
+/// The next owner goes on where these texts end.
+asio::awaitable<void> JobRunner::leaveTexts()
+{
+    this->areTextsLeft = true;
+    std::map<ItemId, ItemText> texts;
+    for (const auto& item : this->items) {
+        if (item->phase != ItemPhase::Finished && item->text.lastEvent)
+            texts.emplace(item->item->id, item->text);
+    }
+    if (texts.empty())
+        co_return;
+    const auto number = this->textObjects;
+    const auto left = co_await this->store.putTexts(this->job.id, number, toText(texts));
+    if (left)
+        this->textObjects = number + 1;
+    logEvent(left ? LogLevel::Info : LogLevel::Warning, left ? "texts-left" : "texts-not-left",
+        { { "job", this->job.id.value() }, { "texts", std::to_string(texts.size()) },
+            { "error", left ? "" : left.error().message } });
+}
+
 asio::awaitable<void> JobRunner::listOnce()
 {
+    if (this->isReleasing && !this->areTextsLeft && !this->pendingHead)
+        co_await this->leaveTexts();
+    if (this->end)
+        co_return;
     if (!this->pendingHead)
         this->pendingHead = this->nextHead();
     const auto write = co_await this->store.write(
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -38,7 +38,7 @@
     StoredHead head;
     /// Results that stand in the store already.
     std::vector<ItemResult> listed;
-    /// Texts of earlier jobs.
+    /// Texts of earlier jobs, and those that the VM before left.
     std::map<ItemId, ItemText> texts;
     /// Whether other VMs are still to be told that this VM runs the job.
     bool isHandedOver { false };
@@ -82,8 +82,10 @@
     void startWhatFits();
     bool mayStart() const;
     bool isAnyWaiting() const;
-    ServerNeed needOf(const ItemRun& item, const Route& route) const;
-    const Route* route() const;
+    ServerNeed needOf(const ItemRun& item) const;
+    void followRoutes();
+    void giveUpOldItems();
+    boost::asio::awaitable<void> leaveTexts();
     void stop(RunnerEnd reason);
     void cancelRuns();
     std::vector<ItemResult> nextResults();
@@ -107,6 +109,13 @@
     std::optional<RunnerEnd> end;
     TimePoint endedAt;
     bool isReleasing { false };
+    bool areTextsLeft { false };
+    /// Text objects of the job, those that this VM leaves included.
+    std::uint64_t textObjects { 0 };
+    /// The configuration that the routes below are of.
+    RouteTablePtr table;
+    /// The route of the job itself; nullptr if it has none.
+    const Route* route { nullptr };
     TimePoint listedAt;
     TimePoint startedAt;
     Counter& attempts;
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -16,7 +16,6 @@
     constexpr unsigned statusAccepted = 202;
     /// Outages of the store last seconds.
     constexpr std::chrono::milliseconds storeRetryAfter { 1500 };
-    constexpr std::chrono::milliseconds notReadyRetryAfter { 300 };
     /// A write whose answer was lost is repeated for this long; it settles what became of it.
     constexpr Duration longestSettling = 5s;
     constexpr Duration repeatInterval = 100ms;
@@ -26,11 +25,6 @@
     /// Decoded submissions kept for callers that ask for bodies.
     constexpr std::size_t keptSpecs = 4;
 
-    std::chrono::milliseconds unixNow()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(WallClock::now().time_since_epoch());
-    }
-
     HttpResponse plainAnswer(unsigned status)
     {
         HttpResponse response;
@@ -56,8 +50,10 @@
 {
 }
 
-HttpResponse JobService::unavailable(const Error& error, const RequestId& id) const
+HttpResponse JobService::unavailable(std::string_view what, const Error& error, const RequestId& id) const
 {
+    logEvent(LogLevel::Info, "job-call-refused",
+        { { "call", std::string(what) }, { "id", id.value() }, { "error", error.message } });
     return notRunAnswer(error, id, storeRetryAfter);
 }
 
@@ -90,12 +86,13 @@
     const RequestId id(job.id.value());
     const auto stored = co_await this->store.putSubmission(submission);
     if (!stored)
-        co_return this->unavailable(stored.error(), id);
+        co_return this->unavailable("submit", stored.error(), id);
     JobHead head;
     head.owner = this->owner.preferredOwner(job.model);
     head.total = job.items.size();
     head.objects = this->store.objectsFor(submission.body.size());
-    head.acceptedAt = unixNow();
+    head.acceptedAt = unixTime();
+    head.configuration = this->context.routes->version;
     head.host = submission.host;
     head.path = submission.path;
     head.model = job.model;
@@ -116,7 +113,8 @@
         mayHaveLanded = mayHaveLanded || write.end == JobWriteEnd::Unknown;
         const auto error = makeError(ErrorKind::PlatformAmbiguous, "the store did not say whether it has the job");
         if (!mayHaveLanded)
-            co_return this->unavailable(makeError(ErrorKind::PlatformUnreachable, "the store takes no job now"), id);
+            co_return this->unavailable(
+                "submit", makeError(ErrorKind::PlatformUnreachable, "the store takes no job now"), id);
         if (Clock::now() >= deadline)
             co_return mayHaveRunAnswer(error, id);
         co_await pauseFor(repeatInterval);
@@ -155,12 +153,12 @@
 {
     const auto head = co_await this->findHead(call.job);
     if (!head)
-        co_return this->unavailable(head.error(), call.id);
+        co_return this->unavailable("read", head.error(), call.id);
     if (!head.value())
         co_return noSuchJob(call);
     auto results = co_await this->waitForResults(call);
     if (!results)
-        co_return this->unavailable(results.error(), call.id);
+        co_return this->unavailable("read", results.error(), call.id);
     ResultPage page;
     page.total = head.value()->head.total;
     std::size_t bytes = 0;
@@ -205,7 +203,7 @@
 {
     const auto spec = co_await this->findSpec(call.job);
     if (!spec)
-        co_return this->unavailable(spec.error(), call.id);
+        co_return this->unavailable("body", spec.error(), call.id);
     if (!spec.value())
         co_return noSuchJob(call);
     const auto& items = spec.value()->items;
@@ -254,7 +252,7 @@
             problem = head.error();
         }
         if (!mayHaveLanded)
-            co_return this->unavailable(problem, call.id);
+            co_return this->unavailable("end", problem, call.id);
         if (Clock::now() >= deadline)
             co_return mayHaveRunAnswer(makeError(ErrorKind::PlatformAmbiguous, problem.message), call.id);
         co_await pauseFor(repeatInterval);
--- a/src/gateway/job_service.hpp
+++ b/src/gateway/job_service.hpp
@@ -31,7 +31,7 @@
     boost::asio::awaitable<HttpResponse> accept(StoredSubmission submission, JobSpec job, TimePoint deadline);
     boost::asio::awaitable<Result<std::vector<ItemResult>>> waitForResults(const CallerCall& call);
     boost::asio::awaitable<Result<std::shared_ptr<const JobSpec>>> findSpec(JobId id);
-    HttpResponse unavailable(const Error& error, const RequestId& id) const;
+    HttpResponse unavailable(std::string_view what, const Error& error, const RequestId& id) const;
 
     GatewayContext& context;
     JobStore& store;
--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -36,6 +36,11 @@
         return ObjectKey("job-" + id.value() + "-" + std::to_string(index));
     }
 
+    ObjectKey textsKey(const JobId& id, std::uint64_t number)
+    {
+        return ObjectKey("job-" + id.value() + "-texts-" + std::to_string(number));
+    }
+
     StoreTransaction headWrite(const JobId& id, RowVersion condition, const JobHead& head)
     {
         StoreTransaction transaction;
@@ -137,6 +142,24 @@
     co_return std::move(submission);
 }
 
+asio::awaitable<Result<void>> JobStore::putTexts(JobId id, std::uint64_t number, std::string texts)
+{
+    const auto stored = co_await this->context.store.putObject(textsKey(id, number), std::move(texts));
+    if (!stored)
+        co_return stored.error();
+    co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<Result<std::map<ItemId, ItemText>>> JobStore::readTexts(JobId id, std::uint64_t objects)
+{
+    if (objects == 0)
+        co_return std::map<ItemId, ItemText> {};
+    const auto bytes = co_await this->context.store.getObject(textsKey(id, objects - 1));
+    if (!bytes)
+        co_return bytes.error();
+    co_return parseItemTexts(bytes.value());
+}
+
 asio::awaitable<JobWrite> JobStore::write(
     JobId id, RowVersion condition, JobHead head, std::uint64_t position, std::vector<ItemResult> results)
 {
@@ -210,6 +233,11 @@
         if (!dropped)
             co_return dropped.error();
     }
+    for (std::uint64_t number = 0; number < head.head.textObjects; ++number) {
+        const auto dropped = co_await this->context.store.dropObject(textsKey(id, number));
+        if (!dropped)
+            co_return dropped.error();
+    }
     StoreTransaction last;
     last.conditions.push_back({ headPlace(id), head.version });
     last.writes.push_back({ headPlace(id), std::nullopt });
--- a/src/gateway/job_store.hpp
+++ b/src/gateway/job_store.hpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <map>
+
 /// @file
 /// Jobs in the platform's store: the submission in objects, one head row that rules the job, a row or more a result.
 
@@ -48,6 +50,12 @@
 
     boost::asio::awaitable<Result<StoredSubmission>> readSubmission(JobId id, JobHead head);
 
+    /// @brief Keeps the texts of unfinished items as the job's object of that number.
+    boost::asio::awaitable<Result<void>> putTexts(JobId id, std::uint64_t number, std::string texts);
+
+    /// @brief The texts that were left last; none if none were.
+    boost::asio::awaitable<Result<std::map<ItemId, ItemText>>> readTexts(JobId id, std::uint64_t objects);
+
     /// @brief Writes a head under the condition that it still has a version, 0 for absent, and results with it.
     /// @param position of the first of the results.
     boost::asio::awaitable<JobWrite> write(
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -18,10 +18,10 @@
     constexpr std::uint32_t mostRefusalDoublings = 2;
     /// Engines make each token nearly as fast with full slots as with one; the rest spreads generations.
     constexpr double engineSlowdownWhenFull = 0.3;
-    /// What another VM said of its generations counts for this long; an owner writes every 700 ms or more often.
-    constexpr Duration longestWord = 1000ms;
+    /// How long another VM's count of its generations holds; an owner writes one every 700 ms or more often.
+    constexpr Duration reportLifetime = 1000ms;
     constexpr double meanGain = 0.1;
-    /// A server whose events take this many times as long as usual is slow; running generations are moved away.
+    /// A server whose events take this many times as long as usual gets no group for its prompt cache alone.
     constexpr double slowFactor = 1.7;
     /// Requests that one VM gives to a server of a plain service beyond its slots: they wait there.
     constexpr std::uint32_t queuedPerServer = 4;
@@ -98,6 +98,8 @@
     const bool isAway = contact.lostSince.has_value();
     for (const auto& name : expireServers(this->servers, now, isAway))
         logEvent(LogLevel::Info, "server-expired", { { "server", name.value() } });
+    std::erase_if(this->uses,
+        [this](const auto& use) { return use.second.outstanding == 0 && !this->servers.entries.contains(use.first); });
 }
 
 const ServerRecord* ServerTable::find(const BackendName& name) const
@@ -106,12 +108,6 @@
     return found == this->servers.entries.end() ? nullptr : &found->second.record;
 }
 
-bool ServerTable::hasServers(const PoolName& pool) const
-{
-    return std::any_of(this->servers.entries.begin(), this->servers.entries.end(),
-        [&pool](const auto& entry) { return entry.second.record.pool == pool && !entry.second.record.isLeaving; });
-}
-
 bool ServerTable::canServe(const ServerRecord& server, const ServerNeed& need, TimePoint now) const
 {
     if (server.pool != need.pool || server.isLeaving)
@@ -155,7 +151,7 @@
     std::uint32_t count = 0;
     for (const auto& [vm, other] : this->others) {
         const auto found = other.counts.find(name);
-        if (found != other.counts.end() && now - other.saidAt < longestWord)
+        if (found != other.counts.end() && now - other.saidAt < reportLifetime)
             count += found->second;
     }
     return count;
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -72,9 +72,6 @@
     /// @brief The record as known now.
     const ServerRecord* find(const BackendName& name) const;
 
-    /// @brief Whether a pool has a server that is not leaving.
-    bool hasServers(const PoolName& pool) const;
-
     /// @brief The weights that an engine was seen to have, ahead of its record.
     void noteVersion(const BackendName& name, const ModelName& model, WeightVersion version);
 
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -62,18 +62,12 @@
     }
 }
 
-/// A row may be read from a copy that is behind; what was seen before counts.
-std::vector<StoreRow> TableFollower::dropOlder(std::vector<StoreRow> rows)
+/// A copy of the store may be behind; what was seen before counts.
+void TableFollower::logStaleRead(RowVersion version) const
 {
-    std::vector<StoreRow> fresh;
-    for (auto& row : rows) {
-        auto& version = this->seen[row.place];
-        if (row.version < version || (row.version == version && !row.isRemoved))
-            continue;
-        version = row.version;
-        fresh.push_back(std::move(row));
-    }
-    return fresh;
+    logEvent(LogLevel::Warning, "stale-read-dropped",
+        { { "table", this->rules.table }, { "version", std::to_string(version.value()) },
+            { "known", std::to_string(this->position.value()) } });
 }
 
 asio::awaitable<bool> TableFollower::readWhole()
@@ -90,18 +84,12 @@
             all.push_back(std::move(row));
     }
     if (version < this->position) {
-        logEvent(LogLevel::Warning, "stale-read-dropped",
-            { { "table", this->rules.table }, { "version", std::to_string(version.value()) },
-                { "known", std::to_string(this->position.value()) } });
+        this->logStaleRead(version);
         co_return false;
     }
     logEvent(LogLevel::Info, "table-read",
         { { "table", this->rules.table }, { "rows", std::to_string(all.size()) },
             { "version", std::to_string(version.value()) } });
-    for (const auto& row : all) {
-        auto& known = this->seen[row.place];
-        known = std::max(known, row.version);
-    }
     this->position = version;
     this->isWhole = true;
     this->take(all, true);
@@ -123,8 +111,14 @@
         this->fresh.reset();
         co_return co_await this->readWhole();
     }
-    this->position = std::max(this->position, changes.value().version);
-    const auto rows = this->dropOlder(std::move(changes.value().rows));
+    if (changes.value().version < this->position) {
+        this->logStaleRead(changes.value().version);
+        co_return true;
+    }
+    auto& rows = changes.value().rows;
+    // Rows of a part that was read after others come again.
+    std::erase_if(rows, [this](const auto& row) { return !row.isRemoved && row.version <= this->position; });
+    this->position = changes.value().version;
     if (!rows.empty())
         this->take(rows, false);
     co_return true;
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -3,7 +3,6 @@
 #include "context.hpp"
 
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -40,12 +39,11 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<bool> readWhole();
     boost::asio::awaitable<bool> readChanges();
-    std::vector<StoreRow> dropOlder(std::vector<StoreRow> rows);
+    void logStaleRead(RowVersion version) const;
 
     GatewayContext& context;
     const FollowRules rules;
     const Taker take;
-    std::map<StoreRowKey, RowVersion> seen;
     RowVersion position;
     bool isWhole { false };
     std::optional<TimePoint> fresh;
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -27,8 +27,6 @@
     /// An engine that gave no answer may carry the order out later; it is asked for its state first.
     constexpr Duration pauseAfterFailure = 1s;
     constexpr unsigned mostDoublings = 3;
-    /// The time in which an engine loads weights if few do at once.
-    constexpr Duration usualLoadTime = 900ms;
     constexpr Duration longestLoadTime = 6s;
     constexpr Duration loadCheckInterval = 50ms;
     /// Loads that the weight store serves at full speed, as a part of the engines, two at least.
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -22,14 +22,27 @@
         return text;
     }
 
+    json::array versionsJson(const std::vector<WeightVersion>& versions)
+    {
+        json::array list;
+        for (const auto& version : versions)
+            list.emplace_back(version.value());
+        return list;
+    }
+
+    std::vector<WeightVersion> parseVersions(const json::value& value)
+    {
+        std::vector<WeightVersion> versions;
+        for (const auto& version : value.as_array())
+            versions.emplace_back(version.to_number<std::uint64_t>());
+        return versions;
+    }
+
     std::string resultText(const ItemResult& result)
     {
-        json::array versions;
-        for (const auto& version : result.versions)
-            versions.emplace_back(version.value());
         return json::serialize(
             json::object { { "id", result.id.value() }, { "completed", result.state == ItemState::Completed },
-                { "output", result.output }, { "versions", std::move(versions) } });
+                { "output", result.output }, { "versions", versionsJson(result.versions) } });
     }
 
     ItemResult parseResult(std::string_view text)
@@ -39,8 +52,7 @@
         result.id = ItemId(json::value_to<std::string>(value.at("id")));
         result.state = value.at("completed").as_bool() ? ItemState::Completed : ItemState::Aborted;
         result.output = json::value_to<std::string>(value.at("output"));
-        for (const auto& version : value.at("versions").as_array())
-            result.versions.emplace_back(version.to_number<std::uint64_t>());
+        result.versions = parseVersions(value.at("versions"));
         return result;
     }
 
@@ -68,6 +80,8 @@
         { "objects", head.objects },
         { "writes", head.writes },
         { "accepted_ms", head.acceptedAt.count() },
+        { "configuration", head.configuration.value() },
+        { "text_objects", head.textObjects },
         { "host", head.host },
         { "path", head.path },
         { "model", head.model.value() },
@@ -88,6 +102,8 @@
         head.objects = value.at("objects").to_number<std::uint64_t>();
         head.writes = value.at("writes").to_number<std::uint64_t>();
         head.acceptedAt = std::chrono::milliseconds(value.at("accepted_ms").to_number<std::int64_t>());
+        head.configuration = ConfigVersion(value.at("configuration").to_number<std::uint64_t>());
+        head.textObjects = value.at("text_objects").to_number<std::uint64_t>();
         head.host = json::value_to<std::string>(value.at("host"));
         head.path = json::value_to<std::string>(value.at("path"));
         head.model = ModelName(json::value_to<std::string>(value.at("model")));
@@ -99,6 +115,38 @@
     }
 }
 
+std::string toText(const std::map<ItemId, ItemText>& texts)
+{
+    json::array list;
+    for (const auto& [id, text] : texts) {
+        if (!text.lastEvent)
+            continue;
+        list.push_back(
+            json::object { { "id", id.value() }, { "output", text.output }, { "versions", versionsJson(text.versions) },
+                { "last_event", *text.lastEvent }, { "whole", text.isWhole } });
+    }
+    return json::serialize(list);
+}
+
+Result<std::map<ItemId, ItemText>> parseItemTexts(std::string_view text)
+{
+    try {
+        const auto value = json::parse(text);
+        std::map<ItemId, ItemText> texts;
+        for (const auto& entry : value.as_array()) {
+            ItemText each;
+            each.output = json::value_to<std::string>(entry.at("output"));
+            each.versions = parseVersions(entry.at("versions"));
+            each.lastEvent = entry.at("last_event").to_number<std::uint64_t>();
+            each.isWhole = entry.at("whole").as_bool();
+            texts.emplace(ItemId(json::value_to<std::string>(entry.at("id"))), std::move(each));
+        }
+        return texts;
+    } catch (const std::exception& problem) {
+        return makeError(ErrorKind::BadFrame, std::string("texts of items not understood: ") + problem.what());
+    }
+}
+
 std::string resultKey(std::uint64_t position) { return padded(position, positionDigits); }
 
 std::vector<ResultPiece> toPieces(std::uint64_t position, const ItemResult& result, std::size_t longest)
--- a/src/wire/store_client.cpp
+++ b/src/wire/store_client.cpp
@@ -52,14 +52,18 @@
     return away;
 }
 
+bool isStoreAway(const StoreContact& contact, TimePoint now)
+{
+    return contact.lostSince && now - *contact.lostSince >= shortestOutage;
+}
+
 void StoreClient::noteCall(bool isAnswered)
 {
     const auto now = Clock::now();
     if (!isAnswered)
         this->failures.add();
     const auto away = topaztack::noteAnswer(this->lastContact, isAnswered, now);
-    const bool isAway = this->lastContact.lostSince && now - *this->lastContact.lostSince >= shortestOutage;
-    if (isAway && !this->isOutageLogged) {
+    if (isStoreAway(this->lastContact, now) && !this->isOutageLogged) {
         this->isOutageLogged = true;
         logEvent(LogLevel::Warning, "store-lost", { { "address", toText(this->endpoint) } });
     }
@@ -72,16 +76,18 @@
 asio::awaitable<Result<HttpResponse>> StoreClient::call(HttpRequest request, std::chrono::microseconds allowed)
 {
     this->calls.add();
+    const auto target = request.method + " " + request.target;
     auto result = co_await this->client.call(this->endpoint, std::move(request), Clock::now() + allowed);
     const bool isRefused
         = result && (result.value().status == statusThrottled || result.value().status == statusRefused);
     this->noteCall(result && !isRefused);
-    if (!result)
-        co_return toStoreError(result.error());
-    if (isRefused)
-        co_return makeError(
-            ErrorKind::PlatformThrottled, "store refused the call with " + std::to_string(result.value().status));
-    co_return std::move(result).value();
+    if (result && !isRefused)
+        co_return std::move(result).value();
+    auto error = result ? makeError(ErrorKind::PlatformThrottled,
+                     "store refused the call with " + std::to_string(result.value().status))
+                        : toStoreError(result.error());
+    logEvent(LogLevel::Debug, "store-call-failed", { { "call", target }, { "error", error.message } });
+    co_return error;
 }
 
 asio::awaitable<Result<StoreCommit>> StoreClient::commit(StoreTransaction transaction)
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -48,12 +48,14 @@
     RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation)
         : callers(freeEndpoint())
         , operators(freeEndpoint())
+        , peers(freeEndpoint())
     {
         VmSettings settings;
         settings.name = VmName(name);
         settings.dataCentre = DataCentre("z1");
         settings.callers = this->callers;
         settings.operators = this->operators;
+        settings.peers = this->peers;
         settings.platform = store;
         settings.platformTimeout = std::chrono::milliseconds(1000);
         settings.isGateway = true;
@@ -70,6 +72,7 @@
 
     Endpoint callers;
     Endpoint operators;
+    Endpoint peers;
     std::unique_ptr<Gateway> gateway;
 };
 
@@ -88,6 +91,28 @@
         this->threads.stop();
     }
 
+    /// A configuration without the route for jobs, but with one for items under another path and of another pool.
+    static std::string configurationWithoutJobs(std::uint64_t version)
+    {
+        return R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[{"name":"more","hostname":"a.example","prefix":"/k/","type":"rollout","timeoutMs":10000,)"
+              R"("targetLatencyMs":400,"service":"lm2","maxAttempts":2,"retentionS":1.5,"runTargetMs":7500}],)"
+              R"("services":[{"name":"lm","engine":{"slots":4,"models":[{"name":"m"}]}},)"
+              R"({"name":"lm2","engine":{"slots":4,"models":[{"name":"m"}]}},{"name":"app"}],)"
+              R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"idleTimeoutMs":15000}})";
+    }
+
+    /// The usual configuration with the routes of the one above besides.
+    static std::string configurationWithMore(std::uint64_t version)
+    {
+        auto usual = boost::json::parse(configuration(version)).as_object();
+        const auto more = boost::json::parse(configurationWithoutJobs(version));
+        for (const auto& route : more.at("routes").as_array())
+            usual["routes"].as_array().push_back(route);
+        usual["services"] = more.at("services");
+        return boost::json::serialize(usual);
+    }
+
     static std::string configuration(std::uint64_t version, const std::string& bookingTimeout = "2000")
     {
         return R"({"version":)" + std::to_string(version)
@@ -116,12 +141,23 @@
 
     RunningGateway& startGateway(const std::string& name = "vm-1", std::uint64_t incarnation = 1)
     {
-        this->gateways.push_back(std::make_unique<RunningGateway>(this->store.endpoint(), name, incarnation));
+        return this->startGatewayAt(this->store.endpoint(), name, incarnation);
+    }
+
+    RunningGateway& startGatewayAt(const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation)
+    {
+        this->gateways.push_back(std::make_unique<RunningGateway>(storeEndpoint, name, incarnation));
         auto& gateway = *this->gateways.back();
         waitFor([&] { return this->call(gateway.operators, "GET", "/-/readyz").status == 200; });
         return gateway;
     }
 
+    /// A part of a gateway's state dump.
+    boost::json::value state(const RunningGateway& gateway, const std::string& part)
+    {
+        return boost::json::parse(this->call(gateway.operators, "GET", "/debug/state").body).at(part);
+    }
+
     /// Status 0 stands for no answer.
     HttpResponse call(const Endpoint& endpoint, const std::string& method, const std::string& target,
         std::vector<HttpHeader> headers = {}, std::string body = {})
@@ -148,11 +184,12 @@
             { { "Topaztack-Request-Id", id }, { "Topaztack-Deadline-Ms", "2000" } }, "nine o clock");
     }
 
-    static std::string jobBody(const std::vector<std::string>& items, std::uint64_t minVersion = 1)
+    static std::string jobBody(
+        const std::vector<std::string>& items, std::uint64_t minVersion = 1, const std::string& prefix = "/j/")
     {
         boost::json::array list;
         for (const auto& id : items)
-            list.push_back(boost::json::object { { "id", id }, { "path", "/j/" + id }, { "body", "Ym9keQ==" },
+            list.push_back(boost::json::object { { "id", id }, { "path", prefix + id }, { "body", "Ym9keQ==" },
                 { "group", "g-" + id }, { "tokenCount", 10 },
                 { "headers", boost::json::object { { "Topaztack-Model", "m" } } } });
         return boost::json::serialize(boost::json::object { { "step", 0 }, { "model", "m" },
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -249,6 +249,20 @@
     LONGS_EQUAL(1, std::count_if(seen.begin(), seen.end(), [](const auto& request) { return request.id == "i1"; }));
 }
 
+// Pattern: a trainer's next job comes before this VM has seen the end of the last one.
+TEST(Jobs, TextThatIsDoneInAJobStillOpenIsNotGeneratedAgain)
+{
+    auto& gateway = this->world->startGateway();
+    this->world->engine.faults.slowItem = "slow";
+    LONGS_EQUAL(202, this->world->submit(gateway, "j1", { "i1", "slow" }).status);
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 1));
+    LONGS_EQUAL(202, this->world->submit(gateway, "j2", { "i1", "k2" }).status);
+    CHECK_TRUE(this->world->waitForResults(gateway, "j2", 2));
+    const auto seen = this->world->engine.seen();
+    LONGS_EQUAL(1, std::count_if(seen.begin(), seen.end(), [](const auto& request) { return request.id == "i1"; }));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 2));
+}
+
 TEST(Jobs, TextOfOlderWeightsThanAJobAllowsIsGeneratedAgain)
 {
     auto& gateway = this->world->startGateway();
@@ -304,3 +318,93 @@
     CHECK_TRUE(waitFor(says));
     CHECK_TRUE(this->world->waitForResults(gateway, "j1", 20));
 }
+
+// Pattern: planned restarts; what the engines have made so far is not made again.
+TEST(Jobs, AVmThatShutsDownLeavesItsTextsToTheNext)
+{
+    auto& first = this->world->startGateway("vm-1", 1);
+    auto& second = this->world->startGateway("vm-2", 2);
+    this->world->engine.faults.eventTime = 300ms;
+    LONGS_EQUAL(202, this->world->submit(first, "j1", manyItems(3)).status);
+    CHECK_TRUE(waitFor([&] { return this->world->engine.seen().size() == 3; }));
+    std::this_thread::sleep_for(700ms);
+    first.gateway->shutDown();
+    CHECK_TRUE(this->world->waitForResults(second, "j1", 3));
+    const auto page = this->world->read(second, "j1");
+    for (std::size_t index = 0; index < 3; ++index)
+        CHECK_TRUE(outputAt(page, index) == this->world->engine.textOf(idAt(page, index)));
+    const auto seen = this->world->engine.seen();
+    LONGS_EQUAL(6, seen.size());
+    for (std::size_t index = 3; index < 6; ++index)
+        CHECK_FALSE(seen.at(index).lastEvent.empty());
+}
+
+TEST(Jobs, ItemsOfARouteThatIsGoneAreListedAsAborted)
+{
+    auto& gateway = this->world->startGateway();
+    this->world->engine.faults.isFull = true;
+    LONGS_EQUAL(202, this->world->submit(gateway, "j1", manyItems(3)).status);
+    this->world->store.put("op", "", "config", World::configurationWithoutJobs(2));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 3));
+    const auto page = this->world->read(gateway, "j1");
+    for (std::size_t index = 0; index < 3; ++index)
+        STRCMP_EQUAL("aborted", stateAt(page, index).c_str());
+}
+
+TEST(Jobs, AnItemGoesToThePoolOfItsOwnPath)
+{
+    auto& other = this->world->addWorker("i-lm2");
+    this->world->list(other, "lm2");
+    this->world->store.put("op", "", "config", World::configurationWithMore(2));
+    auto& gateway = this->world->startGateway();
+    const auto body = World::jobBody({ "i1", "i2" }, 1, "/k/");
+    LONGS_EQUAL(
+        202, this->world->call(gateway.callers, "POST", "/j/j1", { { "Topaztack-Request-Id", "j1" } }, body).status);
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 2));
+    LONGS_EQUAL(2, other.seen().size());
+    CHECK_TRUE(this->world->engine.seen().empty());
+}
+
+TEST(Jobs, AnItemThatIsNotDoneWithinItsRetentionIsListedAsAborted)
+{
+    auto& other = this->world->addWorker("i-lm2");
+    this->world->list(other, "lm2");
+    this->world->store.put("op", "", "config", World::configurationWithMore(2));
+    auto& gateway = this->world->startGateway();
+    other.faults.isFull = true;
+    const auto body = World::jobBody({ "i1" }, 1, "/k/");
+    LONGS_EQUAL(
+        202, this->world->call(gateway.callers, "POST", "/k/j1", { { "Topaztack-Request-Id", "j1" } }, body).status);
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 1));
+    STRCMP_EQUAL("aborted", stateAt(this->world->read(gateway, "j1"), 0).c_str());
+}
+
+// Pattern: the store turns a whole data centre away, and callers reach only VMs of their own data centre.
+TEST(Jobs, AVmThatTheStoreTurnsAwayPassesCallsAboutJobsOn)
+{
+    auto& away = this->world->startGatewayAt(this->world->store.sideEndpoint(), "vm-1", 1);
+    auto& near = this->world->startGateway("vm-2", 2);
+    CHECK_TRUE(waitFor([&] { return this->world->state(away, "peers").as_object().contains("vm-2"); }));
+    this->world->store.faults.turnsSideAway = true;
+    LONGS_EQUAL(202, this->world->submit(away, "j1", manyItems(3)).status);
+    CHECK_TRUE(this->world->waitForResults(near, "j1", 3));
+    CHECK_TRUE(this->world->read(away, "j1") == this->world->read(near, "j1"));
+    LONGS_EQUAL(404, this->world->call(away.callers, "GET", "/-/lots/none").status);
+    LONGS_EQUAL(200, this->world->call(away.callers, "GET", "/-/items/j1?id=i1").status);
+    LONGS_EQUAL(200, this->world->call(away.callers, "DELETE", "/-/lots/j1").status);
+    const auto heads = this->world->store.rowsOf("job-heads");
+    CHECK_TRUE(parseJobHead(heads.at("j1")).value().isEnded);
+}
+
+TEST(Jobs, ACallThatNoVmCanAnswerIsRefusedAndNotPassedOnInCircles)
+{
+    auto& first = this->world->startGatewayAt(this->world->store.sideEndpoint(), "vm-1", 1);
+    auto& second = this->world->startGatewayAt(this->world->store.sideEndpoint(), "vm-2", 2);
+    CHECK_TRUE(waitFor([&] { return this->world->state(first, "peers").as_object().contains("vm-2"); }));
+    CHECK_TRUE(waitFor([&] { return this->world->state(second, "peers").as_object().contains("vm-1"); }));
+    this->world->store.faults.turnsSideAway = true;
+    const auto answer = this->world->submit(first, "j1", manyItems(3));
+    LONGS_EQUAL(503, answer.status);
+    CHECK_FALSE(findHeader(answer.headers, "Retry-After").empty());
+    LONGS_EQUAL(503, this->world->call(second.callers, "GET", "/-/lots/j1").status);
+}
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -50,6 +50,23 @@
     CHECK_TRUE(parseJobHead(R"({"owner": 7})").error().kind == ErrorKind::BadFrame);
 }
 
+TEST(Job, TextsOfUnfinishedItemsAreReadAsTheyWereLeft)
+{
+    std::map<ItemId, ItemText> texts;
+    texts[ItemId("a")] = { "one\ntwo", { WeightVersion(2), WeightVersion(3) }, 2, false };
+    texts[ItemId("none")] = {};
+    const auto read = parseItemTexts(toText(texts)).value();
+    LONGS_EQUAL(1, read.size());
+    const auto& text = read.at(ItemId("a"));
+    STRCMP_EQUAL("one\ntwo", text.output.c_str());
+    CHECK_TRUE(text.versions == texts.at(ItemId("a")).versions);
+    LONGS_EQUAL(2, *text.lastEvent);
+    CHECK_FALSE(text.isWhole);
+    const auto bytes = toText(texts);
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(parseItemTexts(bytes.substr(0, length)).has_value());
+}
+
 TEST(Job, ResultsOfAnyLengthComeBackFromTheirRows)
 {
     for (const std::size_t length : { 0U, 10U, 63U, 64U, 65U, 1000U }) {
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -32,11 +32,22 @@
     : server(
         threads, { "127.0.0.1", 0 }, [] { return HttpServerLimits { .maxBody = 16 * 1024 * 1024 }; },
         [this](HttpExchange& exchange) { return this->handle(exchange); }, this->metrics, "store")
+    , sideServer(
+          threads, { "127.0.0.1", 0 }, [] { return HttpServerLimits { .maxBody = 16 * 1024 * 1024 }; },
+          [this](HttpExchange& exchange) { return this->handleSide(exchange); }, this->metrics, "store-side")
 {
-    if (!this->server.start())
+    if (!this->server.start() || !this->sideServer.start())
         throw std::runtime_error("store stand-in can't listen");
 }
 
+asio::awaitable<void> StoreStandin::handleSide(HttpExchange& exchange)
+{
+    if (this->faults.turnsSideAway)
+        co_await exchange.respond(plain(503));
+    else
+        co_await this->handle(exchange);
+}
+
 void StoreStandin::put(
     const std::string& table, const std::string& part, const std::string& key, const std::string& value)
 {
--- a/tests/src/standins/store.hpp
+++ b/tests/src/standins/store.hpp
@@ -27,6 +27,8 @@
     std::atomic<bool> isHistoryLost { false };
     /// Transactions are answered 503, reads are served.
     std::atomic<bool> refusesWrites { false };
+    /// Every call at the side endpoint is answered 503.
+    std::atomic<bool> turnsSideAway { false };
 };
 
 class StoreStandin {
@@ -35,6 +37,9 @@
 
     Endpoint endpoint() const { return { "127.0.0.1", this->server.port() }; }
 
+    /// @brief Where VMs that the store can turn away reach it.
+    Endpoint sideEndpoint() const { return { "127.0.0.1", this->sideServer.port() }; }
+
     /// @brief Writes a row as the operator or a server does.
     void put(const std::string& table, const std::string& part, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& part, const std::string& key);
@@ -56,6 +61,7 @@
     using Place = std::tuple<std::string, std::string, std::string>;
 
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
+    boost::asio::awaitable<void> handleSide(HttpExchange& exchange);
     HttpResponse answer(const HttpRequest& request);
     HttpResponse commit(const std::string& body);
     HttpResponse range(const std::string& target) const;
@@ -69,6 +75,7 @@
     std::atomic<std::size_t> commitCount { 0 };
     MetricsRegistry metrics;
     HttpServer server;
+    HttpServer sideServer;
 };
 
 } // namespace topaztack::test
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+    constexpr std::chrono::milliseconds slowEventTime { 500 };
+
     std::string headerOf(const HttpRequest& request, std::string_view name)
     {
         return std::string(findHeader(request.headers, name));
@@ -101,7 +103,8 @@
     for (int event = first; event <= this->events && !exchange.isCallerGone(); ++event) {
         if (this->faults.breakAfter > 0 && made++ == this->faults.breakAfter)
             co_return;
-        timer.expires_after(this->faults.eventTime.load());
+        const bool isSlow = !id.empty() && id == this->faults.slowItem;
+        timer.expires_after(isSlow ? slowEventTime : this->faults.eventTime.load());
         co_await timer.async_wait(asio::use_awaitable);
         co_await exchange.writeChunk(
             "id: " + std::to_string(event) + "\ndata: " + id + "-" + std::to_string(event) + "\n\n");
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -28,6 +28,8 @@
     /// Each generation is answered with this status instead.
     std::atomic<unsigned> generationStatus { 200 };
     std::atomic<std::chrono::milliseconds> eventTime { std::chrono::milliseconds(1) };
+    /// A generation that takes 500 ms an event; set before the first request.
+    std::string slowItem;
 };
 
 /// @brief A request that reached the worker.
