--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -30,6 +30,12 @@
 # A gateway is tested through the one protocol that there is.
 topaztack_test_program(gateway topaztack-platform test-standins)
 
+# The fault soak runs these and topaztackd as processes: tests/soak/soak.
+add_executable(soak-standin "${PROJECT_SOURCE_DIR}/tests/soak/standin.cpp")
+target_include_directories(soak-standin PRIVATE "${PROJECT_SOURCE_DIR}/tests/src")
+target_link_libraries(soak-standin PRIVATE test-standins CLI11::CLI11)
+set_target_properties(soak-standin PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
+
 # Damaged inputs of every parser, a bounded number from a fixed seed.
 file(GLOB fuzzers CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/fuzzing/fuzz-*.cpp")
 add_executable(test-fuzzing ${fuzzers} "${PROJECT_SOURCE_DIR}/tests/src/main.cpp")
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -28,9 +28,9 @@
 
 } // namespace
 
-StoreStandin::StoreStandin(IoThreads& threads)
+StoreStandin::StoreStandin(IoThreads& threads, std::uint16_t port)
     : server(
-        threads, { "127.0.0.1", 0 }, [] { return HttpServerLimits { .maxBody = 16 * 1024 * 1024 }; },
+        threads, { "127.0.0.1", port }, [] { return HttpServerLimits { .maxBody = 16 * 1024 * 1024 }; },
         [this](HttpExchange& exchange) { return this->handle(exchange); }, this->metrics, "store")
     , sideServer(
           threads, { "127.0.0.1", 0 }, [] { return HttpServerLimits { .maxBody = 16 * 1024 * 1024 }; },
--- a/tests/src/standins/store.hpp
+++ b/tests/src/standins/store.hpp
@@ -33,7 +33,7 @@
 
 class StoreStandin {
 public:
-    explicit StoreStandin(IoThreads& threads);
+    explicit StoreStandin(IoThreads& threads, std::uint16_t port = 0);
 
     Endpoint endpoint() const { return { "127.0.0.1", this->server.port() }; }
 
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -1,5 +1,7 @@
 #include "standins/worker.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -38,13 +40,16 @@
 
 } // namespace
 
-WorkerStandin::WorkerStandin(IoThreads& threads, std::string name, int events)
+WorkerStandin::WorkerStandin(IoThreads& threads, std::string name, WorkerOptions given)
     : name(std::move(name))
-    , events(events)
+    , options(std::move(given))
+    , weightVersion(this->options.version)
     , server(
-          threads, { "127.0.0.1", 0 }, [] { return HttpServerLimits {}; },
+          threads, { "127.0.0.1", this->options.port }, [] { return HttpServerLimits {}; },
           [this](HttpExchange& exchange) { return this->handle(exchange); }, this->metrics, "worker")
 {
+    if (!this->options.runLog.empty())
+        this->runLog.open(this->options.runLog, std::ios::app);
     if (!this->server.start())
         throw std::runtime_error("worker stand-in can't listen");
 }
@@ -67,20 +72,53 @@
 std::string WorkerStandin::textOf(const std::string& id) const
 {
     std::string text;
-    for (int event = 1; event <= this->events; ++event)
+    for (int event = 1; event <= this->options.events; ++event)
         text += (event > 1 ? "\n" : "") + id + "-" + std::to_string(event);
     return text;
 }
 
-HttpResponse WorkerStandin::takeOrder(const HttpRequest& request)
+void WorkerStandin::logRun(const std::string& line)
+{
+    if (!this->runLog.is_open())
+        return;
+    this->runLog << toMilliseconds(Clock::now().time_since_epoch()).count() << " " << line << std::endl;
+}
+
+std::string WorkerStandin::dataOf(const std::string& id, int event) const
+{
+    auto data = id + "-" + std::to_string(event);
+    if (this->runLog.is_open())
+        data += "@" + std::to_string(this->weightVersion);
+    return data;
+}
+
+asio::awaitable<HttpResponse> WorkerStandin::carryOut(const HttpRequest& request)
 {
     const auto value = json::parse(request.body);
     const auto& order = value.as_object();
-    if (order.at("expected").to_number<std::uint64_t>() != this->orderCount)
-        return answerTo(request, 409);
+    if (this->isLoading || order.at("expected").to_number<std::uint64_t>() != this->orderCount)
+        co_return answerTo(request, 409);
+    const auto version = order.at("version").to_number<std::uint64_t>();
+    if (version == this->weightVersion)
+        co_return answerTo(request, 200);
     ++this->orderCount;
-    this->weightVersion = order.at("version").to_number<std::uint64_t>();
-    return answerTo(request, 202);
+    this->logRun("order " + json::value_to<std::string>(order.at("holder")) + " "
+        + std::to_string(order.at("fencingToken").to_number<std::uint64_t>()) + " " + std::to_string(version));
+    if (this->options.loadTime.count() == 0) {
+        this->weightVersion = version;
+        co_return answerTo(request, 202);
+    }
+    this->isLoading = true;
+    asio::co_spawn(
+        co_await asio::this_coro::executor,
+        [this, version]() -> asio::awaitable<void> {
+            asio::steady_timer timer(co_await asio::this_coro::executor, this->options.loadTime);
+            co_await timer.async_wait(asio::use_awaitable);
+            this->weightVersion = version;
+            this->isLoading = false;
+        },
+        asio::detached);
+    co_return answerTo(request, 202);
 }
 
 asio::awaitable<void> WorkerStandin::generate(HttpExchange& exchange)
@@ -95,19 +133,23 @@
     auto head = signedAnswer(request, 200);
     head.headers.push_back({ "Content-Type", "text/event-stream" });
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
-    if (first <= this->events)
+    if (first <= this->options.events)
         head.headers.push_back({ "Topaztack-Weight-Versions", std::to_string(this->weightVersion) });
     co_await exchange.beginStream(std::move(head));
     asio::steady_timer timer(co_await asio::this_coro::executor);
     int made = 0;
-    for (int event = first; event <= this->events && !exchange.isCallerGone(); ++event) {
+    auto version = this->weightVersion.load();
+    for (int event = first; event <= this->options.events && !exchange.isCallerGone(); ++event) {
         if (this->faults.breakAfter > 0 && made++ == this->faults.breakAfter)
             co_return;
         const bool isSlow = !id.empty() && id == this->faults.slowItem;
         timer.expires_after(isSlow ? slowEventTime : this->faults.eventTime.load());
         co_await timer.async_wait(asio::use_awaitable);
+        const auto now = this->weightVersion.load();
+        const auto change = now == version ? "" : "topaztack-weight-versions:" + std::to_string(now) + "\n";
+        version = now;
         co_await exchange.writeChunk(
-            "id: " + std::to_string(event) + "\ndata: " + id + "-" + std::to_string(event) + "\n\n");
+            change + "id: " + std::to_string(event) + "\ndata: " + this->dataOf(id, event) + "\n\n");
     }
     co_await exchange.endStream();
 }
@@ -117,10 +159,11 @@
     const auto& request = exchange.request();
     if (request.target == "/-/report") {
         auto response = answerTo(request, 200);
-        response.body = json::serialize(json::object { { "busy", false }, { "sequence", this->orderCount.load() },
-            { "models",
-                json::array {
-                    json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } });
+        response.body = json::serialize(
+            json::object { { "busy", this->isLoading.load() }, { "sequence", this->orderCount.load() },
+                { "models",
+                    json::array {
+                        json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } });
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -130,7 +173,7 @@
         co_return;
     }
     if (request.target == "/-/order") {
-        co_await exchange.respond(this->takeOrder(request));
+        co_await exchange.respond(co_await this->carryOut(request));
         co_return;
     }
     if (this->faults.isFull) {
@@ -144,6 +187,7 @@
         this->requests.push_back({ headerOf(request, "Topaztack-Request-Id"), request.target, request.body,
             headerOf(request, "Last-Event-Id") });
     }
+    this->logRun("run " + headerOf(request, "Topaztack-Request-Id") + " " + headerOf(request, "Last-Event-Id"));
     if (this->faults.answersToLose > 0) {
         --this->faults.answersToLose;
         co_return;
@@ -157,7 +201,13 @@
         --this->faults.foreignAnswers;
         response.headers.front().value = "another";
     }
+    if (this->options.workTime.count() > 0) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, this->options.workTime);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     response.body = "served by " + this->name;
+    if (this->runLog.is_open())
+        response.body = headerOf(request, "Topaztack-Request-Id") + " " + response.body;
     co_await exchange.respond(std::move(response));
 }
 
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <string>
@@ -40,9 +41,24 @@
     std::string lastEvent;
 };
 
+/// @brief What a worker is like, apart from its faults.
+struct WorkerOptions {
+    std::uint16_t port { 0 };
+    /// Events of a generation.
+    int events { 5 };
+    std::uint64_t version { 1 };
+    /// Time to load weights.
+    std::chrono::milliseconds loadTime { 0 };
+    /// Time for a request that is no generation.
+    std::chrono::milliseconds workTime { 0 };
+    /// File that gets a line for each request begun and each order accepted; empty for none. Answers then name their
+    /// request, and each event the weights that made it.
+    std::string runLog;
+};
+
 class WorkerStandin {
 public:
-    WorkerStandin(IoThreads& threads, std::string name, int events = 5);
+    explicit WorkerStandin(IoThreads& threads, std::string name, WorkerOptions options = {});
 
     Endpoint endpoint() const { return { "127.0.0.1", this->server.port() }; }
 
@@ -63,10 +79,15 @@
 private:
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
     boost::asio::awaitable<void> generate(HttpExchange& exchange);
-    HttpResponse takeOrder(const HttpRequest& request);
 
-    const int events;
-    std::atomic<std::uint64_t> weightVersion { 1 };
+    boost::asio::awaitable<HttpResponse> carryOut(const HttpRequest& request);
+    std::string dataOf(const std::string& id, int event) const;
+    void logRun(const std::string& line);
+
+    const WorkerOptions options;
+    std::ofstream runLog;
+    std::atomic<std::uint64_t> weightVersion;
+    std::atomic<bool> isLoading { false };
     std::atomic<std::uint64_t> orderCount { 0 };
     mutable std::mutex lock;
     std::vector<SeenRequest> requests;
