--- a/apps/topaztackd/main.cpp
+++ b/apps/topaztackd/main.cpp
@@ -82,7 +82,7 @@
     return exitFailed;
 }
 
-int run(const std::string& settingsFile)
+int run(const std::string& settingsFile, const sigset_t& signals)
 {
     std::string problems;
     auto loaded = loadSettings(settingsFile, problems);
@@ -93,7 +93,6 @@
     auto& settings = loaded->settings;
     const topaztack::VmIdentity identity { settings.name, topaztack::Incarnation(topaztack::systemSeed()) };
     topaztack::openLog(identity.name.value(), identity.incarnation, settings.logLevel);
-    const auto signals = blockSignals();
     if (settings.isGateway) {
         topaztack::Gateway gateway(std::move(settings), identity, topaztack::platform::protocol());
         const auto started = gateway.start();
@@ -117,13 +116,15 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: a signal that comes while the process starts waits until it is asked for.
+    const auto signals = blockSignals();
     CLI::App app(
         "topaztackd: one entry VM of a rollout service.\n\nExample:\n  topaztackd --settings /etc/topaztack/vm.ini");
     std::string settingsFile;
     app.add_option("--settings", settingsFile, "INI file with this VM's settings (docs/SETTINGS.md)")->required();
     app.set_version_flag("--version", TOPAZTACK_VERSION);
     CLI11_PARSE(app, argc, argv);
-    const int code = run(settingsFile);
+    const int code = run(settingsFile, signals);
     topaztack::closeLog(longestLogFlush);
     // A log thread that is held up by its reader must not hold up the end of the process.
     std::_Exit(code);
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -112,6 +112,7 @@
         { { "job", this->job.id.value() }, { "model", this->job.model.value() },
             { "step", std::to_string(this->job.step.value()) },
             { "oldest_version", std::to_string(this->job.oldestVersion.value()) },
+            { "wanted_groups", std::to_string(this->job.wantedGroups) },
             { "items", std::to_string(this->items.size()) }, { "listed", std::to_string(this->head.head.listed) },
             { "reused", std::to_string(reused) } });
     asio::co_spawn(this->context.loop(), this->dispatch(), asio::detached);
