Generations leave very slow engines though others wait; connections to servers are used again

Now a server 1.5 times as slow is left at any time for any with room, and 1.5 s without an event are enough.

Cause: 0.32 new connections a request. Bookings: each VM has one every few seconds and drew a server at random. Generations: refusals closed their connection, since their body was not read. Now a server with a connection is preferred unless it is more loaded by an eighth, and a refusal's body is read.

The fixture tries other ports if one was taken (seen once).

--- a/include/topaztack/policy/server_choice.hpp
+++ b/include/topaztack/policy/server_choice.hpp
@@ -24,6 +24,8 @@
     bool isSuspected { false };
     /// The same request was sent there before.
     bool wasTried { false };
+    /// A connection to it stands; a new one takes a server's time and a way there and back.
+    bool hasConnection { true };
     /// Its weights are older than those of another candidate.
     bool isBehind { false };
     /// How much longer a request takes, as a part, where the server has all that it is allowed.
@@ -40,6 +42,9 @@
 /// @param slownessHere of the server where it is.
 bool isWorthMoving(double slownessHere, const std::vector<ServerLoad>& servers);
 
+/// @brief Whether a long request is to leave a server even while others wait for one.
+bool isUrgentToMove(double slownessHere);
+
 /// @brief How long a server is suspected after a number of failures in a row.
 Duration suspicionTime(std::uint32_t failuresInRow);
 
--- a/include/topaztack/wire/http_client.hpp
+++ b/include/topaztack/wire/http_client.hpp
@@ -93,6 +93,12 @@
     boost::asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> open(
         Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options = {});
 
+    /// @brief Whether a connection to the endpoint is kept that could be used now.
+    bool hasIdle(const Endpoint& endpoint) const;
+
+    /// @brief Connections made so far.
+    std::uint64_t connectionsMade() const;
+
     /// What its connections share; defined in the source file.
     struct State;
 
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -15,8 +15,10 @@
     /// Time for the head of an answer. An engine that queues a request for longer has more than its slots, and another
     /// may have room.
     constexpr Duration headTime = 600ms;
-    /// Time between two events. An engine that loads weights stands still for a second or two.
-    constexpr Duration eventTime = 2500ms;
+    /// Time for the body of a refusal.
+    constexpr Duration refusalTime = 100ms;
+    /// Time between two events, which usually takes 50 ms. Generations go on while weights are loaded.
+    constexpr Duration eventTime = 1500ms;
     /// How long a generation stays at a server before it may be moved to a faster one, and how often that is asked.
     constexpr Duration moveInterval = 300ms;
     /// The first event of a generation.
@@ -123,7 +125,7 @@
             if (now < moveAt)
                 continue;
             moveAt = now + moveInterval;
-            if (attempt.mayMove() && servers.isWorthMoving(server, attempt.need)) {
+            if (servers.isWorthMoving(server, attempt.need, attempt.isAnyWaiting())) {
                 stream.cancel();
                 logBreak(attempt, server, "item-moved", "another server is faster");
                 co_return AttemptEnd::Moved;
@@ -135,6 +137,17 @@
         co_return isWhole ? AttemptEnd::Whole : AttemptEnd::Interrupted;
     }
 
+    /// A connection whose answer was read to its end is kept.
+    asio::awaitable<void> readToEnd(HttpStream& stream)
+    {
+        const auto deadline = Clock::now() + refusalTime;
+        while (true) {
+            const auto piece = co_await stream.read(deadline);
+            if (!piece || piece.value().empty())
+                co_return;
+        }
+    }
+
 } // namespace
 
 std::string_view attemptEndName(AttemptEnd end)
@@ -191,6 +204,8 @@
     auto end = judgeHead(context, attempt, stream.head());
     if (end == AttemptEnd::Whole)
         end = co_await readEvents(context, servers, attempt, server, stream);
+    else
+        co_await readToEnd(stream);
     co_return attempt.control.isCancelled() ? AttemptEnd::Cancelled : end;
 }
 
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -42,8 +42,8 @@
     ItemText& text;
     const ServerNeed& need;
     CallControl& control;
-    /// Whether nothing else waits for the places at faster servers.
-    std::function<bool()> mayMove;
+    /// Whether other items wait for a server with room.
+    std::function<bool()> isAnyWaiting;
 };
 
 /// @brief Generates from the last event of the text on. Does not tell the servers' table that the attempt has ended.
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -353,11 +353,15 @@
     }
 }
 
-bool JobOwner::hasWaitingItems(const ModelName& model) const
+bool JobOwner::needsItsEngines(const ModelName& model) const
 {
-    return std::any_of(this->jobs.begin(), this->jobs.end(), [&model](const auto& entry) {
+    return std::any_of(this->jobs.begin(), this->jobs.end(), [this, &model](const auto& entry) {
         const auto& head = entry.second.stored.head;
-        return head.model == model && isOpen(head) && head.waiting > 0;
+        if (head.model != model || !isOpen(head))
+            return false;
+        // A generation that must come from one version does not outlast a load.
+        const auto* route = this->context.routes ? matchRoute(*this->context.routes, head.host, head.path) : nullptr;
+        return head.waiting > 0 || (route && route->isSingleVersion);
     });
 }
 
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -45,8 +45,8 @@
     /// @brief Gives up every job; done when none is left or `deadline` has passed.
     boost::asio::awaitable<void> releaseAll(TimePoint deadline);
 
-    /// @brief Whether items of any open job wait for an engine with this model.
-    bool hasWaitingItems(const ModelName& model) const;
+    /// @brief Whether items of any open job wait for an engine with this model, or would not outlast a load of it.
+    bool needsItsEngines(const ModelName& model) const;
 
     boost::json::value dump() const;
 
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -308,7 +308,10 @@
     switch (attemptEnd) {
     case AttemptEnd::Whole:
         item.text.isWhole = true;
-        this->finish(item, ItemState::Completed, "whole");
+        if (item.route && item.route->isSingleVersion && item.text.versions.size() > 1)
+            this->restart(item, "weights changed in its midst");
+        else
+            this->finish(item, ItemState::Completed, "whole");
         break;
     case AttemptEnd::NeverDone:
         this->finish(item, ItemState::Aborted, "server says it can't be done");
@@ -339,7 +342,7 @@
     const auto sentAt = Clock::now();
     need.tried.insert(server.name);
     ItemAttempt attempt { this->job, *item.item, item.text, need, control,
-        [this] { return this->countWaiting() == 0; } };
+        [this] { return this->countWaiting() > 0; } };
     const auto attemptEnd = co_await attemptItem(this->context, this->servers, std::move(attempt), server);
     item.control = nullptr;
     logEvent(LogLevel::Debug, "item-attempted",
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -182,6 +182,7 @@
     // A generation is long against the way to another data centre.
     load.isLocal = isGeneration || server.dataCentre == this->context.settings.dataCentre;
     load.wasTried = need.tried.contains(server.name);
+    load.hasConnection = this->context.backends.hasIdle(server.endpoint);
     if (isGeneration) {
         load.outstanding = this->countOfOthers(server.name, now);
         load.slowdownWhenFull = engineSlowdownWhenFull;
@@ -241,15 +242,17 @@
     return *candidates[*chosen];
 }
 
-bool ServerTable::isWorthMoving(const ServerRecord& server, const ServerNeed& need) const
+bool ServerTable::isWorthMoving(const ServerRecord& server, const ServerNeed& need, bool isAnyWaiting) const
 {
     const auto use = this->uses.find(server.name);
     const auto usual = this->usualUnitSeconds(server.pool);
     if (use == this->uses.end() || usual == 0)
         return false;
+    const auto slowness = use->second.unitSeconds / usual;
+    if (isAnyWaiting && !isUrgentToMove(slowness))
+        return false;
     const auto now = Clock::now();
-    return topaztack::isWorthMoving(
-        use->second.unitSeconds / usual, this->loadsOf(this->candidatesFor(need, now), need, now));
+    return topaztack::isWorthMoving(slowness, this->loadsOf(this->candidatesFor(need, now), need, now));
 }
 
 void ServerTable::noteUnit(const BackendName& name, Duration unitTime)
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -67,7 +67,8 @@
     void noteUnit(const BackendName& name, Duration unitTime);
 
     /// @brief Whether a generation at this server is to be moved to a faster one.
-    bool isWorthMoving(const ServerRecord& server, const ServerNeed& need) const;
+    /// @param isAnyWaiting others wait for a server with room.
+    bool isWorthMoving(const ServerRecord& server, const ServerNeed& need, bool isAnyWaiting) const;
 
     /// @brief The record as known now.
     const ServerRecord* find(const BackendName& name) const;
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -103,7 +103,7 @@
             each.versions[loaded.model] = loaded.version;
             const auto named = this->context.namedVersions.find(loaded.model);
             if (named != this->context.namedVersions.end())
-                models[loaded.model] = { named->second, this->jobs.hasWaitingItems(loaded.model) };
+                models[loaded.model] = { named->second, this->jobs.needsItsEngines(loaded.model) };
         }
         planned.push_back(std::move(each));
     }
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -14,8 +14,12 @@
     constexpr double remotePenalty = 0.34;
     /// Text made by the newest weights can be used by the next job too.
     constexpr double behindPenalty = 0.25;
+    /// A server without a connection is preferred only if it is less loaded by more than this.
+    constexpr double connectPenalty = 0.12;
     /// A running generation is moved where it goes on this many times as fast: a move costs about one event.
     constexpr double moveGain = 1.2;
+    /// At a server that is this many times slower a generation stays no longer than it must.
+    constexpr double urgentGain = 1.5;
     constexpr double suspicionPenalty = 100;
     constexpr double triedPenalty = 1000;
 
@@ -25,6 +29,8 @@
         double cost = server.slowness * (1 + server.slowdownWhenFull * load);
         if (!server.isLocal)
             cost += remotePenalty;
+        if (!server.hasConnection)
+            cost += connectPenalty;
         if (server.isBehind)
             cost += behindPenalty;
         if (server.isSuspected)
@@ -61,11 +67,17 @@
 bool isWorthMoving(double slownessHere, const std::vector<ServerLoad>& servers)
 {
     return std::any_of(servers.begin(), servers.end(), [slownessHere](const ServerLoad& server) {
-        const bool isFree = !server.isSuspected && !server.wasTried && server.outstanding * 2 < server.allowance;
-        return isFree && server.slowness * moveGain <= slownessHere;
+        if (server.isSuspected || server.wasTried || server.outstanding >= server.allowance)
+            return false;
+        // A server that is half full is left to requests that can't go elsewhere, unless much is gained.
+        const bool hasRoom = server.outstanding * 2 < server.allowance;
+        return (hasRoom || isUrgentToMove(slownessHere))
+            && server.slowness * (hasRoom ? moveGain : urgentGain) <= slownessHere;
     });
 }
 
+bool isUrgentToMove(double slownessHere) { return slownessHere >= urgentGain; }
+
 Duration suspicionTime(std::uint32_t failuresInRow)
 {
     if (failuresInRow == 0)
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -166,6 +166,7 @@
         auto kept = this->takeIdle(endpoint);
         if (kept)
             co_return std::move(kept);
+        ++this->made;
         auto link = std::make_unique<Link>(this->loop);
         boost::system::error_code problem;
         const tcp::endpoint address(asio::ip::make_address(endpoint.address, problem), endpoint.port);
@@ -209,6 +210,7 @@
     asio::io_context& loop;
     HttpClientLimits limits;
     std::map<Endpoint, std::vector<IdleLink>> idle;
+    std::uint64_t made { 0 };
 };
 
 namespace {
@@ -344,6 +346,14 @@
     co_return std::move(response);
 }
 
+bool HttpClient::hasIdle(const Endpoint& endpoint) const
+{
+    const auto found = this->state->idle.find(endpoint);
+    return found != this->state->idle.end() && !found->second.empty() && Clock::now() < found->second.back().until;
+}
+
+std::uint64_t HttpClient::connectionsMade() const { return this->state->made; }
+
 asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> HttpClient::open(
     Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options)
 {
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -35,7 +35,7 @@
     return false;
 }
 
-/// @brief Two ports that were free a moment ago.
+/// @brief A port that was free a moment ago.
 inline Endpoint freeEndpoint()
 {
     boost::asio::io_context loop;
@@ -45,10 +45,23 @@
 
 /// @brief One gateway and its addresses.
 struct RunningGateway {
+    /// A port that was free a moment ago may have become that of an outgoing connection: others are tried then.
     RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation)
-        : callers(freeEndpoint())
-        , operators(freeEndpoint())
-        , peers(freeEndpoint())
+    {
+        static constexpr int mostTries = 20;
+        for (int attempt = 0; attempt < mostTries; ++attempt) {
+            this->callers = freeEndpoint();
+            this->operators = freeEndpoint();
+            this->peers = freeEndpoint();
+            const VmIdentity identity { VmName(name), Incarnation(incarnation) };
+            this->gateway = std::make_unique<Gateway>(this->settings(store, name), identity, platform::protocol());
+            if (this->gateway->start())
+                return;
+        }
+        throw std::runtime_error("gateway can't listen");
+    }
+
+    VmSettings settings(const Endpoint& store, const std::string& name) const
     {
         VmSettings settings;
         settings.name = VmName(name);
@@ -64,10 +77,7 @@
         settings.gateway.resultRetention = std::chrono::minutes(2);
         settings.gateway.rowBytes = 64 * 1024;
         settings.gateway.objectBytes = 1024;
-        this->gateway = std::make_unique<Gateway>(
-            std::move(settings), VmIdentity { VmName(name), Incarnation(incarnation) }, platform::protocol());
-        if (!this->gateway->start())
-            throw std::runtime_error("gateway can't listen");
+        return settings;
     }
 
     Endpoint callers;
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -408,3 +408,23 @@
     CHECK_FALSE(findHeader(answer.headers, "Retry-After").empty());
     LONGS_EQUAL(503, this->world->call(second.callers, "GET", "/-/lots/j1").status);
 }
+
+// Pattern: a trainer that takes no text of two versions, and weights that change under a generation.
+TEST(Jobs, ATextOfTwoVersionsIsMadeAgainWhereOneIsWanted)
+{
+    auto configuration = World::configuration(2);
+    const std::string before = R"("retentionS":40.0)";
+    configuration.replace(configuration.find(before), before.size(), before + R"(,"singleVersion":true)");
+    this->world->store.put("op", "", "config", configuration);
+    auto& gateway = this->world->startGateway();
+    this->world->engine.faults.eventTime = 200ms;
+    LONGS_EQUAL(202, this->world->submit(gateway, "j1", { "i1" }).status);
+    CHECK_TRUE(waitFor([&] { return this->world->engine.seen().size() == 1; }));
+    std::this_thread::sleep_for(500ms);
+    this->world->store.put("op", "", "version/m", R"({"model":"m","version":2})");
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 1));
+    const auto page = this->world->read(gateway, "j1");
+    LONGS_EQUAL(1, page.at("results").as_array().at(0).at("versions").as_array().size());
+    LONGS_EQUAL(2, this->world->engine.version());
+    CHECK_TRUE(outputAt(page, 0) == this->world->engine.textOf("i1"));
+}
--- a/tests/src/policy/unit-server_choice.cpp
+++ b/tests/src/policy/unit-server_choice.cpp
@@ -52,6 +52,27 @@
     CHECK_FALSE(isWorthMoving(1.3, { fast }));
 }
 
+// Pattern: many VMs with a few requests each; each new connection takes a server's time.
+TEST(ServerChoice, AServerWithAConnectionIsPreferredUnlessItIsMuchMoreLoaded)
+{
+    auto without = serverWith(0);
+    without.hasConnection = false;
+    LONGS_EQUAL(1, *chooseServer({ without, serverWith(1) }, this->random));
+    LONGS_EQUAL(0, *chooseServer({ without, serverWith(2) }, this->random));
+}
+
+// Pattern: one engine turns slow while the others are more than half full; the longest items of a step are there.
+TEST(ServerChoice, ALongRequestLeavesAVerySlowServerForAnyWithRoom)
+{
+    auto usual = serverWith(11);
+    CHECK_TRUE(isWorthMoving(1.6, { usual }));
+    CHECK_FALSE(isWorthMoving(1.4, { usual }));
+    usual.outstanding = 12;
+    CHECK_FALSE(isWorthMoving(1.6, { usual }));
+    CHECK_TRUE(isUrgentToMove(1.6));
+    CHECK_FALSE(isUrgentToMove(1.3));
+}
+
 // Pattern: a third of the servers takes 1.3 times as long, and few requests are left.
 TEST(ServerChoice, TheLastLongRequestsRunAtTheFastServers)
 {
