--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -132,13 +132,14 @@
     }
     auto head = signedAnswer(request, 200);
     head.headers.push_back({ "Content-Type", "text/event-stream" });
+    // A change after the head was made is told at the next event.
+    auto version = this->weightVersion.load();
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
     if (first <= this->options.events)
-        head.headers.push_back({ "Topaztack-Weight-Versions", std::to_string(this->weightVersion) });
+        head.headers.push_back({ "Topaztack-Weight-Versions", std::to_string(version) });
     co_await exchange.beginStream(std::move(head));
     asio::steady_timer timer(co_await asio::this_coro::executor);
     int made = 0;
-    auto version = this->weightVersion.load();
     for (int event = first; event <= this->options.events && !exchange.isCallerGone(); ++event) {
         if (this->faults.breakAfter > 0 && made++ == this->faults.breakAfter)
             co_return;
