--- a/src/gateway/answers.cpp
+++ b/src/gateway/answers.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-    constexpr unsigned statusNotRun = 503;
     constexpr unsigned statusBadGateway = 502;
     constexpr unsigned statusTimeout = 504;
 
--- a/src/gateway/answers.hpp
+++ b/src/gateway/answers.hpp
@@ -11,6 +11,11 @@
 
 namespace topaztack {
 
+/// The status that promises: not run, and never will be.
+inline constexpr unsigned statusNotRun = 503;
+/// When to come back after the store gave no answer: its outages last seconds.
+inline constexpr std::chrono::milliseconds storeRetryAfter { 1500 };
+
 /// @brief A refusal that promises: not run, and never will be.
 HttpResponse notRunAnswer(const Error& error, const RequestId& id, std::chrono::milliseconds retryAfter);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "answers.hpp"
 #include "context.hpp"
 #include "forwarder.hpp"
+#include "job_calls.hpp"
 #include "job_owner.hpp"
 #include "job_service.hpp"
 #include "job_store.hpp"
@@ -39,9 +40,6 @@
     constexpr std::chrono::milliseconds serversPause { 200 };
     constexpr Duration expiryInterval = 100ms;
     constexpr std::chrono::milliseconds notReadyRetryAfter { 300 };
-    /// Outages of the store last seconds.
-    constexpr std::chrono::milliseconds storeRetryAfter { 1500 };
-    constexpr unsigned statusNotRun = 503;
     /// A configuration older than this may lack a route that callers use already.
     constexpr Duration oldestView = 1500ms;
     /// The balancer takes a VM out after two questions a second apart.
@@ -80,10 +78,7 @@
     bool isViewOld() const;
     HttpServerLimits callerLimits() const;
     asio::awaitable<void> handle(HttpExchange& exchange);
-    asio::awaitable<void> handlePeer(HttpExchange& exchange);
     asio::awaitable<void> handleRoute(HttpExchange& exchange, const CallerCall& call);
-    asio::awaitable<HttpResponse> answerJobCall(const HttpRequest& request, const CallerCall& call, const Route* route);
-    asio::awaitable<HttpResponse> answerOrPass(const HttpRequest& request, const CallerCall& call, const Route* route);
     asio::awaitable<void> expire();
     asio::awaitable<void> handOver(TimePoint deadline);
     json::value dump() const;
@@ -98,6 +93,7 @@
     WeightLoader weights;
     PeerDirectory peers;
     PeerRelay peerRelay;
+    JobCalls jobCalls;
     TableFollower operatorRows;
     TableFollower serverRows;
     HttpRouter operatorRoutes;
@@ -117,6 +113,7 @@
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peers(this->context)
     , peerRelay(this->context, this->peers)
+    , jobCalls(this->context, this->jobService, this->peerRelay)
     , operatorRows(this->context, followRules(protocol.places.operatorTable, configurationWait, 0ms),
           [this](const std::vector<StoreRow>& rows, bool) { this->takeOperatorRows(rows); })
     , serverRows(this->context, followRules(protocol.places.serversTable, serversWait, serversPause),
@@ -130,7 +127,8 @@
           "operators")
     , peerServer(
           this->context.threads, this->context.settings.peers, [this] { return this->callerLimits(); },
-          [this](HttpExchange& exchange) { return this->handlePeer(exchange); }, this->context.metrics, "peers")
+          [this](HttpExchange& exchange) { return this->jobCalls.handlePeer(exchange); }, this->context.metrics,
+          "peers")
 {
     this->addOperatorRoutes();
 }
@@ -236,65 +234,7 @@
     else if (call.value().ask == CallerAsk::Route)
         co_await this->handleRoute(exchange, call.value());
     else
-        co_await exchange.respond(co_await this->answerOrPass(exchange.request(), call.value(), nullptr));
-}
-
-/// A call that another VM passed on is answered here or not at all.
-asio::awaitable<void> Gateway::Parts::handlePeer(HttpExchange& exchange)
-{
-    const auto call = this->context.protocol.decodeCall(exchange.request());
-    if (!call) {
-        co_await exchange.respond(errorResponse(call.error()));
-        co_return;
-    }
-    const auto table = this->context.routes;
-    const auto* route = table && call.value().ask == CallerAsk::Route
-        ? matchRoute(*table, call.value().host, targetPath(exchange.request().target))
-        : nullptr;
-    const bool isJobCall = call.value().ask != CallerAsk::Route || (route && route->kind == RouteKind::Batch);
-    if (!isJobCall || isStoreAway(this->context.store.contact(), Clock::now())) {
-        const auto error = isJobCall
-            ? makeError(ErrorKind::PlatformUnreachable, "the store does not answer this VM either")
-            : makeError(ErrorKind::NotReady, "no route for jobs of this host and path");
-        co_await exchange.respond(notRunAnswer(error, call.value().id, notReadyRetryAfter));
-        co_return;
-    }
-    co_await exchange.respond(co_await this->answerJobCall(exchange.request(), call.value(), route));
-}
-
-asio::awaitable<HttpResponse> Gateway::Parts::answerJobCall(
-    const HttpRequest& request, const CallerCall& call, const Route* route)
-{
-    switch (call.ask) {
-    case CallerAsk::Route:
-        break;
-    case CallerAsk::ReadResults:
-        co_return co_await this->jobService.readResults(call);
-    case CallerAsk::ReadItemBody:
-        co_return co_await this->jobService.readItemBody(call);
-    case CallerAsk::EndJob:
-        co_return co_await this->jobService.end(call);
-    }
-    co_return co_await this->jobService.submit(request, call, *route);
-}
-
-/// While the store does not answer this VM, other VMs are asked at once.
-asio::awaitable<HttpResponse> Gateway::Parts::answerOrPass(
-    const HttpRequest& request, const CallerCall& call, const Route* route)
-{
-    if (!isStoreAway(this->context.store.contact(), Clock::now())) {
-        auto response = co_await this->answerJobCall(request, call, route);
-        if (response.status != statusNotRun)
-            co_return std::move(response);
-    }
-    auto passed = co_await this->peerRelay.pass(request, call);
-    if (passed.answer)
-        co_return std::move(*passed.answer);
-    if (passed.mayHaveRun)
-        co_return mayHaveRunAnswer(
-            makeError(ErrorKind::PlatformAmbiguous, "neither the store nor another VM answered"), call.id);
-    co_return notRunAnswer(
-        makeError(ErrorKind::PlatformUnreachable, "no VM that was asked reaches the store"), call.id, storeRetryAfter);
+        co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call.value(), nullptr));
 }
 
 asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, const CallerCall& call)
@@ -314,7 +254,7 @@
         co_return;
     }
     if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
-        co_await exchange.respond(co_await this->answerOrPass(exchange.request(), call, route));
+        co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call, route));
     else
         co_await this->forwarder.handle(exchange, call, *route);
 }
--- /dev/null
+++ b/src/gateway/job_calls.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "context.hpp"
+#include "job_service.hpp"
+#include "peer_relay.hpp"
+
+#include <topaztack/wire/http_server.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+/// @file
+/// Calls about jobs: answered by this VM, or by one that reaches the store while this one does not.
+
+namespace topaztack {
+
+class JobCalls {
+public:
+    JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay);
+
+    /// @brief Answers a caller. While the store does not answer this VM, other VMs are asked at once.
+    /// @param route of a submission; nullptr for other calls.
+    boost::asio::awaitable<HttpResponse> answer(const HttpRequest& request, CallerCall call, const Route* route);
+
+    /// @brief Answers a call that another VM passed on; it is not passed on again.
+    boost::asio::awaitable<void> handlePeer(HttpExchange& exchange);
+
+private:
+    boost::asio::awaitable<HttpResponse> answerHere(
+        const HttpRequest& request, const CallerCall& call, const Route* route);
+    bool isStoreAway() const;
+
+    GatewayContext& context;
+    JobService& service;
+    PeerRelay& relay;
+};
+
+} // namespace topaztack
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -1,5 +1,7 @@
 #include "job_runner.hpp"
 
+#include "item_run.hpp"
+
 #include <topaztack/base/log.hpp>
 #include <topaztack/samples/item_order.hpp>
 
@@ -18,14 +20,6 @@
 
 namespace {
 
-    /// An unchanged head is written again after this time, so that other VMs know that the job has an owner.
-    constexpr Duration heartbeatInterval = 700ms;
-    /// Results that are finished within this time are listed in one write.
-    constexpr Duration listingInterval = 30ms;
-    constexpr Duration retryInterval = 150ms;
-    /// Results in one write: the store takes 100 entries and a megabyte.
-    constexpr std::size_t resultsPerWrite = 40;
-    constexpr std::size_t bytesPerWrite = 384UL * 1024;
     /// Without an answer of the store for this long the job may have been ended or taken over; nothing new is started.
     constexpr Duration longestSilence = 2500ms;
     constexpr Duration dispatchInterval = 100ms;
@@ -37,29 +31,6 @@
 
 } // namespace
 
-enum class ItemPhase : std::uint8_t {
-    Waiting,
-    Running,
-    Finished,
-};
-
-/// @brief One item on its way.
-struct ItemRun {
-    const JobItem* item { nullptr };
-    bool isSpare { false };
-    ItemPhase phase { ItemPhase::Waiting };
-    ItemText text;
-    ItemState state { ItemState::Completed };
-    /// Answers that said that it failed.
-    std::uint64_t failures { 0 };
-    std::uint64_t attempts { 0 };
-    std::set<BackendName> tried;
-    /// By the item's own path; nullptr if it has none.
-    const Route* route { nullptr };
-    /// Set while it runs.
-    CallControl* control { nullptr };
-};
-
 JobRunner::JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, RunnerStart start)
     : context(context)
     , servers(servers)
@@ -101,7 +72,7 @@
             this->finish(run, ItemState::Completed, "text of an earlier job");
     }
     if (start.isHandedOver)
-        this->listedAt -= heartbeatInterval;
+        this->listedAt -= jobHeartbeatInterval;
 }
 
 void JobRunner::start()
@@ -354,121 +325,6 @@
     this->servers.finish(server, outcomeOf(attemptEnd), this->job.model);
 }
 
-/// Takes finished items for the next write.
-std::vector<ItemResult> JobRunner::nextResults()
-{
-    std::vector<ItemResult> results;
-    std::size_t bytes = 0;
-    for (auto* item : this->finished) {
-        bytes += item->text.output.size();
-        if (results.size() == resultsPerWrite || (!results.empty() && bytes > bytesPerWrite))
-            break;
-        results.push_back({ item->item->id, item->state, item->text.output, item->text.versions });
-    }
-    this->finished.erase(this->finished.begin(), this->finished.begin() + static_cast<std::ptrdiff_t>(results.size()));
-    return results;
-}
-
-JobHead JobRunner::nextHead()
-{
-    auto next = this->head.head;
-    this->beingListed = this->nextResults();
-    next.listed += this->beingListed.size();
-    ++next.writes;
-    const auto* pool = this->route ? choosePool(*this->route, 0) : nullptr;
-    if (pool)
-        next.inFlight = this->servers.inFlight(*pool);
-    next.textObjects = this->textObjects;
-    next.waiting = this->countWaiting();
-    if (this->isReleasing && this->finished.empty())
-        next.owner = VmIdentity {};
-    return next;
-}
-
-/// @return whether the pending write is known to have taken effect.
-bool JobRunner::takeWrite(const JobWrite& write)
-{
-    const bool isOwn = write.end == JobWriteEnd::Written
-        || (write.end == JobWriteEnd::Conflict && write.current && write.current->head == *this->pendingHead);
-    if (isOwn) {
-        this->head = *write.current;
-        this->listedAt = Clock::now();
-        this->beingListed.clear();
-        this->pendingHead.reset();
-        return true;
-    }
-    if (write.end != JobWriteEnd::Conflict)
-        return false;
-    const bool isEnded = !write.current || write.current->head.isEnded;
-    if (!isEnded)
-        logEvent(LogLevel::Warning, "job-lost",
-            { { "job", this->job.id.value() }, { "owner", write.current->head.owner.name.value() },
-                { "writes", std::to_string(write.current->head.writes) },
-                { "expected_writes", std::to_string(this->pendingHead->writes) },
-                { "listed", std::to_string(write.current->head.listed) } });
-    this->stop(isEnded ? RunnerEnd::Ended : RunnerEnd::Lost);
-    return false;
-}
-
-/// The next owner goes on where these texts end.
-asio::awaitable<void> JobRunner::leaveTexts()
-{
-    this->areTextsLeft = true;
-    std::map<ItemId, ItemText> texts;
-    for (const auto& item : this->items) {
-        if (item->phase != ItemPhase::Finished && item->text.lastEvent)
-            texts.emplace(item->item->id, item->text);
-    }
-    if (texts.empty())
-        co_return;
-    const auto number = this->textObjects;
-    const auto left = co_await this->store.putTexts(this->job.id, number, toText(texts));
-    if (left)
-        this->textObjects = number + 1;
-    logEvent(left ? LogLevel::Info : LogLevel::Warning, left ? "texts-left" : "texts-not-left",
-        { { "job", this->job.id.value() }, { "texts", std::to_string(texts.size()) },
-            { "error", left ? "" : left.error().message } });
-}
-
-asio::awaitable<void> JobRunner::listOnce()
-{
-    if (this->isReleasing && !this->areTextsLeft && !this->pendingHead)
-        co_await this->leaveTexts();
-    if (this->end)
-        co_return;
-    if (!this->pendingHead)
-        this->pendingHead = this->nextHead();
-    const auto write = co_await this->store.write(
-        this->job.id, this->head.version, *this->pendingHead, this->head.head.listed, this->beingListed);
-    if (this->end)
-        co_return;
-    if (!this->takeWrite(write)) {
-        if (!this->end)
-            co_await pauseFor(retryInterval);
-        co_return;
-    }
-    if (this->head.head.listed == this->head.head.total)
-        this->stop(RunnerEnd::Complete);
-    else if (this->head.head.owner != this->context.identity)
-        this->stop(RunnerEnd::Released);
-}
-
-asio::awaitable<void> JobRunner::list()
-{
-    const auto self = this->shared_from_this();
-    while (!this->end) {
-        const bool isDue = !this->finished.empty() || this->pendingHead || this->isReleasing
-            || Clock::now() - this->listedAt >= heartbeatInterval;
-        if (!isDue) {
-            co_await this->toList.waitUntil(this->listedAt + heartbeatInterval);
-            if (!this->end && !this->isReleasing)
-                co_await pauseFor(listingInterval);
-            continue;
-        }
-        co_await this->listOnce();
-    }
-}
-
 json::value JobRunner::dump() const
 {
     std::size_t running = 0;
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -19,6 +19,9 @@
 
 struct ItemRun;
 
+/// An unchanged head is written again after this time, so that other VMs know that the job has an owner.
+inline constexpr std::chrono::milliseconds jobHeartbeatInterval { 700 };
+
 /// @brief Why a runner stopped.
 enum class RunnerEnd : std::uint8_t {
     /// Every item is listed.
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -14,8 +14,6 @@
 namespace {
 
     constexpr unsigned statusAccepted = 202;
-    /// Outages of the store last seconds.
-    constexpr std::chrono::milliseconds storeRetryAfter { 1500 };
     /// A write whose answer was lost is repeated for this long; it settles what became of it.
     constexpr Duration longestSettling = 5s;
     constexpr Duration repeatInterval = 100ms;
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -1,5 +1,7 @@
 #include "peer_relay.hpp"
 
+#include "answers.hpp"
+
 #include <topaztack/base/log.hpp>
 
 #include <algorithm>
@@ -60,7 +62,7 @@
             co_return result;
         }
         const bool saidNotRun
-            = answered && (answered.value().status == 503 || answered.value().status == statusNoRoute);
+            = answered && (answered.value().status == statusNotRun || answered.value().status == statusNoRoute);
         const bool wasWritten = answered || answered.error().progress != AttemptProgress::NothingWritten;
         result.mayHaveRun = result.mayHaveRun || (wasWritten && !saidNotRun);
     }
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -20,11 +20,11 @@
 
     bool isHopHeader(std::string_view name)
     {
-        static constexpr std::array<std::string_view, 12> hopHeaders { "connection", "keep-alive", "transfer-encoding",
-            "content-length", "host", "te", "trailer", "upgrade", "proxy-connection", ticketHeader, outcomeHeader,
+        static constexpr std::array<std::string_view, 4> ownHeaders { "host", ticketHeader, outcomeHeader,
             settlingHeader };
-        return std::any_of(
-            hopHeaders.begin(), hopHeaders.end(), [name](std::string_view hop) { return sameName(name, hop); });
+        return isConnectionHeader(name)
+            || std::any_of(
+                ownHeaders.begin(), ownHeaders.end(), [name](std::string_view own) { return sameName(name, own); });
     }
 
     std::string wholeSeconds(std::chrono::milliseconds time)
