A VM that shuts down accepts a job for another; a stale feed is a failed one

Cause: between SIGTERM and the balancer's notice callers still reach a VM. A job that it accepted then it ran itself, gave up when it stopped, and another VM took it over after 2.2 s of silence. Now such a job is accepted without an owner, and the first VM that sees it claims it, as for a job that was given up. Test: Jobs.AVmThatShutsDownAcceptsAJobForAnother. A feed that answers with an older version than was seen is asked again after a pause, like one that failed; the operators' rows were asked for again at once.

--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -164,7 +164,9 @@
     const bool isUsable = latest && !latest->stored.head.owner.name.value().empty()
         && latest->stored.head.owner.name != this->context.identity.name
         && Clock::now() - latest->seenAt < longestPreference;
-    return isUsable ? latest->stored.head.owner : this->context.identity;
+    if (isUsable)
+        return latest->stored.head.owner;
+    return this->context.isDraining ? VmIdentity {} : this->context.identity;
 }
 
 void JobOwner::place(JobSpec job, const StoredHead& head)
@@ -175,7 +177,7 @@
         start.job = std::move(job);
         start.head = head;
         this->adopt(std::move(start));
-    } else {
+    } else if (!this->context.isDraining) {
         asio::co_spawn(this->context.loop(), this->watchHandover(std::move(job), head), asio::detached);
     }
     this->noteHead(id, head);
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -23,7 +23,8 @@
 
     void start();
 
-    /// @brief Which VM is to run a trainer's next job: the one that ran the last, which has its connections and texts.
+    /// @brief Which VM is to run a trainer's next job: the one that ran the last, which has its connections and texts;
+    /// else this one, or the first to claim it if this one shuts down.
     VmIdentity preferredOwner(const ModelName& model) const;
 
     /// @brief A job was accepted here. It is run here, or handed to the owner that its head names; one that does not
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -113,7 +113,7 @@
     }
     if (changes.value().version < this->position) {
         this->logStaleRead(changes.value().version);
-        co_return true;
+        co_return false;
     }
     auto& rows = changes.value().rows;
     // Rows of a part that was read after others come again.
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -339,6 +339,20 @@
         CHECK_FALSE(seen.at(index).lastEvent.empty());
 }
 
+// Pattern: planned restarts; callers still reach a VM that shuts down until the balancer has taken it out.
+TEST(Jobs, AVmThatShutsDownAcceptsAJobForAnother)
+{
+    auto& first = this->world->startGateway("vm-1", 1);
+    auto& second = this->world->startGateway("vm-2", 2);
+    std::thread shutdown([&first] { first.gateway->shutDown(); });
+    CHECK_TRUE(waitFor([&] { return this->world->call(first.operators, "GET", "/-/readyz").status == 503; }));
+    LONGS_EQUAL(202, this->world->submit(first, "j1", manyItems(3)).status);
+    CHECK_TRUE(this->world->waitForResults(second, "j1", 3));
+    const auto head = parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value();
+    STRCMP_EQUAL("vm-2", head.owner.name.value().c_str());
+    shutdown.join();
+}
+
 TEST(Jobs, ItemsOfARouteThatIsGoneAreListedAsAborted)
 {
     auto& gateway = this->world->startGateway();
