--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -17,7 +17,6 @@
     /// A write whose answer was lost is repeated for this long; it settles what became of it.
     constexpr Duration longestSettling = 5s;
     constexpr Duration repeatInterval = 100ms;
-    constexpr std::chrono::milliseconds longestWait { 1000 };
     /// The longest list of results in one answer.
     constexpr std::size_t bytesPerPage = 700UL * 1024;
     /// Decoded submissions kept for callers that ask for bodies.
@@ -134,7 +133,7 @@
 /// Waits until the feed shows more results than the caller has, and reads the store in any case.
 asio::awaitable<Result<std::vector<ItemResult>>> JobService::waitForResults(const CallerCall& call)
 {
-    const auto end = Clock::now() + std::min(call.wait, longestWait);
+    const auto end = Clock::now() + std::min(call.wait, longestResultWait);
     while (true) {
         const auto* seen = this->owner.seen(call.job);
         const bool hasMore = !seen || seen->head.listed > call.position;
--- a/src/gateway/job_service.hpp
+++ b/src/gateway/job_service.hpp
@@ -15,6 +15,9 @@
 
 namespace topaztack {
 
+/// A read that waits for a result is answered after this time in any case.
+inline constexpr std::chrono::milliseconds longestResultWait { 1000 };
+
 class JobService {
 public:
     JobService(GatewayContext& context, JobStore& store, JobOwner& owner);
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -1,6 +1,7 @@
 #include "peer_relay.hpp"
 
 #include "answers.hpp"
+#include "job_service.hpp"
 
 #include <topaztack/base/log.hpp>
 
@@ -46,9 +47,11 @@
 asio::awaitable<PassedCall> PeerRelay::pass(const HttpRequest& request, const CallerCall& call)
 {
     PassedCall result;
+    const bool hasEffect = call.ask == CallerAsk::Route || call.ask == CallerAsk::EndJob;
+    const auto allowed = answerTime + std::min(call.wait, longestResultWait);
     for (const auto& peer : this->peers.candidates(mostPeers)) {
         auto answered = co_await this->context.backends.call(
-            peer.endpoint, withoutConnectionHeaders(request), Clock::now() + answerTime + call.wait);
+            peer.endpoint, withoutConnectionHeaders(request), Clock::now() + allowed);
         const bool isUsable = answered && isAnswer(answered.value(), call);
         logEvent(LogLevel::Info, "call-passed",
             { { "id", call.id.value() }, { "job", call.job.value() }, { "vm", peer.vm.name.value() },
@@ -64,7 +67,7 @@
         const bool saidNotRun
             = answered && (answered.value().status == statusNotRun || answered.value().status == statusNoRoute);
         const bool wasWritten = answered || answered.error().progress != AttemptProgress::NothingWritten;
-        result.mayHaveRun = result.mayHaveRun || (wasWritten && !saidNotRun);
+        result.mayHaveRun = result.mayHaveRun || (hasEffect && wasWritten && !saidNotRun);
     }
     this->failed.add();
     co_return result;
--- a/tests/src/platform/unit-callers.cpp
+++ b/tests/src/platform/unit-callers.cpp
@@ -64,6 +64,16 @@
     CHECK_FALSE(decodeCall(requestOf("GET", "/-/lots/j?after=99999999999999999999")).has_value());
 }
 
+TEST(Callers, ATimeThatNoClockCanHoldIsAnErrorThatNamesItsField)
+{
+    for (const auto* name : { "Topaztack-Deadline-Ms", "Topaztack-Wait-Ms" }) {
+        const auto bad = decodeCall(requestOf("GET", "/", { { name, "18446744073709551615" } }));
+        CHECK_FALSE(bad.has_value());
+        CHECK_TRUE(bad.error().message.find(name) != std::string::npos);
+        CHECK_TRUE(decodeCall(requestOf("GET", "/", { { name, "1000000000000" } })).has_value());
+    }
+}
+
 TEST(Callers, AJobIsReadWhole)
 {
     const auto job = submitted(wholeJob);
