An engine's missing report is logged with its reason; what VMs that are gone said of their load is dropped

Found on reading the change again: WeightLoader::ask returned false without a line, and the counts of each VM that ever owned a job were kept and looked through at each choice of a server.

--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -98,6 +98,7 @@
     const bool isAway = contact.lostSince.has_value();
     for (const auto& name : expireServers(this->servers, now, isAway))
         logEvent(LogLevel::Info, "server-expired", { { "server", name.value() } });
+    std::erase_if(this->others, [now](const auto& other) { return now - other.second.saidAt >= reportLifetime; });
     std::erase_if(this->uses,
         [this](const auto& use) { return use.second.outstanding == 0 && !this->servers.entries.contains(use.first); });
 }
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -125,8 +125,11 @@
 {
     auto answered = co_await this->context.backends.call(
         server.endpoint, this->context.protocol.encodeReportQuery(server), Clock::now() + reportTime);
-    if (!answered)
+    if (!answered) {
+        logEvent(LogLevel::Info, "engine-report-missing",
+            { { "server", server.name.value() }, { "error", answered.error().error.message } });
         co_return false;
+    }
     const auto report = this->context.protocol.decodeReport(answered.value());
     if (!report) {
         logEvent(LogLevel::Warning, "engine-report-refused",
