How many weights are loaded at once is learned from how long loads take

Cause: a fifth of the engines was loaded at once, whatever the store of weights serves.

Ruled out: a feed of servers that lags (10 rows a second at each VM, none of them heartbeats).

--- /dev/null
+++ b/include/topaztack/samples/load_pace.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <topaztack/base/time.hpp>
+
+#include <cstddef>
+
+/// @file
+/// How many loads of weights run at once, where the store of weights serves a few at full speed and slows all of them
+/// down beyond that. How many it serves is learned from how long loads take. Pure.
+
+namespace topaztack {
+
+/// @brief What has been learned of a store of weights.
+struct LoadPace {
+    /// Loads that may run at once.
+    std::size_t atOnce { 2 };
+    /// How long a load takes that nothing slows down; zero before the first was measured.
+    Duration usual { 0 };
+    /// Grows fast until a load is slowed down for the first time.
+    bool isRising { true };
+
+    /// @name Loads since the limit was last looked at
+    /// @{
+    std::size_t loads { 0 };
+    /// The fewest that ran beside one of them, it included.
+    std::size_t fewestBeside { 0 };
+    Duration least { 0 };
+    /// @}
+    /// Looks in a row at which nothing was slowed down.
+    std::size_t calmLooks { 0 };
+};
+
+/// @brief Where to begin for a number of engines.
+LoadPace firstPace(std::size_t engines);
+
+/// @brief A load is over. An engine's end of a load is told of late by up to a heartbeat, so the shortest of several
+/// loads is what counts.
+/// @param beside loads that ran when it began, itself included.
+/// @param engines that there are; half of them at most load at once.
+void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t engines);
+
+} // namespace topaztack
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -71,6 +71,7 @@
 #include <topaztack/samples/item_order.hpp>
 #include <topaztack/samples/job.hpp>
 #include <topaztack/samples/ledger.hpp>
+#include <topaztack/samples/load_pace.hpp>
 #include <topaztack/samples/load_plan.hpp>
 #include <topaztack/samples/slot_planner.hpp>
 #include <topaztack/samples/version_span.hpp>
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -31,14 +31,7 @@
     constexpr unsigned mostDoublings = 3;
     constexpr Duration longestLoadTime = 6s;
     constexpr Duration loadCheckInterval = 50ms;
-    /// Loads that the weight store serves at full speed, as a part of the engines, two at least.
-    constexpr std::size_t enginesPerLoad = 5;
-    /// Before any load was seen, and the bounds of what is learned.
-    constexpr Duration firstLoadTime = 1s;
     constexpr Duration shortestLoadTime = 200ms;
-    /// Lets the learned time rise again after loads have become slower.
-    constexpr double loadTimeRise = 1.02;
-    constexpr std::size_t fewestAtOnce = 2;
 
     std::string_view verdictName(OrderVerdict verdict)
     {
@@ -54,7 +47,6 @@
     , servers(servers)
     , jobs(jobs)
     , lease(lease)
-    , usualLoadTime(firstLoadTime)
     , orders(context.metrics.counter("topaztack_load_orders_total", "Orders to load weights"))
     , orderFailures(context.metrics.counter("topaztack_load_order_failures_total", "Orders that were not accepted"))
     , loadTime(context.metrics.latency("topaztack_load_seconds", "Time from an order to the new weights"))
@@ -126,15 +118,19 @@
         }
         planned.push_back(std::move(each));
     }
+    auto& pace = this->paces.try_emplace(pool.name, firstPace(planned.size())).first->second;
     LoadLimits limits;
-    limits.atOnce = std::max(fewestAtOnce, (planned.size() + enginesPerLoad / 2) / enginesPerLoad);
+    limits.atOnce = pace.atOnce;
+    auto running = static_cast<std::size_t>(std::count_if(
+        planned.begin(), planned.end(), [](const auto& engine) { return engine.loading && !engine.isLoadEnding; }));
     for (auto& load : planLoads(planned, models, limits)) {
         const auto* server = this->servers.find(load.engine);
         if (!server)
             continue;
         auto& engine = this->engineOf(*server);
         engine.loading = load.model;
-        engine.busyUntil = now + this->usualLoadTime;
+        engine.busyUntil = now + std::clamp(pace.usual, shortestLoadTime, longestLoadTime);
+        engine.beside = ++running;
         asio::co_spawn(this->context.loop(), this->load(*server, std::move(load)), asio::detached);
     }
 }
@@ -202,13 +198,6 @@
     co_return false;
 }
 
-/// Follows the shortest times.
-void WeightLoader::noteLoadTime(Duration took)
-{
-    const auto raised = std::chrono::duration_cast<Duration>(this->usualLoadTime * loadTimeRise);
-    this->usualLoadTime = std::clamp<Duration>(std::min(took, raised), shortestLoadTime, longestLoadTime);
-}
-
 asio::awaitable<void> WeightLoader::load(ServerRecord server, PlannedLoad load)
 {
     const auto startedAt = Clock::now();
@@ -225,8 +214,9 @@
     if (isLoaded) {
         const auto took = Clock::now() - startedAt;
         this->loadTime.record(took);
-        if (verdict == OrderVerdict::Accepted)
-            this->noteLoadTime(took);
+        const auto pace = this->paces.find(server.pool);
+        if (verdict == OrderVerdict::Accepted && pace != this->paces.end())
+            noteLoad(pace->second, took, engine.beside, this->engines.size());
         this->servers.noteVersion(server.name, load.model, load.version);
         engine.failures = 0;
     } else {
@@ -246,7 +236,11 @@
     for (const auto& [name, engine] : this->engines)
         list[name.value()] = json::object { { "orders", engine.orders.value_or(0) },
             { "loading", engine.loading ? engine.loading->value() : "" }, { "failures", engine.failures } };
-    return list;
+    json::object limits;
+    for (const auto& [pool, pace] : this->paces)
+        limits[pool.value()]
+            = json::object { { "at_once", pace.atOnce }, { "usual_ms", toMilliseconds(pace.usual).count() } };
+    return json::object { { "engines", std::move(list) }, { "pools", std::move(limits) } };
 }
 
 } // namespace topaztack
--- a/src/gateway/weight_loader.hpp
+++ b/src/gateway/weight_loader.hpp
@@ -5,6 +5,7 @@
 #include "order_lease.hpp"
 #include "server_table.hpp"
 
+#include <topaztack/samples/load_pace.hpp>
 #include <topaztack/samples/load_plan.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,8 @@
         std::optional<ModelName> loading;
         /// Until when its load takes a part of the weight store's speed.
         TimePoint busyUntil;
+        /// Loads that ran when its own began, it included.
+        std::size_t beside { 0 };
         TimePoint notBefore;
         unsigned failures { 0 };
     };
@@ -45,7 +48,6 @@
     boost::asio::awaitable<void> load(ServerRecord server, PlannedLoad load);
     boost::asio::awaitable<OrderVerdict> give(ServerRecord server, PlannedLoad load);
     boost::asio::awaitable<bool> waitUntilLoaded(ServerRecord server, PlannedLoad load);
-    void noteLoadTime(Duration took);
     boost::asio::awaitable<bool> ask(ServerRecord server);
     Engine& engineOf(const ServerRecord& server);
 
@@ -54,8 +56,7 @@
     JobOwner& jobs;
     OrderLease& lease;
     std::map<BackendName, Engine> engines;
-    /// How long a load takes at most where few run at once: records tell of its end up to a heartbeat late.
-    Duration usualLoadTime;
+    std::map<PoolName, LoadPace> paces;
     Counter& orders;
     Counter& orderFailures;
     LatencyHistogram& loadTime;
--- /dev/null
+++ b/src/samples/load_pace.cpp
@@ -0,0 +1,69 @@
+#include <topaztack/samples/load_pace.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace {
+
+    constexpr std::size_t fewestAtOnce = 2;
+    /// Loads that the stores seen so far serve at full speed, as a part of the engines.
+    constexpr std::size_t enginesPerLoad = 5;
+    /// Where to begin at most: too many at once take as long together, but keep their engines from serving.
+    constexpr std::size_t mostAtFirst = 16;
+    /// Loads between two looks; the shortest of so many is told of nearly at once.
+    constexpr std::size_t fewestLoads = 12;
+    /// A load that takes this many times as long was slowed down by others.
+    constexpr double slowedDown = 1.3;
+    /// Looks without a slow load before one more load is tried.
+    constexpr std::size_t looksPerTry = 4;
+
+    void raise(LoadPace& pace, std::size_t engines)
+    {
+        const auto most = std::max(fewestAtOnce, engines / 2);
+        if (pace.isRising) {
+            pace.atOnce = std::min(most, pace.atOnce * 2);
+        } else if (++pace.calmLooks >= looksPerTry) {
+            pace.atOnce = std::min(most, pace.atOnce + 1);
+            pace.calmLooks = 0;
+        }
+    }
+
+    void look(LoadPace& pace, std::size_t engines)
+    {
+        const bool isAlone = pace.fewestBeside <= fewestAtOnce;
+        if (pace.usual == Duration(0) || isAlone)
+            pace.usual = pace.least;
+        const double ratio = static_cast<double>(pace.least.count()) / static_cast<double>(pace.usual.count());
+        pace.usual = std::min(pace.usual, pace.least);
+        if (ratio >= slowedDown) {
+            const auto served = static_cast<double>(pace.fewestBeside) / ratio;
+            pace.atOnce = std::max(fewestAtOnce, static_cast<std::size_t>(served));
+            pace.isRising = false;
+            pace.calmLooks = 0;
+        } else if (pace.fewestBeside >= pace.atOnce) {
+            raise(pace, engines);
+        }
+    }
+
+} // namespace
+
+LoadPace firstPace(std::size_t engines)
+{
+    LoadPace pace;
+    pace.atOnce = std::clamp((engines + enginesPerLoad / 2) / enginesPerLoad, fewestAtOnce, mostAtFirst);
+    return pace;
+}
+
+void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t engines)
+{
+    const bool isFirst = pace.loads == 0;
+    pace.least = isFirst ? took : std::min(pace.least, took);
+    pace.fewestBeside = isFirst ? beside : std::min(pace.fewestBeside, beside);
+    if (++pace.loads < std::max(fewestLoads, pace.atOnce))
+        return;
+    look(pace, engines);
+    pace.loads = 0;
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/tests/src/samples/unit-load_pace.cpp
@@ -0,0 +1,60 @@
+#include <topaztack/samples/load_pace.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Loads in rounds against a store that serves some at full speed; a load's end is told of after up to 1.2 s.
+LoadPace paceAfter(std::size_t rounds, std::size_t engines, std::size_t served)
+{
+    auto pace = firstPace(engines);
+    std::size_t told = 0;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        const auto running = pace.atOnce;
+        const auto stretch = std::max(1.0, static_cast<double>(running) / static_cast<double>(served));
+        for (std::size_t load = 0; load < running; ++load) {
+            const auto late = std::chrono::milliseconds(150 * (5 * told++ % 9));
+            noteLoad(pace, std::chrono::duration_cast<Duration>(900ms * stretch) + late, running, engines);
+        }
+    }
+    return pace;
+}
+
+} // namespace
+
+TEST_GROUP(LoadPace) {};
+
+// Pattern: 3,000 engines before a store that serves 9 loads. With 600 at once each takes a minute, which passes for a
+// failed load, and no engine ever has the weights that its trainer waits for.
+TEST(LoadPace, FollowsWhatAStoreServesThatIsSmallForItsEngines)
+{
+    const auto pace = paceAfter(30, 3000, 9);
+    CHECK_TRUE(pace.atOnce >= 8);
+    CHECK_TRUE(pace.atOnce <= 20);
+}
+
+TEST(LoadPace, GrowsToWhatALargeStoreServes)
+{
+    const auto pace = paceAfter(40, 3000, 600);
+    CHECK_TRUE(pace.atOnce >= 400);
+    CHECK_TRUE(pace.atOnce <= 800);
+}
+
+TEST(LoadPace, StaysNearTheLimitOfTheDeploymentsSeenSoFar)
+{
+    const auto small = paceAfter(60, 11, 2);
+    CHECK_TRUE(small.atOnce >= 2);
+    CHECK_TRUE(small.atOnce <= 3);
+    const auto large = paceAfter(60, 44, 9);
+    CHECK_TRUE(large.atOnce >= 8);
+    CHECK_TRUE(large.atOnce <= 12);
+}
+
+TEST(LoadPace, NeverFallsBelowTwoNorPassesHalfOfTheEngines)
+{
+    CHECK_TRUE(paceAfter(60, 8, 1).atOnce == 2);
+    CHECK_TRUE(paceAfter(60, 8, 100).atOnce == 4);
+}
