--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "answers.hpp"
 #include "context.hpp"
 #include "forwarder.hpp"
+#include "item_dispatcher.hpp"
 #include "job_calls.hpp"
 #include "job_owner.hpp"
 #include "job_service.hpp"
@@ -86,6 +87,7 @@
     GatewayContext context;
     ServerTable servers;
     JobStore jobStore;
+    ItemDispatcher dispatcher;
     JobOwner jobs;
     JobService jobService;
     Forwarder forwarder;
@@ -106,7 +108,8 @@
     : context(std::move(settings), std::move(identity), protocol)
     , servers(this->context)
     , jobStore(this->context)
-    , jobs(this->context, this->servers, this->jobStore)
+    , dispatcher(this->context, this->servers)
+    , jobs(this->context, this->servers, this->jobStore, this->dispatcher)
     , jobService(this->context, this->jobStore, this->jobs)
     , forwarder(this->context, this->servers)
     , lease(this->context)
@@ -289,6 +292,7 @@
     BOOST_OUTCOME_TRYV(parts.peerServer.start());
     parts.operatorRows.start();
     parts.serverRows.start();
+    parts.dispatcher.start();
     parts.jobs.start();
     parts.lease.start();
     parts.weights.start();
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -125,7 +125,7 @@
             if (now < moveAt)
                 continue;
             moveAt = now + moveInterval;
-            if (servers.isWorthMoving(server, attempt.need, attempt.isAnyWaiting())) {
+            if (servers.isWorthMoving(server, attempt.need, attempt.mayMove)) {
                 stream.cancel();
                 logBreak(attempt, server, "item-moved", "another server is faster");
                 co_return AttemptEnd::Moved;
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -42,8 +42,9 @@
     ItemText& text;
     const ServerNeed& need;
     CallControl& control;
-    /// Whether other items wait for a server with room.
-    std::function<bool()> isAnyWaiting;
+    /// Whether it could be started elsewhere at once.
+    /// @param isUrgent its server is very slow.
+    std::function<bool(bool isUrgent)> mayMove;
 };
 
 /// @brief Generates from the last event of the text on. Does not tell the servers' table that the attempt has ended.
--- /dev/null
+++ b/src/gateway/item_dispatcher.cpp
@@ -0,0 +1,110 @@
+#include "item_dispatcher.hpp"
+
+#include "item_run.hpp"
+#include "job_runner.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr Duration dispatchInterval = 100ms;
+    /// Time of an event at an engine before any was measured.
+    constexpr Duration firstUnitTime = 50ms;
+
+    struct WaitingItem {
+        JobRunner* runner { nullptr };
+        ItemRun* item { nullptr };
+        /// When it has to start to be whole in time.
+        TimePoint latestStart;
+    };
+
+    bool isBefore(const WaitingItem& one, const WaitingItem& other)
+    {
+        if (one.item->isSpare != other.item->isSpare)
+            return other.item->isSpare;
+        return one.latestStart < other.latestStart;
+    }
+
+    /// What decides which servers can take an item: where one finds none, others alike need not look.
+    using NeedKey = std::tuple<PoolName, ModelName, WeightVersion, WeightVersion>;
+
+    NeedKey keyOf(const ServerNeed& need) { return { need.pool, need.model, need.oldestVersion, need.exactVersion }; }
+
+} // namespace
+
+ItemDispatcher::ItemDispatcher(GatewayContext& context, ServerTable& servers)
+    : context(context)
+    , servers(servers)
+{
+}
+
+void ItemDispatcher::start() { asio::co_spawn(this->context.loop(), this->dispatch(), asio::detached); }
+
+void ItemDispatcher::add(std::weak_ptr<JobRunner> runner)
+{
+    this->runners.push_back(std::move(runner));
+    this->servers.changed().notify();
+}
+
+void ItemDispatcher::noteLength(const ModelName& model, std::uint64_t events, std::uint64_t expectedTokens)
+{
+    topaztack::noteLength(this->lengths[model], events, expectedTokens);
+}
+
+asio::awaitable<void> ItemDispatcher::dispatch()
+{
+    while (true) {
+        this->startWhatFits();
+        co_await this->servers.changed().waitUntil(Clock::now() + dispatchInterval);
+    }
+}
+
+std::vector<std::shared_ptr<JobRunner>> ItemDispatcher::openRunners()
+{
+    std::vector<std::shared_ptr<JobRunner>> open;
+    std::erase_if(this->runners, [&open](const auto& weak) {
+        auto runner = weak.lock();
+        if (!runner || runner->isStopped())
+            return true;
+        open.push_back(std::move(runner));
+        return false;
+    });
+    return open;
+}
+
+void ItemDispatcher::startWhatFits()
+{
+    // Held while items are started.
+    const auto open = this->openRunners();
+    std::vector<WaitingItem> waiting;
+    for (const auto& runner : open) {
+        const auto items = runner->startableItems();
+        const auto unit = this->servers.usualUnitTime(runner->pool()).value_or(firstUnitTime);
+        for (auto* item : items) {
+            const auto events = remainingEvents(
+                this->lengths[runner->spec().model], item->item->expectedTokens, item->text.lastEvent.value_or(0));
+            const auto remaining = std::chrono::duration_cast<Duration>(unit * events);
+            waiting.push_back({ runner.get(), item, runner->dueAt() - remaining });
+        }
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), isBefore);
+    std::set<NeedKey> exhausted;
+    for (const auto& each : waiting) {
+        const auto need = each.runner->needOf(*each.item);
+        const auto key = keyOf(need);
+        if (!exhausted.contains(key) && !each.runner->startItem(*each.item, need))
+            exhausted.insert(key);
+    }
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/item_dispatcher.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "context.hpp"
+#include "server_table.hpp"
+
+#include <topaztack/samples/item_length.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+/// @file
+/// Starts the waiting items of all jobs that this VM runs, those first whose time is shortest.
+
+namespace topaztack {
+
+class JobRunner;
+
+class ItemDispatcher {
+public:
+    ItemDispatcher(GatewayContext& context, ServerTable& servers);
+
+    void start();
+
+    /// @brief Starts the runner's items from now on, until it stops.
+    void add(std::weak_ptr<JobRunner> runner);
+
+    /// @brief An item of the model is whole.
+    void noteLength(const ModelName& model, std::uint64_t events, std::uint64_t expectedTokens);
+
+private:
+    boost::asio::awaitable<void> dispatch();
+    std::vector<std::shared_ptr<JobRunner>> openRunners();
+    void startWhatFits();
+
+    GatewayContext& context;
+    ServerTable& servers;
+    std::vector<std::weak_ptr<JobRunner>> runners;
+    std::map<ModelName, LengthModel> lengths;
+};
+
+} // namespace topaztack
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -51,10 +51,11 @@
 
 } // namespace
 
-JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store)
+JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher)
     : context(context)
     , servers(servers)
     , store(store)
+    , dispatcher(dispatcher)
     , heads(context, headRules(),
           [this](const std::vector<StoreRow>& rows, bool isWhole) { this->takeRows(rows, isWhole); })
     , changeNotifier(context.loop())
@@ -147,7 +148,8 @@
     if (this->runnerOf(id))
         return;
     this->addTexts(start);
-    auto runner = std::make_shared<JobRunner>(this->context, this->servers, this->store, std::move(start));
+    auto runner
+        = std::make_shared<JobRunner>(this->context, this->servers, this->store, this->dispatcher, std::move(start));
     this->runners[id] = runner;
     this->starts.add();
     runner->start();
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -19,7 +19,7 @@
 
 class JobOwner {
 public:
-    JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store);
+    JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher);
 
     void start();
 
@@ -76,6 +76,7 @@
     GatewayContext& context;
     ServerTable& servers;
     JobStore& store;
+    ItemDispatcher& dispatcher;
     TableFollower heads;
     std::map<JobId, Known> jobs;
     std::map<JobId, std::shared_ptr<JobRunner>> runners;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -22,24 +22,35 @@
 
     /// Without an answer of the store for this long the job may have been ended or taken over; nothing new is started.
     constexpr Duration longestSilence = 2500ms;
-    constexpr Duration dispatchInterval = 100ms;
     /// How long items of groups that the trainer can do without wait for the newest weights, whose text the next job
     /// can use.
     constexpr Duration spareWait = 1500ms;
     /// How long generations go on after the end of their job; the trainer's next job comes within this time.
     constexpr Duration lingerTime = 2500ms;
+    /// VMs' clocks may differ; no job that a trainer still waits for is older.
+    constexpr std::chrono::milliseconds mostAge { 60'000 };
+
+    /// How long ago a job was accepted.
+    Duration ageOf(const JobHead& head)
+    {
+        return std::clamp<std::chrono::milliseconds>(
+            unixTime() - head.acceptedAt, std::chrono::milliseconds(0), mostAge);
+    }
 
 } // namespace
 
-JobRunner::JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, RunnerStart start)
+JobRunner::JobRunner(
+    GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher, RunnerStart start)
     : context(context)
     , servers(servers)
     , store(store)
+    , dispatcher(dispatcher)
     , job(std::move(start.job))
     , head(start.head)
     , toList(context.loop())
     , listedAt(Clock::now())
     , startedAt(Clock::now())
+    , acceptedAt(this->startedAt - ageOf(this->head.head))
     , textObjects(start.head.head.textObjects)
     , attempts(context.metrics.counter("topaztack_item_attempts_total", "Generations begun or resumed at a server"))
 {
@@ -86,7 +97,7 @@
             { "wanted_groups", std::to_string(this->job.wantedGroups) },
             { "items", std::to_string(this->items.size()) }, { "listed", std::to_string(this->head.head.listed) },
             { "reused", std::to_string(reused) } });
-    asio::co_spawn(this->context.loop(), this->dispatch(), asio::detached);
+    this->dispatcher.add(this->weak_from_this());
     asio::co_spawn(this->context.loop(), this->list(), asio::detached);
 }
 
@@ -217,39 +228,45 @@
     return need;
 }
 
-void JobRunner::startWhatFits()
+PoolName JobRunner::pool() const
+{
+    const auto* pool = this->route ? choosePool(*this->route, 0) : nullptr;
+    return pool ? *pool : PoolName();
+}
+
+TimePoint JobRunner::dueAt() const
 {
+    return this->acceptedAt + Duration(this->route ? this->route->jobTarget : std::chrono::milliseconds(0));
+}
+
+std::vector<ItemRun*> JobRunner::startableItems()
+{
+    std::vector<ItemRun*> startable;
     this->followRoutes();
     this->giveUpOldItems();
     if (!this->mayStart())
-        return;
-    for (const auto& each : this->items) {
-        auto& item = *each;
-        if (item.phase != ItemPhase::Waiting || !item.route)
-            continue;
-        auto need = this->needOf(item);
-        auto server = this->servers.acquire(need);
-        if (!server && need.exactVersion.value() != 0)
-            this->restart(item, "no server has its version");
-        if (!server && item.isSpare)
-            continue;
-        if (!server)
-            break;
-        this->groupServers[item.item->group] = server->name;
-        item.phase = ItemPhase::Running;
-        ++item.attempts;
-        this->attempts.add();
-        asio::co_spawn(this->context.loop(), this->run(item, std::move(*server), std::move(need)), asio::detached);
+        return startable;
+    for (const auto& item : this->items) {
+        if (item->phase == ItemPhase::Waiting && item->route)
+            startable.push_back(item.get());
     }
+    return startable;
 }
 
-asio::awaitable<void> JobRunner::dispatch()
+bool JobRunner::startItem(ItemRun& item, const ServerNeed& need)
 {
-    const auto self = this->shared_from_this();
-    while (!this->end) {
-        this->startWhatFits();
-        co_await this->servers.changed().waitUntil(Clock::now() + dispatchInterval);
+    auto server = this->servers.acquire(need);
+    if (!server) {
+        if (need.exactVersion.value() != 0)
+            this->restart(item, "no server has its version");
+        return false;
     }
+    this->groupServers[item.item->group] = server->name;
+    item.phase = ItemPhase::Running;
+    ++item.attempts;
+    this->attempts.add();
+    asio::co_spawn(this->context.loop(), this->run(item, std::move(*server), need), asio::detached);
+    return true;
 }
 
 void JobRunner::restart(ItemRun& item, std::string_view reason)
@@ -279,6 +296,7 @@
     switch (attemptEnd) {
     case AttemptEnd::Whole:
         item.text.isWhole = true;
+        this->dispatcher.noteLength(this->job.model, item.text.lastEvent.value_or(0), item.item->expectedTokens);
         if (item.route && item.route->isSingleVersion && item.text.versions.size() > 1)
             this->restart(item, "weights changed in its midst");
         else
@@ -313,7 +331,7 @@
     const auto sentAt = Clock::now();
     need.tried.insert(server.name);
     ItemAttempt attempt { this->job, *item.item, item.text, need, control,
-        [this] { return this->countWaiting() > 0; } };
+        [this](bool isUrgent) { return this->mayStart() && (isUrgent || this->countWaiting() == 0); } };
     const auto attemptEnd = co_await attemptItem(this->context, this->servers, std::move(attempt), server);
     item.control = nullptr;
     logEvent(LogLevel::Debug, "item-attempted",
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -2,6 +2,7 @@
 
 #include "context.hpp"
 #include "item_attempt.hpp"
+#include "item_dispatcher.hpp"
 #include "job_store.hpp"
 #include "notifier.hpp"
 #include "server_table.hpp"
@@ -49,7 +50,8 @@
 
 class JobRunner : public std::enable_shared_from_this<JobRunner> {
 public:
-    JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, RunnerStart start);
+    JobRunner(
+        GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher, RunnerStart start);
     ~JobRunner();
 
     void start();
@@ -60,6 +62,24 @@
     /// @brief Gives the job up, so that another VM goes on with it at once.
     void release();
 
+    /// @name For the dispatcher
+    /// @{
+
+    /// @brief The pool of the job's route; empty if it has none.
+    PoolName pool() const;
+
+    /// @brief When the trainer wants all results.
+    TimePoint dueAt() const;
+
+    /// @brief Items that may be started now, in the job's own order.
+    std::vector<ItemRun*> startableItems();
+
+    ServerNeed needOf(const ItemRun& item) const;
+
+    /// @brief Starts an item if a server can take it.
+    bool startItem(ItemRun& item, const ServerNeed& need);
+    /// @}
+
     bool isStopped() const { return this->end.has_value(); }
     TimePoint stoppedAt() const { return this->endedAt; }
     const JobSpec& spec() const { return this->job; }
@@ -74,7 +94,6 @@
 
 private:
     void takeStart(const RunnerStart& start);
-    boost::asio::awaitable<void> dispatch();
     boost::asio::awaitable<void> list();
     boost::asio::awaitable<void> listOnce();
     boost::asio::awaitable<void> linger();
@@ -82,10 +101,8 @@
     void takeEnd(ItemRun& item, const ServerRecord& server, AttemptEnd attemptEnd);
     void restart(ItemRun& item, std::string_view reason);
     void finish(ItemRun& item, ItemState state, std::string_view reason);
-    void startWhatFits();
     bool mayStart() const;
     std::size_t countWaiting() const;
-    ServerNeed needOf(const ItemRun& item) const;
     void followRoutes();
     void giveUpOldItems();
     boost::asio::awaitable<void> leaveTexts();
@@ -98,6 +115,7 @@
     GatewayContext& context;
     ServerTable& servers;
     JobStore& store;
+    ItemDispatcher& dispatcher;
     const JobSpec job;
     StoredHead head;
     /// In the order in which they are started.
@@ -121,6 +139,8 @@
     const Route* route { nullptr };
     TimePoint listedAt;
     TimePoint startedAt;
+    /// As the accepting VM's clock had it.
+    TimePoint acceptedAt;
     Counter& attempts;
 };
 
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -255,7 +255,16 @@
     return *member.record;
 }
 
-bool ServerTable::isWorthMoving(const ServerRecord& server, const ServerNeed& need, bool isAnyWaiting)
+std::optional<Duration> ServerTable::usualUnitTime(const PoolName& pool)
+{
+    const auto seconds = this->viewOf(pool, Clock::now()).usualUnitSeconds;
+    if (seconds == 0)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+bool ServerTable::isWorthMoving(
+    const ServerRecord& server, const ServerNeed& need, const std::function<bool(bool isUrgent)>& mayMove)
 {
     const auto now = Clock::now();
     auto& view = this->viewOf(server.pool, now);
@@ -264,7 +273,7 @@
         return false;
     const auto slowness = use->second.unitSeconds / view.usualUnitSeconds;
     const auto fastest = view.leastUnitSeconds / view.usualUnitSeconds;
-    if (!couldGainByMoving(slowness, fastest) || (isAnyWaiting && !isUrgentToMove(slowness)))
+    if (!couldGainByMoving(slowness, fastest) || !mayMove(isUrgentToMove(slowness)))
         return false;
     this->gatherCandidates(view, need, now);
     return topaztack::isWorthMoving(slowness, this->loads);
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <functional>
 #include <set>
 
 /// @file
@@ -66,9 +67,13 @@
     /// @brief Learns from the time between two events of a generation.
     void noteUnit(const BackendName& name, Duration unitTime);
 
+    /// @brief The usual time between two events at the pool's engines; nothing if none was measured.
+    std::optional<Duration> usualUnitTime(const PoolName& pool);
+
     /// @brief Whether a generation at this server is to be moved to a faster one.
-    /// @param isAnyWaiting others wait for a server with room.
-    bool isWorthMoving(const ServerRecord& server, const ServerNeed& need, bool isAnyWaiting);
+    /// @param mayMove asked, with whether the server is very slow, once a move could pay.
+    bool isWorthMoving(
+        const ServerRecord& server, const ServerNeed& need, const std::function<bool(bool isUrgent)>& mayMove);
 
     /// @brief The record as known now.
     const ServerRecord* find(const BackendName& name) const;
--- /dev/null
+++ b/src/samples/item_length.cpp
@@ -0,0 +1,32 @@
+#include <topaztack/samples/item_length.hpp>
+
+#include <algorithm>
+
+namespace topaztack {
+
+namespace {
+
+    /// Part of its events that an item which has passed its estimate is expected to make yet: an eighth of all items
+    /// run to several times their estimate.
+    constexpr double tailPart = 0.3;
+
+} // namespace
+
+void noteLength(LengthModel& model, std::uint64_t events, std::uint64_t expectedTokens)
+{
+    if (expectedTokens == 0)
+        return;
+    model.events += static_cast<double>(events);
+    model.expectedTokens += static_cast<double>(expectedTokens);
+}
+
+double remainingEvents(const LengthModel& model, std::uint64_t expectedTokens, std::uint64_t eventsMade)
+{
+    if (model.expectedTokens == 0)
+        return 0;
+    const auto made = static_cast<double>(eventsMade);
+    const auto expected = static_cast<double>(expectedTokens) * model.events / model.expectedTokens;
+    return std::max(expected - made, made * tailPart);
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/tests/src/gateway/unit-dispatch.cpp
@@ -0,0 +1,58 @@
+#include "gateway/job_pages.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace topaztack;
+using namespace topaztack::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Items whose trainer expects so many tokens of each.
+std::string jobWithHint(const std::vector<std::string>& items, int tokens)
+{
+    auto job = boost::json::parse(World::jobBody(items)).as_object();
+    for (auto& item : job.at("items").as_array())
+        item.at("headers").as_object()["Topaztack-Length-Hint"] = std::to_string(tokens);
+    return boost::json::serialize(job);
+}
+
+unsigned submitWithHint(World& world, const RunningGateway& gateway, const std::string& job,
+    const std::vector<std::string>& items, int tokens)
+{
+    return world
+        .call(gateway.callers, "POST", "/j/" + job, { { "Topaztack-Request-Id", job } }, jobWithHint(items, tokens))
+        .status;
+}
+
+/// When the engine saw the first request of that id, counted from the first of all.
+std::ptrdiff_t placeOf(const WorkerStandin& engine, const std::string& id)
+{
+    const auto seen = engine.seen();
+    return std::find_if(seen.begin(), seen.end(), [&id](const auto& request) { return request.id == id; })
+        - seen.begin();
+}
+
+} // namespace
+
+TEST_GROUP(Dispatch) { std::unique_ptr<World> world = std::make_unique<World>(); };
+
+// Pattern: steps of several trainers overlap on engines that are full. A step is as long as its longest item: short
+// items of a job that came earlier can wait, long ones of the next can't.
+TEST(Dispatch, LongItemsOfALaterJobGoBeforeShortOnesThatCanWait)
+{
+    auto& gateway = this->world->startGateway();
+    auto& engine = this->world->engine;
+    LONGS_EQUAL(202, submitWithHint(*this->world, gateway, "j0", { "w" }, 100));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j0", 1));
+    engine.faults.eventTime = 200ms;
+    // The engine has four slots.
+    LONGS_EQUAL(202, submitWithHint(*this->world, gateway, "j1", manyItems(8), 10));
+    LONGS_EQUAL(202, submitWithHint(*this->world, gateway, "j2", { "a", "b", "c", "d" }, 2000));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 8));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j2", 4));
+    for (const auto* longItem : { "a", "b", "c", "d" })
+        CHECK_TRUE(placeOf(engine, longItem) <= 8);
+}
--- /dev/null
+++ b/tests/src/samples/unit-item_length.cpp
@@ -0,0 +1,32 @@
+#include <topaztack/samples/item_length.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+
+TEST_GROUP(ItemLength) {};
+
+TEST(ItemLength, NothingIsExpectedBeforeAnyItemWasFinished)
+{
+    DOUBLES_EQUAL(0, remainingEvents({}, 100, 0), 0);
+    LengthModel model;
+    noteLength(model, 7, 0);
+    DOUBLES_EQUAL(0, remainingEvents(model, 100, 0), 0);
+}
+
+TEST(ItemLength, EstimatesAreScaledByWhatItemsCameTo)
+{
+    LengthModel model;
+    noteLength(model, 10, 770);
+    noteLength(model, 20, 1540);
+    DOUBLES_EQUAL(30, remainingEvents(model, 2310, 0), 0.001);
+    DOUBLES_EQUAL(5, remainingEvents(model, 770, 5), 0.001);
+}
+
+// Pattern: a tenth of the items is five times as long as the rest, and their estimates don't tell.
+TEST(ItemLength, AnItemThatHasPassedItsEstimateIsExpectedToGoOn)
+{
+    LengthModel model;
+    noteLength(model, 10, 770);
+    DOUBLES_EQUAL(30, remainingEvents(model, 770, 100), 0.001);
+}
