--- a/include/topaztack/control/settings.hpp
+++ b/include/topaztack/control/settings.hpp
@@ -35,6 +35,12 @@
     std::uint64_t rowBytes { 0 };
     /// The longest object of the store.
     std::uint64_t objectBytes { 0 };
+    /// Part of each core that this process may use, and the cores.
+    double coreShare { 1 };
+    std::uint64_t cores { 1 };
+
+    /// @brief Cores' worth of processor time that this process may use.
+    double processor() const { return this->coreShare * static_cast<double>(this->cores); }
 };
 
 /// @brief `[vm NAME]`, `[platform]`, `[gateway]`, `[tls]` and `[peer NAME]` of one settings file.
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -57,6 +57,7 @@
 #include <topaztack/policy/claim_witness.hpp>
 #include <topaztack/policy/class_queue.hpp>
 #include <topaztack/policy/home.hpp>
+#include <topaztack/policy/job_placement.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/pool_scheduler.hpp>
 #include <topaztack/policy/prefix.hpp>
@@ -68,6 +69,7 @@
 #include <topaztack/policy/server_health.hpp>
 #include <topaztack/policy/slot_share.hpp>
 #include <topaztack/policy/ticket_ledger.hpp>
+#include <topaztack/samples/item_length.hpp>
 #include <topaztack/samples/item_order.hpp>
 #include <topaztack/samples/job.hpp>
 #include <topaztack/samples/ledger.hpp>
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -122,6 +122,12 @@
             [](GatewaySettings& gateway, std::string_view text) {
                 return readSize(text, 1024, 1024UL * 1024 * 1024, gateway.objectBytes);
             } },
+        { "core_share", "1", "part of each core that this process may use, 0.01..1",
+            [](GatewaySettings& gateway, std::string_view text) {
+                return readFraction(text, 0.01, 1, gateway.coreShare);
+            } },
+        { "cores", "1", "cores that this process may use, 1..1024",
+            [](GatewaySettings& gateway, std::string_view text) { return readWhole(text, 1, 1024, gateway.cores); } },
     };
     return rules;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,12 +88,12 @@
     ServerTable servers;
     JobStore jobStore;
     ItemDispatcher dispatcher;
+    PeerDirectory peers;
     JobOwner jobs;
     JobService jobService;
     Forwarder forwarder;
     OrderLease lease;
     WeightLoader weights;
-    PeerDirectory peers;
     PeerRelay peerRelay;
     JobCalls jobCalls;
     TableFollower operatorRows;
@@ -109,12 +109,12 @@
     , servers(this->context)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers)
-    , jobs(this->context, this->servers, this->jobStore, this->dispatcher)
+    , peers(this->context)
+    , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers)
     , jobService(this->context, this->jobStore, this->jobs)
     , forwarder(this->context, this->servers)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
-    , peers(this->context)
     , peerRelay(this->context, this->peers)
     , jobCalls(this->context, this->jobService, this->peerRelay)
     , operatorRows(this->context, followRules(protocol.places.operatorTable, configurationWait, 0ms),
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -1,6 +1,7 @@
 #include "job_owner.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/job_placement.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,8 +20,11 @@
     /// An owner writes its head every 700 ms or more often; after this silence another VM takes the job.
     constexpr Duration ownerSilence = 2200ms;
     /// VMs claim a job one after the other, in an order drawn for each job.
-    constexpr std::uint64_t claimSpreadMs = 400;
-    constexpr std::uint64_t releaseSpreadMs = 60;
+    constexpr Duration claimSpread = 400ms;
+    constexpr Duration releaseSpread = 60ms;
+    constexpr std::int64_t claimSteps = 100;
+    /// A VM that did not take a job is handed none for this long.
+    constexpr Duration distrustTime = 15s;
     constexpr Duration watchInterval = 100ms;
     constexpr std::chrono::milliseconds feedWait { 1000 };
     constexpr std::chrono::milliseconds feedPause { 100 };
@@ -51,11 +55,13 @@
 
 } // namespace
 
-JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher)
+JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
+    const PeerDirectory& peers)
     : context(context)
     , servers(servers)
     , store(store)
     , dispatcher(dispatcher)
+    , peers(peers)
     , heads(context, headRules(),
           [this](const std::vector<StoreRow>& rows, bool isWhole) { this->takeRows(rows, isWhole); })
     , changeNotifier(context.loop())
@@ -155,7 +161,19 @@
     runner->start();
 }
 
-VmIdentity JobOwner::preferredOwner(const ModelName& model) const
+std::map<VmName, std::uint64_t> JobOwner::openItems() const
+{
+    std::map<VmName, std::uint64_t> items;
+    for (const auto& [id, known] : this->jobs) {
+        const auto& head = known.stored.head;
+        if (isOpen(head))
+            items[head.owner.name] += head.total - head.listed;
+    }
+    return items;
+}
+
+/// The VM that ran the trainer's last job; empty if there is none of late.
+VmName JobOwner::lastOwner(const ModelName& model) const
 {
     const Known* latest = nullptr;
     for (const auto& [id, known] : this->jobs) {
@@ -163,12 +181,38 @@
         if (head.model == model && (!latest || head.acceptedAt > latest->stored.head.acceptedAt))
             latest = &known;
     }
-    const bool isUsable = latest && !latest->stored.head.owner.name.value().empty()
-        && latest->stored.head.owner.name != this->context.identity.name
-        && Clock::now() - latest->seenAt < longestPreference;
-    if (isUsable)
-        return latest->stored.head.owner;
-    return this->context.isDraining ? VmIdentity {} : this->context.identity;
+    if (!latest || Clock::now() - latest->seenAt >= longestPreference)
+        return {};
+    return latest->stored.head.owner.name;
+}
+
+bool JobOwner::isDistrusted(const VmName& vm, TimePoint now) const
+{
+    const auto failed = this->failedHandovers.find(vm);
+    return failed != this->failedHandovers.end() && now - failed->second < distrustTime;
+}
+
+VmIdentity JobOwner::preferredOwner(const ModelName& model, std::uint64_t items) const
+{
+    const auto now = Clock::now();
+    const auto open = this->openItems();
+    const auto last = this->lastOwner(model);
+    std::vector<VmIdentity> vms;
+    std::vector<PlacementCandidate> candidates;
+    const auto add = [&](const VmIdentity& vm, double processor) {
+        const auto found = open.find(vm.name);
+        vms.push_back(vm);
+        candidates.push_back({ processor, found == open.end() ? 0 : found->second, vm.name == last,
+            stableHash(vm.name.value(), vm.incarnation.value()) });
+    };
+    if (!this->context.isDraining)
+        add(this->context.identity, this->context.settings.gateway.processor());
+    for (const auto& [name, peer] : this->peers.known()) {
+        if (!this->isDistrusted(name, now))
+            add(peer.vm, peer.processor);
+    }
+    const auto chosen = placeJob(candidates, items);
+    return chosen ? vms[*chosen] : VmIdentity {};
 }
 
 void JobOwner::place(JobSpec job, const StoredHead& head)
@@ -192,6 +236,7 @@
     co_await pauseFor(handoverTime);
     if (this->jobs[id].stored.version != head.version)
         co_return;
+    this->failedHandovers[head.head.owner.name] = Clock::now();
     logEvent(
         LogLevel::Info, "job-handover-failed", { { "job", id.value() }, { "owner", head.head.owner.name.value() } });
     const auto claimed = co_await this->claim(id);
@@ -203,19 +248,39 @@
     this->adopt(std::move(start));
 }
 
+/// VMs claim a job in an order drawn for it; those that run jobs and have room go first, then the strong ones.
+Duration JobOwner::claimDelay(const JobId& id, Duration spread) const
+{
+    const auto open = this->openItems();
+    const auto found = open.find(this->context.identity.name);
+    PlacementCandidate self;
+    self.processor = this->context.settings.gateway.processor();
+    self.openItems = found == open.end() ? 0 : found->second;
+    double strongest = self.processor;
+    for (const auto& [name, peer] : this->peers.known())
+        strongest = std::max(strongest, peer.processor);
+    const bool hasRoom = hasRoomFor(self, 0);
+    Duration turn = spread / 2;
+    if (hasRoom && self.openItems > 0)
+        turn = Duration(0);
+    else if (hasRoom && self.processor >= strongest)
+        turn = spread / 4;
+    const auto rank = stableHash(id.value(), this->context.identity.incarnation.value());
+    return turn + spread * static_cast<std::int64_t>(rank % claimSteps) / (2 * claimSteps);
+}
+
 bool JobOwner::isClaimable(const JobId& id, const Known& known, TimePoint now) const
 {
     const auto& head = known.stored.head;
     if (known.isBeingClaimed || !isOpen(head) || this->runnerOf(id))
         return false;
-    const auto rank = stableHash(id.value(), this->context.identity.incarnation.value());
     if (head.owner.name == this->context.identity.name)
         return true;
     if (head.owner.name.value().empty())
-        return now - known.seenAt >= std::chrono::milliseconds(rank % releaseSpreadMs);
+        return now - known.seenAt >= this->claimDelay(id, releaseSpread);
     // Silence counts only while changes would have been seen.
     const auto fresh = this->heads.freshSince();
-    const auto silence = ownerSilence + std::chrono::milliseconds(rank % claimSpreadMs);
+    const auto silence = ownerSilence + this->claimDelay(id, claimSpread);
     return fresh && now - *fresh >= silence && now - known.seenAt >= silence;
 }
 
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -3,6 +3,7 @@
 #include "context.hpp"
 #include "job_runner.hpp"
 #include "job_store.hpp"
+#include "peer_directory.hpp"
 #include "table_follower.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -19,13 +20,13 @@
 
 class JobOwner {
 public:
-    JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher);
+    JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
+        const PeerDirectory& peers);
 
     void start();
 
-    /// @brief Which VM is to run a trainer's next job: the one that ran the last, which has its connections and texts;
-    /// else this one, or the first to claim it if this one shuts down.
-    VmIdentity preferredOwner(const ModelName& model) const;
+    /// @brief Which VM is to run a new job; no name for the first to claim it.
+    VmIdentity preferredOwner(const ModelName& model, std::uint64_t items) const;
 
     /// @brief A job was accepted here. It is run here, or handed to the owner that its head names; one that does not
     /// take it at once loses it to this VM.
@@ -62,6 +63,10 @@
 
     void takeRows(const std::vector<StoreRow>& rows, bool isWhole);
     boost::asio::awaitable<void> watch();
+    std::map<VmName, std::uint64_t> openItems() const;
+    VmName lastOwner(const ModelName& model) const;
+    bool isDistrusted(const VmName& vm, TimePoint now) const;
+    Duration claimDelay(const JobId& id, Duration spread) const;
     bool isClaimable(const JobId& id, const Known& known, TimePoint now) const;
     bool isForgettable(const JobId& id, const Known& known) const;
     void adopt(RunnerStart start);
@@ -77,11 +82,14 @@
     ServerTable& servers;
     JobStore& store;
     ItemDispatcher& dispatcher;
+    const PeerDirectory& peers;
     TableFollower heads;
     std::map<JobId, Known> jobs;
     std::map<JobId, std::shared_ptr<JobRunner>> runners;
     /// Runners of jobs that have ended, for the texts of items that come again.
     std::list<std::shared_ptr<JobRunner>> ended;
+    /// VMs that did not take a job they were handed, and when.
+    std::map<VmName, TimePoint> failedHandovers;
     Notifier changeNotifier;
     Counter& starts;
     Counter& takeovers;
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -85,7 +85,7 @@
     if (!stored)
         co_return this->unavailable("submit", stored.error(), id);
     JobHead head;
-    head.owner = this->owner.preferredOwner(job.model);
+    head.owner = this->owner.preferredOwner(job.model, job.items.size());
     head.total = job.items.size();
     head.waiting = head.total;
     head.objects = this->store.objectsFor(submission.body.size());
--- a/src/gateway/order_lease.cpp
+++ b/src/gateway/order_lease.cpp
@@ -23,14 +23,19 @@
     /// Added to the silence between two holders' orders: an order is under way for a while.
     constexpr Duration orderSlack = 200ms;
 
+    /// Cores from which on a VM plans the loads of thousands of engines without falling behind. Weaker ones ask for the
+    /// lease later than strong ones do: at their start, and when its holder has fallen silent.
+    constexpr double strongVm = 0.25;
+    constexpr Duration weakVmDelay = 2s;
+
     /// A dead holder's orders are missed by the trainers within seconds: the lease is short.
-    LeaseTiming leaseTiming()
+    LeaseTiming leaseTiming(double processor)
     {
         LeaseTiming timing;
         timing.duration = 1500ms;
         timing.renewEvery = 250ms;
         timing.watchEvery = 400ms;
-        timing.driftMargin = 150ms;
+        timing.driftMargin = processor >= strongVm ? 150ms : 550ms;
         timing.retryAfter = 100ms;
         return timing;
     }
@@ -57,18 +62,18 @@
 
 OrderLease::OrderLease(GatewayContext& context)
     : context(context)
-    , holder(context.identity, leaseTiming())
+    , holder(context.identity, leaseTiming(context.settings.gateway.processor()))
 {
 }
 
-void OrderLease::start()
-{
-    this->holder.want();
-    asio::co_spawn(this->context.loop(), this->keep(), asio::detached);
-}
+void OrderLease::start() { asio::co_spawn(this->context.loop(), this->keep(), asio::detached); }
 
 asio::awaitable<void> OrderLease::keep()
 {
+    if (this->context.settings.gateway.processor() < strongVm)
+        co_await pauseFor(weakVmDelay);
+    if (!this->context.isDraining)
+        this->holder.want();
     while (true) {
         co_await this->step();
         this->noteHeld();
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -43,9 +43,10 @@
 
 std::string toText(const PeerRecord& record)
 {
-    return json::serialize(json::object { { "vm", record.vm.name.value() },
-        { "incarnation", record.vm.incarnation.value() }, { "data_centre", record.dataCentre.value() },
-        { "address", toText(record.endpoint) }, { "written_ms", record.writtenAt.count() } });
+    return json::serialize(
+        json::object { { "vm", record.vm.name.value() }, { "incarnation", record.vm.incarnation.value() },
+            { "data_centre", record.dataCentre.value() }, { "address", toText(record.endpoint) },
+            { "processor", record.processor }, { "written_ms", record.writtenAt.count() } });
 }
 
 Result<PeerRecord> parsePeerRecord(std::string_view text)
@@ -60,6 +61,11 @@
         if (!endpoint)
             return makeError(ErrorKind::BadFrame, "row of a VM not understood: its address is not IP:PORT");
         record.endpoint = *endpoint;
+        // Rows of an earlier release don't say it.
+        if (const auto* processor = value.as_object().if_contains("processor"))
+            record.processor = processor->to_number<double>();
+        if (!(record.processor > 0))
+            return makeError(ErrorKind::BadFrame, "row of a VM not understood: `processor` is not above 0");
         record.writtenAt = std::chrono::milliseconds(value.at("written_ms").to_number<std::int64_t>());
         return record;
     } catch (const std::exception& problem) {
@@ -117,7 +123,7 @@
 {
     while (!this->isWithdrawn) {
         PeerRecord own { this->context.identity, this->context.settings.dataCentre, this->context.settings.peers,
-            unixTime() };
+            this->context.settings.gateway.processor(), unixTime() };
         StoreTransaction transaction;
         transaction.writes.push_back({ placeOf(own.vm.name), toText(own) });
         const auto written = co_await this->context.store.commit(std::move(transaction));
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -19,6 +19,8 @@
     VmIdentity vm;
     DataCentre dataCentre;
     Endpoint endpoint;
+    /// Cores' worth of processor time that it may use.
+    double processor { 1 };
     /// When it last wrote its row, in milliseconds of Unix time by its clock.
     std::chrono::milliseconds writtenAt { 0 };
 };
@@ -38,6 +40,9 @@
     /// may turn away a whole data centre; apart from that at random.
     std::vector<PeerRecord> candidates(std::size_t most) const;
 
+    /// @brief The other VMs that have a row.
+    const std::map<VmName, PeerRecord>& known() const { return this->peers; }
+
     /// @brief Removes this VM's row.
     boost::asio::awaitable<void> withdraw();
 
