--- a/include/topaztack/samples/load_pace.hpp
+++ b/include/topaztack/samples/load_pace.hpp
@@ -14,8 +14,9 @@
 struct LoadPace {
     /// Loads that may run at once.
     std::size_t atOnce { 2 };
-    /// How long a load takes that nothing slows down; zero before the first was measured.
-    Duration usual { 0 };
+    /// How long a load takes that nothing slows down. Until it was measured, that of the engines seen so far.
+    Duration usual { std::chrono::seconds(1) };
+    bool isMeasured { false };
     /// Grows fast until a load is slowed down for the first time.
     bool isRising { true };
 
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -121,8 +121,8 @@
     auto& pace = this->paces.try_emplace(pool.name, firstPace(planned.size())).first->second;
     LoadLimits limits;
     limits.atOnce = pace.atOnce;
-    auto running = static_cast<std::size_t>(std::count_if(
-        planned.begin(), planned.end(), [](const auto& engine) { return engine.loading && !engine.isLoadEnding; }));
+    auto running = static_cast<std::size_t>(
+        std::count_if(planned.begin(), planned.end(), [](const auto& engine) { return engine.loading.has_value(); }));
     for (auto& load : planLoads(planned, models, limits)) {
         const auto* server = this->servers.find(load.engine);
         if (!server)
--- a/src/samples/load_pace.cpp
+++ b/src/samples/load_pace.cpp
@@ -32,12 +32,14 @@
     void look(LoadPace& pace, std::size_t engines)
     {
         const bool isAlone = pace.fewestBeside <= fewestAtOnce;
-        if (pace.usual == Duration(0) || isAlone)
+        if (!pace.isMeasured || isAlone)
             pace.usual = pace.least;
+        pace.isMeasured = true;
         const double ratio = static_cast<double>(pace.least.count()) / static_cast<double>(pace.usual.count());
         pace.usual = std::min(pace.usual, pace.least);
         if (ratio >= slowedDown) {
-            const auto served = static_cast<double>(pace.fewestBeside) / ratio;
+            // Loads whose end was not told of yet count among those beside.
+            const auto served = static_cast<double>(std::min(pace.fewestBeside, pace.atOnce)) / ratio;
             pace.atOnce = std::max(fewestAtOnce, static_cast<std::size_t>(served));
             pace.isRising = false;
             pace.calmLooks = 0;
--- a/tests/src/samples/unit-load_pace.cpp
+++ b/tests/src/samples/unit-load_pace.cpp
@@ -58,3 +58,14 @@
     CHECK_TRUE(paceAfter(60, 8, 1).atOnce == 2);
     CHECK_TRUE(paceAfter(60, 8, 100).atOnce == 4);
 }
+
+// Pattern: the first version of a day. A load whose length is not known yet must not pass for over at once: every
+// engine would be loading within a second, and none would serve.
+TEST(LoadPace, UntilALoadWasMeasuredOneIsReckonedToTakeASecond)
+{
+    CHECK_TRUE(firstPace(44).usual == 1s);
+    auto pace = firstPace(44);
+    for (int load = 0; load < 20; ++load)
+        noteLoad(pace, 2500ms, 1, 44);
+    CHECK_TRUE(pace.usual == 2500ms);
+}
