--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
 #include "server_table.hpp"
+#include "store_watch.hpp"
 #include "table_follower.hpp"
 #include "weight_loader.hpp"
 
@@ -89,6 +90,7 @@
     JobStore jobStore;
     ItemDispatcher dispatcher;
     PeerDirectory peers;
+    StoreWatch storeWatch;
     JobOwner jobs;
     JobService jobService;
     Forwarder forwarder;
@@ -110,13 +112,14 @@
     , jobStore(this->context)
     , dispatcher(this->context, this->servers)
     , peers(this->context)
-    , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers)
+    , storeWatch(this->context, this->peers)
+    , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
     , forwarder(this->context, this->servers)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
-    , jobCalls(this->context, this->jobService, this->peerRelay)
+    , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch)
     , operatorRows(this->context, followRules(protocol.places.operatorTable, configurationWait, 0ms),
           [this](const std::vector<StoreRow>& rows, bool) { this->takeOperatorRows(rows); })
     , serverRows(this->context, followRules(protocol.places.serversTable, serversWait, serversPause),
@@ -297,6 +300,7 @@
     parts.lease.start();
     parts.weights.start();
     parts.peers.start();
+    parts.storeWatch.start();
     asio::co_spawn(parts.context.loop(), parts.expire(), asio::detached);
     parts.context.threads.start();
     logEvent(LogLevel::Info, "serving",
--- a/src/gateway/job_calls.cpp
+++ b/src/gateway/job_calls.cpp
@@ -6,10 +6,11 @@
 
 namespace asio = boost::asio;
 
-JobCalls::JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay)
+JobCalls::JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay, const StoreWatch& storeWatch)
     : context(context)
     , service(service)
     , relay(relay)
+    , storeWatch(storeWatch)
 {
 }
 
@@ -50,6 +51,10 @@
 
 asio::awaitable<void> JobCalls::handlePeer(HttpExchange& exchange)
 {
+    if (exchange.request().target == storeContactPath) {
+        co_await exchange.respond(this->storeWatch.answer());
+        co_return;
+    }
     const auto decoded = this->context.protocol.decodeCall(exchange.request());
     if (!decoded) {
         co_await exchange.respond(errorResponse(decoded.error()));
--- a/src/gateway/job_calls.hpp
+++ b/src/gateway/job_calls.hpp
@@ -3,6 +3,7 @@
 #include "context.hpp"
 #include "job_service.hpp"
 #include "peer_relay.hpp"
+#include "store_watch.hpp"
 
 #include <topaztack/wire/http_server.hpp>
 
@@ -15,7 +16,7 @@
 
 class JobCalls {
 public:
-    JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay);
+    JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay, const StoreWatch& storeWatch);
 
     /// @brief Answers a caller. While the store does not answer this VM, other VMs are asked at once.
     /// @param route of a submission; nullptr for other calls.
@@ -32,6 +33,7 @@
     GatewayContext& context;
     JobService& service;
     PeerRelay& relay;
+    const StoreWatch& storeWatch;
 };
 
 } // namespace topaztack
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -56,12 +56,13 @@
 } // namespace
 
 JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
-    const PeerDirectory& peers)
+    const PeerDirectory& peers, const StoreWatch& storeWatch)
     : context(context)
     , servers(servers)
     , store(store)
     , dispatcher(dispatcher)
     , peers(peers)
+    , storeWatch(storeWatch)
     , heads(context, headRules(),
           [this](const std::vector<StoreRow>& rows, bool isWhole) { this->takeRows(rows, isWhole); })
     , changeNotifier(context.loop())
@@ -154,8 +155,8 @@
     if (this->runnerOf(id))
         return;
     this->addTexts(start);
-    auto runner
-        = std::make_shared<JobRunner>(this->context, this->servers, this->store, this->dispatcher, std::move(start));
+    auto runner = std::make_shared<JobRunner>(
+        this->context, this->servers, this->store, this->dispatcher, this->storeWatch, std::move(start));
     this->runners[id] = runner;
     this->starts.add();
     runner->start();
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -21,7 +21,7 @@
 class JobOwner {
 public:
     JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
-        const PeerDirectory& peers);
+        const PeerDirectory& peers, const StoreWatch& storeWatch);
 
     void start();
 
@@ -83,6 +83,7 @@
     JobStore& store;
     ItemDispatcher& dispatcher;
     const PeerDirectory& peers;
+    const StoreWatch& storeWatch;
     TableFollower heads;
     std::map<JobId, Known> jobs;
     std::map<JobId, std::shared_ptr<JobRunner>> runners;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -20,7 +20,8 @@
 
 namespace {
 
-    /// Without an answer of the store for this long the job may have been ended or taken over; nothing new is started.
+    /// Without an answer of the store for this long the job may have been ended or taken over, unless the store is away
+    /// for all; nothing new is started.
     constexpr Duration longestSilence = 2500ms;
     /// How long items of groups that the trainer can do without wait for the newest weights, whose text the next job
     /// can use.
@@ -39,12 +40,13 @@
 
 } // namespace
 
-JobRunner::JobRunner(
-    GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher, RunnerStart start)
+JobRunner::JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
+    const StoreWatch& storeWatch, RunnerStart start)
     : context(context)
     , servers(servers)
     , store(store)
     , dispatcher(dispatcher)
+    , storeWatch(storeWatch)
     , job(std::move(start.job))
     , head(start.head)
     , toList(context.loop())
@@ -52,6 +54,8 @@
     , startedAt(Clock::now())
     , acceptedAt(this->startedAt - ageOf(this->head.head))
     , textObjects(start.head.head.textObjects)
+    , nextTextObject(this->textObjects)
+    , droppedTextObjects(std::max<std::uint64_t>(1, this->textObjects) - 1)
     , attempts(context.metrics.counter("topaztack_item_attempts_total", "Generations begun or resumed at a server"))
 {
     this->takeStart(start);
@@ -99,6 +103,7 @@
             { "reused", std::to_string(reused) } });
     this->dispatcher.add(this->weak_from_this());
     asio::co_spawn(this->context.loop(), this->list(), asio::detached);
+    asio::co_spawn(this->context.loop(), this->keepTexts(), asio::detached);
 }
 
 void JobRunner::cancelRuns()
@@ -205,7 +210,11 @@
         [](const auto& item) { return item->phase == ItemPhase::Waiting && !item->isSpare; }));
 }
 
-bool JobRunner::mayStart() const { return !this->isReleasing && Clock::now() - this->listedAt < longestSilence; }
+bool JobRunner::mayStart() const
+{
+    const bool isHeard = Clock::now() - this->listedAt < longestSilence;
+    return !this->isReleasing && (isHeard || this->storeWatch.isAwayForAll());
+}
 
 ServerNeed JobRunner::needOf(const ItemRun& item) const
 {
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -6,6 +6,7 @@
 #include "job_store.hpp"
 #include "notifier.hpp"
 #include "server_table.hpp"
+#include "store_watch.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
@@ -50,8 +51,8 @@
 
 class JobRunner : public std::enable_shared_from_this<JobRunner> {
 public:
-    JobRunner(
-        GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher, RunnerStart start);
+    JobRunner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
+        const StoreWatch& storeWatch, RunnerStart start);
     ~JobRunner();
 
     void start();
@@ -105,7 +106,10 @@
     std::size_t countWaiting() const;
     void followRoutes();
     void giveUpOldItems();
+    boost::asio::awaitable<void> keepTexts();
     boost::asio::awaitable<void> leaveTexts();
+    boost::asio::awaitable<void> putTexts(std::uint64_t fewestEvents);
+    boost::asio::awaitable<void> dropOldTexts();
     void stop(RunnerEnd reason);
     void cancelRuns();
     std::vector<ItemResult> nextResults();
@@ -116,6 +120,7 @@
     ServerTable& servers;
     JobStore& store;
     ItemDispatcher& dispatcher;
+    const StoreWatch& storeWatch;
     const JobSpec job;
     StoredHead head;
     /// In the order in which they are started.
@@ -131,8 +136,11 @@
     TimePoint endedAt;
     bool isReleasing { false };
     bool areTextsLeft { false };
-    /// Text objects of the job, those that this VM leaves included.
+    /// One more than the number of the newest object that holds texts of the job.
     std::uint64_t textObjects { 0 };
+    std::uint64_t nextTextObject { 0 };
+    /// Objects below this number were dropped.
+    std::uint64_t droppedTextObjects { 0 };
     /// The configuration that the routes below are of.
     RouteTablePtr table;
     /// The route of the job itself; nullptr if it has none.
--- a/src/gateway/job_runner_listing.cpp
+++ b/src/gateway/job_runner_listing.cpp
@@ -76,26 +76,6 @@
     return false;
 }
 
-/// The next owner goes on where these texts end.
-asio::awaitable<void> JobRunner::leaveTexts()
-{
-    this->areTextsLeft = true;
-    std::map<ItemId, ItemText> texts;
-    for (const auto& item : this->items) {
-        if (item->phase != ItemPhase::Finished && item->text.lastEvent)
-            texts.emplace(item->item->id, item->text);
-    }
-    if (texts.empty())
-        co_return;
-    const auto number = this->textObjects;
-    const auto left = co_await this->store.putTexts(this->job.id, number, toText(texts));
-    if (left)
-        this->textObjects = number + 1;
-    logEvent(left ? LogLevel::Info : LogLevel::Warning, left ? "texts-left" : "texts-not-left",
-        { { "job", this->job.id.value() }, { "texts", std::to_string(texts.size()) },
-            { "error", left ? "" : left.error().message } });
-}
-
 asio::awaitable<void> JobRunner::listOnce()
 {
     if (this->isReleasing && !this->areTextsLeft && !this->pendingHead)
--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -150,6 +150,11 @@
     co_return boost::outcome_v2::success();
 }
 
+asio::awaitable<Result<void>> JobStore::dropTexts(JobId id, std::uint64_t number)
+{
+    co_return co_await this->context.store.dropObject(textsKey(id, number));
+}
+
 asio::awaitable<Result<std::map<ItemId, ItemText>>> JobStore::readTexts(JobId id, std::uint64_t objects)
 {
     if (objects == 0)
--- a/src/gateway/job_store.hpp
+++ b/src/gateway/job_store.hpp
@@ -53,7 +53,10 @@
     /// @brief Keeps the texts of unfinished items as the job's object of that number.
     boost::asio::awaitable<Result<void>> putTexts(JobId id, std::uint64_t number, std::string texts);
 
-    /// @brief The texts that were left last; none if none were.
+    /// @brief Removes the job's object of that number.
+    boost::asio::awaitable<Result<void>> dropTexts(JobId id, std::uint64_t number);
+
+    /// @brief The texts that were kept last; none if none were.
     boost::asio::awaitable<Result<std::map<ItemId, ItemText>>> readTexts(JobId id, std::uint64_t objects);
 
     /// @brief Writes a head under the condition that it still has a version, 0 for absent, and results with it.
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -138,9 +138,9 @@
     }
 
     /// A worker that lives as long as the loops that serve it.
-    WorkerStandin& addWorker(const std::string& name)
+    WorkerStandin& addWorker(const std::string& name, WorkerOptions options = {})
     {
-        this->workers.push_back(std::make_unique<WorkerStandin>(this->threads, name));
+        this->workers.push_back(std::make_unique<WorkerStandin>(this->threads, name, std::move(options)));
         return *this->workers.back();
     }
 
--- a/tests/src/gateway/unit-job_handover.cpp
+++ b/tests/src/gateway/unit-job_handover.cpp
@@ -91,6 +91,32 @@
         CHECK_FALSE(seen.at(index).lastEvent.empty());
 }
 
+// Pattern: VMs are killed in the middle of a step whose longest items run for most of the time that there is.
+TEST(JobHandover, ATakeoverGoesOnWhereTextsWereKept)
+{
+    WorkerOptions options;
+    options.events = 80;
+    auto& engine = this->world->addWorker("i-long", options);
+    engine.faults.eventTime = 50ms;
+    this->world->list(this->world->engine, "none");
+    this->world->list(engine, "lm");
+    auto& first = this->world->startGateway("vm-1", 1);
+    auto& second = this->world->startGateway("vm-2", 2);
+    LONGS_EQUAL(202, this->world->submit(first, "j1", { "a" }).status);
+    const auto areKept
+        = [this] { return parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value().textObjects > 0; };
+    CHECK_TRUE(waitFor(areKept));
+    const auto head = parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value();
+    const bool isFirst = head.owner.name == VmName("vm-1");
+    this->world->gateways.erase(this->world->gateways.begin() + (isFirst ? 0 : 1));
+    auto& heir = isFirst ? second : first;
+    CHECK_TRUE(this->world->waitForResults(heir, "j1", 1));
+    CHECK_TRUE(outputAt(this->world->read(heir, "j1"), 0) == engine.textOf("a"));
+    const auto seen = engine.seen();
+    LONGS_EQUAL(2, seen.size());
+    CHECK_TRUE(std::stoi(seen.at(1).lastEvent) >= 16);
+}
+
 // Pattern: planned restarts; callers still reach a VM that shuts down until the balancer has taken it out.
 TEST(JobHandover, AVmThatShutsDownAcceptsAJobForAnother)
 {
