--- a/include/topaztack/samples/load_pace.hpp
+++ b/include/topaztack/samples/load_pace.hpp
@@ -14,6 +14,8 @@
 struct LoadPace {
     /// Loads that may run at once.
     std::size_t atOnce { 2 };
+    /// It never falls below this.
+    std::size_t fewest { 2 };
     /// How long a load takes that nothing slows down. Until it was measured, that of the engines seen so far.
     Duration usual { std::chrono::seconds(1) };
     bool isMeasured { false };
@@ -23,8 +25,8 @@
     /// @name Loads since the limit was last looked at
     /// @{
     std::size_t loads { 0 };
-    /// The fewest that ran beside one of them, it included.
-    std::size_t fewestBeside { 0 };
+    /// How many ran beside each of them, it included, added up.
+    std::size_t besideSum { 0 };
     Duration least { 0 };
     /// @}
     /// Looks in a row at which nothing was slowed down.
@@ -36,7 +38,7 @@
 
 /// @brief A load is over. An engine's end of a load is told of late by up to a heartbeat, so the shortest of several
 /// loads is what counts.
-/// @param beside loads that ran when it began, itself included.
+/// @param beside loads that ran when it began or when it ended, itself included, whichever were more.
 /// @param engines that there are; half of them at most load at once.
 void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t engines);
 
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -86,6 +86,12 @@
         [this](const auto& engine) { return !engine.second.loading && !this->servers.find(engine.first); });
 }
 
+std::size_t WeightLoader::countLoading() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->engines.begin(), this->engines.end(), [](const auto& engine) { return engine.second.loading; }));
+}
+
 std::map<ModelName, PlannedModel> WeightLoader::namedModels() const
 {
     std::map<ModelName, PlannedModel> models;
@@ -216,7 +222,7 @@
         this->loadTime.record(took);
         const auto pace = this->paces.find(server.pool);
         if (verdict == OrderVerdict::Accepted && pace != this->paces.end())
-            noteLoad(pace->second, took, engine.beside, this->engines.size());
+            noteLoad(pace->second, took, std::max(engine.beside, this->countLoading()), this->engines.size());
         this->servers.noteVersion(server.name, load.model, load.version);
         engine.failures = 0;
     } else {
--- a/src/gateway/weight_loader.hpp
+++ b/src/gateway/weight_loader.hpp
@@ -44,6 +44,7 @@
     boost::asio::awaitable<void> plan();
     void planPool(const PoolRecord& pool);
     void forgetEngines();
+    std::size_t countLoading() const;
     std::map<ModelName, PlannedModel> namedModels() const;
     boost::asio::awaitable<void> load(ServerRecord server, PlannedLoad load);
     boost::asio::awaitable<OrderVerdict> give(ServerRecord server, PlannedLoad load);
--- a/src/samples/load_pace.cpp
+++ b/src/samples/load_pace.cpp
@@ -15,8 +15,11 @@
     constexpr std::size_t fewestLoads = 12;
     /// A load that takes this many times as long was slowed down by others.
     constexpr double slowedDown = 1.3;
-    /// Looks without a slow load before one more load is tried.
-    constexpr std::size_t looksPerTry = 4;
+    /// Looks without a slow load before more at once are tried, and how many times as many.
+    constexpr std::size_t looksPerTry = 2;
+    constexpr double growth = 1.25;
+    /// Part of the limit that must have been made use of for it to grow.
+    constexpr double usedPart = 0.7;
 
     void raise(LoadPace& pace, std::size_t engines)
     {
@@ -24,26 +27,27 @@
         if (pace.isRising) {
             pace.atOnce = std::min(most, pace.atOnce * 2);
         } else if (++pace.calmLooks >= looksPerTry) {
-            pace.atOnce = std::min(most, pace.atOnce + 1);
+            const auto grown = static_cast<std::size_t>(static_cast<double>(pace.atOnce) * growth);
+            pace.atOnce = std::min(most, std::max(pace.atOnce + 1, grown));
             pace.calmLooks = 0;
         }
     }
 
     void look(LoadPace& pace, std::size_t engines)
     {
-        const bool isAlone = pace.fewestBeside <= fewestAtOnce;
-        if (!pace.isMeasured || isAlone)
+        const auto beside = static_cast<double>(pace.besideSum) / static_cast<double>(pace.loads);
+        if (!pace.isMeasured || beside <= static_cast<double>(fewestAtOnce))
             pace.usual = pace.least;
         pace.isMeasured = true;
         const double ratio = static_cast<double>(pace.least.count()) / static_cast<double>(pace.usual.count());
         pace.usual = std::min(pace.usual, pace.least);
         if (ratio >= slowedDown) {
             // Loads whose end was not told of yet count among those beside.
-            const auto served = static_cast<double>(std::min(pace.fewestBeside, pace.atOnce)) / ratio;
-            pace.atOnce = std::max(fewestAtOnce, static_cast<std::size_t>(served));
+            const auto served = std::min(beside, static_cast<double>(pace.atOnce)) / ratio;
+            pace.atOnce = std::max({ pace.fewest, pace.atOnce / 2, static_cast<std::size_t>(served) });
             pace.isRising = false;
             pace.calmLooks = 0;
-        } else if (pace.fewestBeside >= pace.atOnce) {
+        } else if (beside >= usedPart * static_cast<double>(pace.atOnce)) {
             raise(pace, engines);
         }
     }
@@ -54,6 +58,7 @@
 {
     LoadPace pace;
     pace.atOnce = std::clamp((engines + enginesPerLoad / 2) / enginesPerLoad, fewestAtOnce, mostAtFirst);
+    pace.fewest = std::max(fewestAtOnce, pace.atOnce / 2);
     return pace;
 }
 
@@ -61,7 +66,7 @@
 {
     const bool isFirst = pace.loads == 0;
     pace.least = isFirst ? took : std::min(pace.least, took);
-    pace.fewestBeside = isFirst ? beside : std::min(pace.fewestBeside, beside);
+    pace.besideSum = (isFirst ? 0 : pace.besideSum) + beside;
     if (++pace.loads < std::max(fewestLoads, pace.atOnce))
         return;
     look(pace, engines);
--- a/tests/src/samples/unit-load_pace.cpp
+++ b/tests/src/samples/unit-load_pace.cpp
@@ -69,3 +69,19 @@
         noteLoad(pace, 2500ms, 1, 44);
     CHECK_TRUE(pace.usual == 2500ms);
 }
+
+// Pattern: a version is named while nothing loads: the first of a burst begins alone and is slowed down by those after
+// it.
+TEST(LoadPace, ABurstIsNoSignOfAStoreThatServesOne)
+{
+    auto pace = firstPace(44);
+    for (int burst = 0; burst < 20; ++burst) {
+        const auto running = pace.atOnce;
+        const auto stretch = std::max(1.0, static_cast<double>(running) / 9);
+        for (std::size_t load = 1; load <= running; ++load)
+            noteLoad(
+                pace, std::chrono::duration_cast<Duration>(900ms * stretch), std::max(load, running + 1 - load), 44);
+    }
+    CHECK_TRUE(pace.atOnce >= 7);
+    CHECK_TRUE(pace.atOnce <= 13);
+}
