--- a/include/topaztack/samples/item_length.hpp
+++ b/include/topaztack/samples/item_length.hpp
@@ -21,4 +21,7 @@
 /// @return 0 before any item was finished.
 double remainingEvents(const LengthModel& model, std::uint64_t expectedTokens, std::uint64_t eventsMade);
 
+/// @brief Tokens that an item will have made when it is whole.
+std::uint64_t wholeTokens(const LengthModel& model, std::uint64_t expectedTokens, std::uint64_t eventsMade);
+
 } // namespace topaztack
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -32,6 +32,8 @@
     std::string body;
     /// Tokens of the prompt and the most tokens made.
     std::uint64_t tokens { 0 };
+    /// Tokens of the prompt alone; 0 if the trainer didn't say.
+    std::uint64_t promptTokens { 0 };
     /// The trainer's estimate of the tokens made, right at the median only; 0 if it gave none.
     std::uint64_t expectedTokens { 0 };
 };
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -125,6 +125,7 @@
             if (now < moveAt)
                 continue;
             moveAt = now + moveInterval;
+            servers.grow(server.name, attempt.need, attempt.expectedTokens());
             if (servers.isWorthMoving(server, attempt.need, attempt.mayMove)) {
                 stream.cancel();
                 logBreak(attempt, server, "item-moved", "another server is faster");
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -40,11 +40,14 @@
     const JobItem& item;
     /// Grows event by event.
     ItemText& text;
-    const ServerNeed& need;
+    /// Its memory grows with the text.
+    ServerNeed& need;
     CallControl& control;
     /// Whether it could be started elsewhere at once.
     /// @param isUrgent its server is very slow.
     std::function<bool(bool isUrgent)> mayMove;
+    /// Tokens of the engine's memory that it is expected to take.
+    std::function<std::uint64_t()> expectedTokens;
 };
 
 /// @brief Generates from the last event of the text on. Does not tell the servers' table that the attempt has ended.
--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -61,6 +61,14 @@
     topaztack::noteLength(this->lengths[model], events, expectedTokens);
 }
 
+std::uint64_t ItemDispatcher::expectedTokens(const ModelName& model, const JobItem& item, const ItemText& text) const
+{
+    const auto found = this->lengths.find(model);
+    const auto lengths = found == this->lengths.end() ? LengthModel {} : found->second;
+    const auto tokens = item.promptTokens + wholeTokens(lengths, item.expectedTokens, text.lastEvent.value_or(0));
+    return item.tokens > 0 ? std::min(item.tokens, tokens) : tokens;
+}
+
 asio::awaitable<void> ItemDispatcher::dispatch()
 {
     while (true) {
--- a/src/gateway/item_dispatcher.hpp
+++ b/src/gateway/item_dispatcher.hpp
@@ -30,6 +30,9 @@
     /// @brief An item of the model is whole.
     void noteLength(const ModelName& model, std::uint64_t events, std::uint64_t expectedTokens);
 
+    /// @brief Tokens of an engine's memory that an item is expected to take when it is whole.
+    std::uint64_t expectedTokens(const ModelName& model, const JobItem& item, const ItemText& text) const;
+
 private:
     boost::asio::awaitable<void> dispatch();
     std::vector<std::shared_ptr<JobRunner>> openRunners();
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -224,6 +224,7 @@
         need.pool = *pool;
     need.tried = item.tried;
     need.model = this->job.model;
+    need.tokens = this->dispatcher.expectedTokens(this->job.model, *item.item, item.text);
     need.oldestVersion = this->job.oldestVersion;
     if (item.route->isSingleVersion && !item.text.versions.empty())
         need.exactVersion = item.text.versions.front();
@@ -340,7 +341,8 @@
     const auto sentAt = Clock::now();
     need.tried.insert(server.name);
     ItemAttempt attempt { this->job, *item.item, item.text, need, control,
-        [this](bool isUrgent) { return this->mayStart() && (isUrgent || this->countWaiting() == 0); } };
+        [this](bool isUrgent) { return this->mayStart() && (isUrgent || this->countWaiting() == 0); },
+        [this, &item] { return this->dispatcher.expectedTokens(this->job.model, *item.item, item.text); } };
     const auto attemptEnd = co_await attemptItem(this->context, this->servers, std::move(attempt), server);
     item.control = nullptr;
     logEvent(LogLevel::Debug, "item-attempted",
@@ -349,7 +351,7 @@
             { "took_ms", std::to_string(toMilliseconds(Clock::now() - sentAt).count()) },
             { "last_event", std::to_string(item.text.lastEvent.value_or(0)) } });
     this->takeEnd(item, server, attemptEnd);
-    this->servers.finish(server, outcomeOf(attemptEnd), this->job.model);
+    this->servers.finish(server, outcomeOf(attemptEnd), need);
 }
 
 json::value JobRunner::dump() const
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -55,7 +55,8 @@
     }
     const bool isNew = !known || known->startedAt != record.startedAt;
     if (isNew)
-        this->uses[record.name] = Use { .outstanding = this->uses[record.name].outstanding };
+        this->uses[record.name]
+            = Use { .outstanding = this->uses[record.name].outstanding, .tokens = this->uses[record.name].tokens };
     if (isNew || known->isLeaving != record.isLeaving)
         logEvent(LogLevel::Info, isNew ? "server-known" : "server-leaving",
             { { "server", record.name.value() }, { "pool", record.pool.value() },
@@ -120,6 +121,9 @@
         return view;
     view = PoolView {};
     view.builtAt = now;
+    const auto* configured = this->context.routes ? findPool(*this->context.routes, pool) : nullptr;
+    if (configured && configured->engines)
+        view.memoryTokens = configured->engines->cacheTokens;
     std::vector<double> seconds;
     for (const auto& [name, entry] : this->servers.entries) {
         if (entry.record.pool != pool)
@@ -206,6 +210,10 @@
     load.outstanding = use.outstanding;
     if (isGeneration) {
         load.outstanding += member.ofOthers;
+        // What other VMs' generations take is not told; on average each takes what a slot has.
+        load.memory = view.memoryTokens;
+        load.memoryTaken = use.tokens + member.ofOthers * view.memoryTokens / std::max<std::uint64_t>(1, server.slots);
+        load.memoryNeeded = need.tokens;
         load.slowdownWhenFull = engineSlowdownWhenFull;
     }
     load.isSuspected = now < use.suspectedUntil;
@@ -241,7 +249,7 @@
         for (std::size_t index = 0; index < this->candidates.size(); ++index) {
             const auto& load = this->loads[index];
             const bool isPreferred = this->candidates[index]->record->name == need.preferred && !load.isSuspected
-                && !load.wasTried && !load.isBehind && load.slowness < slowFactor && load.outstanding < load.allowance;
+                && !load.wasTried && !load.isBehind && load.slowness < slowFactor && hasRoom(load);
             if (isPreferred)
                 chosen = index;
         }
@@ -250,6 +258,7 @@
         return std::nullopt;
     auto& member = *this->candidates[*chosen];
     ++member.use->outstanding;
+    member.use->tokens += need.tokens;
     if (member.idleConnections > 0)
         --member.idleConnections;
     return *member.record;
@@ -286,12 +295,20 @@
     use.unitSeconds = use.unitSeconds == 0 ? seconds : use.unitSeconds + meanGain * (seconds - use.unitSeconds);
 }
 
-void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, const ModelName& model)
+void ServerTable::grow(const BackendName& name, ServerNeed& need, std::uint64_t tokens)
+{
+    auto& use = this->uses[name];
+    use.tokens = use.tokens - std::min(use.tokens, need.tokens) + tokens;
+    need.tokens = tokens;
+}
+
+void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, const ServerNeed& need)
 {
     const auto now = Clock::now();
     auto& use = this->uses[server.name];
     if (use.outstanding > 0)
         --use.outstanding;
+    use.tokens -= std::min(use.tokens, need.tokens);
     switch (outcome) {
     case ServerOutcome::Answered:
         use.failuresInRow = 0;
@@ -299,7 +316,7 @@
         break;
     case ServerOutcome::Refused: {
         // Requests that were under way together are refused together.
-        auto& until = use.refusingUntil[model];
+        auto& until = use.refusingUntil[need.model];
         if (now >= until)
             until = now + shortestRefusalPause * (1U << std::min(use.refusalsInRow++, mostRefusalDoublings));
         break;
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -25,6 +25,8 @@
     WeightVersion oldestVersion;
     /// Only this version; 0 for any.
     WeightVersion exactVersion;
+    /// Tokens of an engine's memory that it will take.
+    std::uint64_t tokens { 0 };
     /// Preferred while it has room, for its prompt cache; empty for none.
     BackendName preferred;
 };
@@ -55,8 +57,11 @@
     std::optional<ServerRecord> acquire(const ServerNeed& need);
 
     /// @brief Ends what acquire() began.
-    /// @param model of a generation; empty for other requests.
-    void finish(const ServerRecord& server, ServerOutcome outcome, const ModelName& model = {});
+    /// @param need as it was given to acquire(), or as grow() left it.
+    void finish(const ServerRecord& server, ServerOutcome outcome, const ServerNeed& need = {});
+
+    /// @brief A generation under way is expected to take so much memory by now.
+    void grow(const BackendName& name, ServerNeed& need, std::uint64_t tokens);
 
     /// @brief Generations of this VM at each engine.
     std::map<BackendName, std::uint32_t> inFlight(const PoolName& pool) const;
@@ -91,6 +96,8 @@
 private:
     struct Use {
         std::uint32_t outstanding { 0 };
+        /// Tokens that its generations of this VM will take.
+        std::uint64_t tokens { 0 };
         std::uint32_t failuresInRow { 0 };
         TimePoint suspectedUntil;
         double unitSeconds { 0 };
@@ -121,6 +128,8 @@
         /// The median time of a unit, so that one slow server does not pass for usual; 0 if none is known.
         double usualUnitSeconds { 0 };
         double leastUnitSeconds { 0 };
+        /// Tokens that an engine's memory holds; 0 if the configuration doesn't say.
+        std::uint64_t memoryTokens { 0 };
     };
 
     std::uint32_t countOfOthers(const BackendName& name, TimePoint now) const;
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -23,9 +23,20 @@
     constexpr double suspicionPenalty = 100;
     constexpr double triedPenalty = 1000;
 
+    /// The part of an engine's memory that is counted on: lengths of generations are estimates.
+    constexpr double usableMemory = 0.9;
+
+    double memoryLoad(const ServerLoad& server)
+    {
+        if (server.memory == 0)
+            return 0;
+        return static_cast<double>(server.memoryTaken + server.memoryNeeded) / static_cast<double>(server.memory);
+    }
+
     double costOf(const ServerLoad& server)
     {
-        const double load = static_cast<double>(server.outstanding + 1) / server.allowance;
+        const double slots = static_cast<double>(server.outstanding + 1) / server.allowance;
+        const double load = std::max(slots, memoryLoad(server));
         double cost = server.slowness * (1 + server.slowdownWhenFull * load);
         if (!server.isLocal)
             cost += remotePenalty;
@@ -42,6 +53,13 @@
 
 } // namespace
 
+bool hasRoom(const ServerLoad& server)
+{
+    if (server.outstanding >= server.allowance)
+        return false;
+    return server.outstanding == 0 || memoryLoad(server) <= usableMemory;
+}
+
 std::optional<std::size_t> chooseServer(const std::vector<ServerLoad>& servers, Random& random)
 {
     std::optional<std::size_t> best;
@@ -49,7 +67,7 @@
     std::uint64_t ties = 0;
     for (std::size_t index = 0; index < servers.size(); ++index) {
         const auto& server = servers[index];
-        if (server.outstanding >= server.allowance)
+        if (!hasRoom(server))
             continue;
         const double cost = costOf(server);
         const bool isTie = best && cost == bestCost;
@@ -67,12 +85,12 @@
 bool isWorthMoving(double slownessHere, const std::vector<ServerLoad>& servers)
 {
     return std::any_of(servers.begin(), servers.end(), [slownessHere](const ServerLoad& server) {
-        if (server.isSuspected || server.wasTried || server.outstanding >= server.allowance)
+        if (server.isSuspected || server.wasTried || !hasRoom(server))
             return false;
         // A server that is half full is left to requests that can't go elsewhere, unless much is gained.
-        const bool hasRoom = server.outstanding * 2 < server.allowance;
-        return (hasRoom || isUrgentToMove(slownessHere))
-            && server.slowness * (hasRoom ? moveGain : urgentGain) <= slownessHere;
+        const bool isHalfFree = server.outstanding * 2 < server.allowance;
+        return (isHalfFree || isUrgentToMove(slownessHere))
+            && server.slowness * (isHalfFree ? moveGain : urgentGain) <= slownessHere;
     });
 }
 
--- a/src/samples/item_length.cpp
+++ b/src/samples/item_length.cpp
@@ -29,4 +29,12 @@
     return std::max(expected - made, made * tailPart);
 }
 
+std::uint64_t wholeTokens(const LengthModel& model, std::uint64_t expectedTokens, std::uint64_t eventsMade)
+{
+    if (model.events == 0)
+        return expectedTokens;
+    const auto events = static_cast<double>(eventsMade) + remainingEvents(model, expectedTokens, eventsMade);
+    return static_cast<std::uint64_t>(events * model.expectedTokens / model.events);
+}
+
 } // namespace topaztack
--- a/tests/src/policy/unit-server_choice.cpp
+++ b/tests/src/policy/unit-server_choice.cpp
@@ -135,3 +135,33 @@
     CHECK_TRUE(suspicionTime(1) < suspicionTime(2));
     CHECK_TRUE(suspicionTime(5) == suspicionTime(500));
 }
+
+// Pattern: the longest generations of a step start together. An engine with free slots but without memory stops the
+// newest of them again and again, until others have ended.
+TEST(ServerChoice, AnEngineWhoseMemoryIsTakenGetsNoMore)
+{
+    Random random(1);
+    ServerLoad taken;
+    taken.allowance = 8;
+    taken.outstanding = 2;
+    taken.memory = 26000;
+    taken.memoryTaken = 21000;
+    taken.memoryNeeded = 6000;
+    auto free = taken;
+    free.outstanding = 7;
+    free.memoryTaken = 9000;
+    LONGS_EQUAL(1, *chooseServer({ taken, free }, random));
+    CHECK_FALSE(chooseServer({ taken }, random).has_value());
+    CHECK_FALSE(isWorthMoving(3, { taken }));
+}
+
+TEST(ServerChoice, AnIdleEngineTakesAGenerationOfAnySize)
+{
+    ServerLoad idle;
+    idle.allowance = 8;
+    idle.memory = 26000;
+    idle.memoryNeeded = 40000;
+    CHECK_TRUE(hasRoom(idle));
+    idle.outstanding = 1;
+    CHECK_FALSE(hasRoom(idle));
+}
--- a/tests/src/samples/unit-item_length.cpp
+++ b/tests/src/samples/unit-item_length.cpp
@@ -30,3 +30,12 @@
     noteLength(model, 10, 770);
     DOUBLES_EQUAL(30, remainingEvents(model, 770, 100), 0.001);
 }
+
+TEST(ItemLength, TokensFollowTheEstimateUntilItIsPassed)
+{
+    LONGS_EQUAL(700, wholeTokens({}, 700, 3));
+    LengthModel model;
+    noteLength(model, 10, 770);
+    LONGS_EQUAL(770, wholeTokens(model, 770, 0));
+    LONGS_EQUAL(10010, wholeTokens(model, 770, 100));
+}
