--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -19,6 +19,11 @@
 
     /// An owner writes its head every 700 ms or more often; after this silence another VM takes the job.
     constexpr Duration ownerSilence = 2200ms;
+    /// After this silence its owner is asked; it writes its head every 700 ms or more often.
+    constexpr Duration doubtfulSilence = 1000ms;
+    /// A process that is gone refuses a connection at once; a VM that is cut off doesn't answer at all.
+    constexpr Duration refusalTime = 250ms;
+    constexpr Duration askSpread = 200ms;
     /// VMs claim a job one after the other, in an order drawn for each job.
     constexpr Duration claimSpread = 400ms;
     constexpr Duration releaseSpread = 60ms;
@@ -68,6 +73,8 @@
     , changeNotifier(context.loop())
     , starts(context.metrics.counter("topaztack_job_starts_total", "Jobs that this VM began or went on to run"))
     , takeovers(context.metrics.counter("topaztack_job_takeovers_total", "Jobs taken over from another VM"))
+    , deadOwners(context.metrics.counter(
+          "topaztack_job_owners_dead_total", "Owners that refused a connection before their silence was long enough"))
 {
 }
 
@@ -285,6 +292,42 @@
     return fresh && now - *fresh >= silence && now - known.seenAt >= silence;
 }
 
+bool JobOwner::isDoubtful(const JobId& id, const Known& known, TimePoint now) const
+{
+    const auto& head = known.stored.head;
+    if (known.isBeingClaimed || !isOpen(head) || head.owner.name.value().empty() || this->runnerOf(id))
+        return false;
+    const auto fresh = this->heads.freshSince();
+    return known.askedAt != known.stored.version && fresh && now - *fresh >= doubtfulSilence
+        && now - known.seenAt >= doubtfulSilence;
+}
+
+/// An owner whose process is gone loses the job at once.
+asio::awaitable<void> JobOwner::askOwner(JobId id, StoredHead head)
+{
+    co_await pauseFor(this->claimDelay(id, askSpread));
+    const auto peer = this->peers.known().find(head.head.owner.name);
+    if (peer == this->peers.known().end())
+        co_return;
+    HttpRequest request;
+    request.method = "GET";
+    request.target = std::string(storeContactPath);
+    const auto askedAt = Clock::now();
+    const auto answered
+        = co_await this->context.backends.call(peer->second.endpoint, std::move(request), askedAt + refusalTime);
+    const bool isRefused = !answered && answered.error().progress == AttemptProgress::NothingWritten
+        && Clock::now() - askedAt < refusalTime;
+    const auto known = this->jobs.find(id);
+    const bool isCurrent = known != this->jobs.end() && known->second.stored.version == head.version;
+    if (!isRefused || !isCurrent || known->second.isBeingClaimed || this->context.isDraining)
+        co_return;
+    this->deadOwners.add();
+    logEvent(LogLevel::Info, "job-owner-dead",
+        { { "job", id.value() }, { "owner", head.head.owner.name.value() },
+            { "error", answered.error().error.message } });
+    co_await this->claimAndRun(id);
+}
+
 asio::awaitable<void> JobOwner::watch()
 {
     while (true) {
@@ -294,6 +337,9 @@
             if (!this->context.isDraining && this->isClaimable(id, known, now)) {
                 known.isBeingClaimed = true;
                 asio::co_spawn(this->context.loop(), this->claimAndRun(id), asio::detached);
+            } else if (!this->context.isDraining && this->isDoubtful(id, known, now)) {
+                known.askedAt = known.stored.version;
+                asio::co_spawn(this->context.loop(), this->askOwner(id, known.stored), asio::detached);
             } else if (!known.isBeingRemoved && this->isForgettable(id, known)) {
                 known.isBeingRemoved = true;
                 asio::co_spawn(this->context.loop(), this->forget(id), asio::detached);
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -59,6 +59,8 @@
         TimePoint seenAt;
         bool isBeingClaimed { false };
         bool isBeingRemoved { false };
+        /// The version of the head at which its owner was last asked whether it lives.
+        RowVersion askedAt;
     };
 
     void takeRows(const std::vector<StoreRow>& rows, bool isWhole);
@@ -72,6 +74,8 @@
     void adopt(RunnerStart start);
     boost::asio::awaitable<std::optional<StoredHead>> claim(JobId id);
     boost::asio::awaitable<void> claimAndRun(JobId id);
+    bool isDoubtful(const JobId& id, const Known& known, TimePoint now) const;
+    boost::asio::awaitable<void> askOwner(JobId id, StoredHead head);
     boost::asio::awaitable<void> takeOver(JobId id, StoredHead head, bool isHandedOver);
     boost::asio::awaitable<void> watchHandover(JobSpec job, StoredHead head);
     boost::asio::awaitable<void> forget(JobId id);
@@ -94,6 +98,7 @@
     Notifier changeNotifier;
     Counter& starts;
     Counter& takeovers;
+    Counter& deadOwners;
 };
 
 } // namespace topaztack
--- a/tests/src/gateway/unit-job_handover.cpp
+++ b/tests/src/gateway/unit-job_handover.cpp
@@ -91,6 +91,23 @@
         CHECK_FALSE(seen.at(index).lastEvent.empty());
 }
 
+// Pattern: processes are killed and start again seconds later. Nothing is to be gained by waiting out their silence.
+TEST(JobHandover, AnOwnerWhoseProcessIsGoneLosesItsJobBeforeItsSilenceIsOver)
+{
+    auto& first = this->world->startGateway("vm-1", 1);
+    auto& second = this->world->startGateway("vm-2", 2);
+    for (auto* gateway : { &first, &second })
+        CHECK_TRUE(waitFor([&] { return this->world->state(*gateway, "peers").as_object().size() == 1; }));
+    this->world->engine.faults.eventTime = 1000ms;
+    LONGS_EQUAL(202, this->world->submit(first, "j1", { "a" }).status);
+    const auto owner = parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value().owner.name;
+    const bool isFirst = owner == VmName("vm-1");
+    this->world->gateways.erase(this->world->gateways.begin() + (isFirst ? 0 : 1));
+    auto& heir = isFirst ? second : first;
+    CHECK_TRUE(this->world->waitForResults(heir, "j1", 1));
+    LONGS_EQUAL(1, counterOf(*this->world, heir, "topaztack_job_owners_dead_total"));
+}
+
 // Pattern: VMs are killed in the middle of a step whose longest items run for most of the time that there is.
 TEST(JobHandover, ATakeoverGoesOnWhereTextsWereKept)
 {
