--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -124,7 +124,10 @@
         }
         planned.push_back(std::move(each));
     }
-    auto& pace = this->paces.try_emplace(pool.name, firstPace(planned.size())).first->second;
+    auto& pace = this->paces[pool.name];
+    // Servers may become known after the first plans.
+    if (!pace.isMeasured && pace.loads == 0)
+        pace = firstPace(planned.size());
     LoadLimits limits;
     limits.atOnce = pace.atOnce;
     auto running = static_cast<std::size_t>(
--- a/tests/src/gateway/unit-weights.cpp
+++ b/tests/src/gateway/unit-weights.cpp
@@ -57,6 +57,21 @@
     CHECK_TRUE(waitFor([&] { return this->world->engine.version() == 3; }));
 }
 
+// Pattern: a gateway plans loads from its start on, and reads the servers a moment later.
+TEST(Weights, LoadsAtOnceFollowTheEnginesThatBecomeKnownLate)
+{
+    auto& gateway = this->world->startGateway();
+    const auto loadsAtOnce = [&] {
+        const auto weights = this->world->state(gateway, "weights");
+        const auto* pool = weights.at("pools").as_object().if_contains("lm");
+        return pool ? pool->at("at_once").to_number<int>() : 0;
+    };
+    CHECK_TRUE(waitFor([&] { return loadsAtOnce() == 2; }));
+    for (int number = 0; number < 24; ++number)
+        this->world->list(this->world->addWorker("i-lm" + std::to_string(number)), "lm");
+    CHECK_TRUE(waitFor([&] { return loadsAtOnce() == 5; }));
+}
+
 // Pattern: the longest generations of a step run until the next version is named. The engines that serve the next step
 // must have been loaded by then.
 TEST(Weights, EnginesAreLoadedWhileGenerationsRunOnceNoneWaits)
