--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace topaztack {
@@ -106,12 +105,14 @@
         }
     }
     std::stable_sort(waiting.begin(), waiting.end(), isBefore);
-    std::set<NeedKey> exhausted;
+    // The smallest memory for which no server was found.
+    std::map<NeedKey, std::uint64_t> exhausted;
     for (const auto& each : waiting) {
         const auto need = each.runner->needOf(*each.item);
-        const auto key = keyOf(need);
-        if (!exhausted.contains(key) && !each.runner->startItem(*each.item, need))
-            exhausted.insert(key);
+        const auto found = exhausted.find(keyOf(need));
+        const bool isHopeless = found != exhausted.end() && need.tokens >= found->second;
+        if (!isHopeless && !each.runner->startItem(*each.item, need))
+            exhausted[keyOf(need)] = need.tokens;
     }
 }
 
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -133,7 +133,7 @@
             + R"(,"targetLatencyMs":150,"service":"app","maxAttempts":2},)"
               R"({"name":"once","hostname":"a.example","prefix":"/u/","type":"unsafe","timeoutMs":2000,)"
               R"("targetLatencyMs":150,"service":"app","maxAttempts":2}],)"
-              R"("services":[{"name":"lm","engine":{"slots":4,"models":[{"name":"m"}]}},{"name":"app"}],)"
+              R"("services":[{"name":"lm","engine":{"slots":4,"kvCapacity":1000,"models":[{"name":"m"}]}},{"name":"app"}],)"
               R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"idleTimeoutMs":15000}})";
     }
 
--- a/tests/src/gateway/unit-dispatch.cpp
+++ b/tests/src/gateway/unit-dispatch.cpp
@@ -14,8 +14,10 @@
 std::string jobWithHint(const std::vector<std::string>& items, int tokens)
 {
     auto job = boost::json::parse(World::jobBody(items)).as_object();
-    for (auto& item : job.at("items").as_array())
+    for (auto& item : job.at("items").as_array()) {
+        item.as_object()["tokenCount"] = 5000;
         item.at("headers").as_object()["Topaztack-Length-Hint"] = std::to_string(tokens);
+    }
     return boost::json::serialize(job);
 }
 
@@ -56,3 +58,17 @@
     for (const auto* longItem : { "a", "b", "c", "d" })
         CHECK_TRUE(placeOf(engine, longItem) <= 8);
 }
+
+// Pattern: two long generations do not fit an engine's memory together. Short ones do, beside the first.
+TEST(Dispatch, AShortItemIsNotHeldUpByALongOneThatWaitsForMemory)
+{
+    auto& gateway = this->world->startGateway();
+    auto& engine = this->world->engine;
+    engine.faults.eventTime = 200ms;
+    LONGS_EQUAL(202, submitWithHint(*this->world, gateway, "j1", { "long-1", "long-2" }, 800));
+    LONGS_EQUAL(202, submitWithHint(*this->world, gateway, "j2", { "short" }, 50));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 2));
+    CHECK_TRUE(this->world->waitForResults(gateway, "j2", 1));
+    const auto last = std::max(placeOf(engine, "long-1"), placeOf(engine, "long-2"));
+    CHECK_TRUE(placeOf(engine, "short") < last);
+}
