--- a/include/topaztack/samples/load_pace.hpp
+++ b/include/topaztack/samples/load_pace.hpp
@@ -19,8 +19,10 @@
     /// How long a load takes that nothing slows down. Until it was measured, that of the engines seen so far.
     Duration usual { std::chrono::seconds(1) };
     bool isMeasured { false };
+    /// Grows by one with each change of the limit: loads begun before tell nothing of the new one.
+    std::size_t round { 0 };
     /// Grows fast until a load is slowed down for the first time.
-    bool isRising { true };
+    bool isRising { false };
 
     /// @name Loads since the limit was last looked at
     /// @{
@@ -39,7 +41,8 @@
 /// @brief A load is over. An engine's end of a load is told of late by up to a heartbeat, so the shortest of several
 /// loads is what counts.
 /// @param beside loads that ran when it began or when it ended, itself included, whichever were more.
+/// @param round of the pace when it began.
 /// @param engines that there are; half of them at most load at once.
-void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t engines);
+void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t round, std::size_t engines);
 
 } // namespace topaztack
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -140,6 +140,7 @@
         engine.loading = load.model;
         engine.busyUntil = now + std::clamp(pace.usual, shortestLoadTime, longestLoadTime);
         engine.beside = ++running;
+        engine.round = pace.round;
         asio::co_spawn(this->context.loop(), this->load(*server, std::move(load)), asio::detached);
     }
 }
@@ -225,7 +226,8 @@
         this->loadTime.record(took);
         const auto pace = this->paces.find(server.pool);
         if (verdict == OrderVerdict::Accepted && pace != this->paces.end())
-            noteLoad(pace->second, took, std::max(engine.beside, this->countLoading()), this->engines.size());
+            noteLoad(
+                pace->second, took, std::max(engine.beside, this->countLoading()), engine.round, this->engines.size());
         this->servers.noteVersion(server.name, load.model, load.version);
         engine.failures = 0;
     } else {
--- a/src/gateway/weight_loader.hpp
+++ b/src/gateway/weight_loader.hpp
@@ -37,6 +37,8 @@
         TimePoint busyUntil;
         /// Loads that ran when its own began, it included.
         std::size_t beside { 0 };
+        /// The round of the pace in which it began.
+        std::size_t round { 0 };
         TimePoint notBefore;
         unsigned failures { 0 };
     };
--- a/src/samples/load_pace.cpp
+++ b/src/samples/load_pace.cpp
@@ -57,20 +57,27 @@
 LoadPace firstPace(std::size_t engines)
 {
     LoadPace pace;
-    pace.atOnce = std::clamp((engines + enginesPerLoad / 2) / enginesPerLoad, fewestAtOnce, mostAtFirst);
+    const auto usual = (engines + enginesPerLoad / 2) / enginesPerLoad;
+    pace.atOnce = std::clamp(usual, fewestAtOnce, mostAtFirst);
+    // More engines than any deployment had whose store is known.
+    pace.isRising = usual > mostAtFirst;
     pace.fewest = std::max(fewestAtOnce, pace.atOnce / 2);
     return pace;
 }
 
-void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t engines)
+void noteLoad(LoadPace& pace, Duration took, std::size_t beside, std::size_t round, std::size_t engines)
 {
+    if (round != pace.round)
+        return;
     const bool isFirst = pace.loads == 0;
     pace.least = isFirst ? took : std::min(pace.least, took);
     pace.besideSum = (isFirst ? 0 : pace.besideSum) + beside;
     if (++pace.loads < std::max(fewestLoads, pace.atOnce))
         return;
+    const auto before = pace.atOnce;
     look(pace, engines);
     pace.loads = 0;
+    pace.round += pace.atOnce == before ? 0 : 1;
 }
 
 } // namespace topaztack
