--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -1,7 +1,6 @@
 #include "job_owner.hpp"
 
 #include <topaztack/base/log.hpp>
-#include <topaztack/policy/job_placement.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,29 +16,15 @@
 
 namespace {
 
-    /// An owner writes its head every 700 ms or more often; after this silence another VM takes the job.
-    constexpr Duration ownerSilence = 2200ms;
-    /// After this silence its owner is asked; it writes its head every 700 ms or more often.
-    constexpr Duration doubtfulSilence = 1000ms;
-    /// A process that is gone refuses a connection at once; a VM that is cut off doesn't answer at all.
-    constexpr Duration refusalTime = 250ms;
-    constexpr Duration askSpread = 200ms;
-    /// VMs claim a job one after the other, in an order drawn for each job.
-    constexpr Duration claimSpread = 400ms;
-    constexpr Duration releaseSpread = 60ms;
-    constexpr std::int64_t claimSteps = 100;
-    /// A VM that did not take a job is handed none for this long.
-    constexpr Duration distrustTime = 15s;
     constexpr Duration watchInterval = 100ms;
     constexpr std::chrono::milliseconds feedWait { 1000 };
     constexpr std::chrono::milliseconds feedPause { 100 };
     /// In which a VM that is handed a job writes that it has it.
     constexpr Duration handoverTime = 500ms;
-    /// A VM that ran a trainer's last job is preferred for this long.
-    constexpr Duration longestPreference = 15s;
-    /// Texts of ended jobs are kept for this long, and of this many jobs.
+    /// Texts of ended jobs are kept for this long, and of this many jobs: three of each of
+    /// three trainers.
     constexpr Duration textRetention = 15s;
-    constexpr std::size_t keptRunners = 6;
+    constexpr std::size_t keptRunners = 9;
     /// VMs other than the last owner remove a job within this time after it.
     constexpr std::uint64_t removalSpreadMs = 300'000;
     constexpr Duration removalRetry = 10s;
@@ -56,8 +41,6 @@
         return rules;
     }
 
-    bool isOpen(const JobHead& head) { return !head.isEnded && head.listed < head.total; }
-
 } // namespace
 
 JobOwner::JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
@@ -169,60 +152,6 @@
     runner->start();
 }
 
-std::map<VmName, std::uint64_t> JobOwner::openItems() const
-{
-    std::map<VmName, std::uint64_t> items;
-    for (const auto& [id, known] : this->jobs) {
-        const auto& head = known.stored.head;
-        if (isOpen(head))
-            items[head.owner.name] += head.total - head.listed;
-    }
-    return items;
-}
-
-/// The VM that ran the trainer's last job; empty if there is none of late.
-VmName JobOwner::lastOwner(const ModelName& model) const
-{
-    const Known* latest = nullptr;
-    for (const auto& [id, known] : this->jobs) {
-        const auto& head = known.stored.head;
-        if (head.model == model && (!latest || head.acceptedAt > latest->stored.head.acceptedAt))
-            latest = &known;
-    }
-    if (!latest || Clock::now() - latest->seenAt >= longestPreference)
-        return {};
-    return latest->stored.head.owner.name;
-}
-
-bool JobOwner::isDistrusted(const VmName& vm, TimePoint now) const
-{
-    const auto failed = this->failedHandovers.find(vm);
-    return failed != this->failedHandovers.end() && now - failed->second < distrustTime;
-}
-
-VmIdentity JobOwner::preferredOwner(const ModelName& model, std::uint64_t items) const
-{
-    const auto now = Clock::now();
-    const auto open = this->openItems();
-    const auto last = this->lastOwner(model);
-    std::vector<VmIdentity> vms;
-    std::vector<PlacementCandidate> candidates;
-    const auto add = [&](const VmIdentity& vm, double processor) {
-        const auto found = open.find(vm.name);
-        vms.push_back(vm);
-        candidates.push_back({ processor, found == open.end() ? 0 : found->second, vm.name == last,
-            stableHash(vm.name.value(), vm.incarnation.value()) });
-    };
-    if (!this->context.isDraining)
-        add(this->context.identity, this->context.settings.gateway.processor());
-    for (const auto& [name, peer] : this->peers.known()) {
-        if (!this->isDistrusted(name, now))
-            add(peer.vm, peer.processor);
-    }
-    const auto chosen = placeJob(candidates, items);
-    return chosen ? vms[*chosen] : VmIdentity {};
-}
-
 void JobOwner::place(JobSpec job, const StoredHead& head)
 {
     const auto id = job.id;
@@ -256,78 +185,6 @@
     this->adopt(std::move(start));
 }
 
-/// VMs claim a job in an order drawn for it; those that run jobs and have room go first, then the strong ones.
-Duration JobOwner::claimDelay(const JobId& id, Duration spread) const
-{
-    const auto open = this->openItems();
-    const auto found = open.find(this->context.identity.name);
-    PlacementCandidate self;
-    self.processor = this->context.settings.gateway.processor();
-    self.openItems = found == open.end() ? 0 : found->second;
-    double strongest = self.processor;
-    for (const auto& [name, peer] : this->peers.known())
-        strongest = std::max(strongest, peer.processor);
-    const bool hasRoom = hasRoomFor(self, 0);
-    Duration turn = spread / 2;
-    if (hasRoom && self.openItems > 0)
-        turn = Duration(0);
-    else if (hasRoom && self.processor >= strongest)
-        turn = spread / 4;
-    const auto rank = stableHash(id.value(), this->context.identity.incarnation.value());
-    return turn + spread * static_cast<std::int64_t>(rank % claimSteps) / (2 * claimSteps);
-}
-
-bool JobOwner::isClaimable(const JobId& id, const Known& known, TimePoint now) const
-{
-    const auto& head = known.stored.head;
-    if (known.isBeingClaimed || !isOpen(head) || this->runnerOf(id))
-        return false;
-    if (head.owner.name == this->context.identity.name)
-        return true;
-    if (head.owner.name.value().empty())
-        return now - known.seenAt >= this->claimDelay(id, releaseSpread);
-    // Silence counts only while changes would have been seen.
-    const auto fresh = this->heads.freshSince();
-    const auto silence = ownerSilence + this->claimDelay(id, claimSpread);
-    return fresh && now - *fresh >= silence && now - known.seenAt >= silence;
-}
-
-bool JobOwner::isDoubtful(const JobId& id, const Known& known, TimePoint now) const
-{
-    const auto& head = known.stored.head;
-    if (known.isBeingClaimed || !isOpen(head) || head.owner.name.value().empty() || this->runnerOf(id))
-        return false;
-    const auto fresh = this->heads.freshSince();
-    return known.askedAt != known.stored.version && fresh && now - *fresh >= doubtfulSilence
-        && now - known.seenAt >= doubtfulSilence;
-}
-
-/// An owner whose process is gone loses the job at once.
-asio::awaitable<void> JobOwner::askOwner(JobId id, StoredHead head)
-{
-    co_await pauseFor(this->claimDelay(id, askSpread));
-    const auto peer = this->peers.known().find(head.head.owner.name);
-    if (peer == this->peers.known().end())
-        co_return;
-    HttpRequest request;
-    request.method = "GET";
-    request.target = std::string(storeContactPath);
-    const auto askedAt = Clock::now();
-    const auto answered
-        = co_await this->context.backends.call(peer->second.endpoint, std::move(request), askedAt + refusalTime);
-    const bool isRefused = !answered && answered.error().progress == AttemptProgress::NothingWritten
-        && Clock::now() - askedAt < refusalTime;
-    const auto known = this->jobs.find(id);
-    const bool isCurrent = known != this->jobs.end() && known->second.stored.version == head.version;
-    if (!isRefused || !isCurrent || known->second.isBeingClaimed || this->context.isDraining)
-        co_return;
-    this->deadOwners.add();
-    logEvent(LogLevel::Info, "job-owner-dead",
-        { { "job", id.value() }, { "owner", head.head.owner.name.value() },
-            { "error", answered.error().error.message } });
-    co_await this->claimAndRun(id);
-}
-
 asio::awaitable<void> JobOwner::watch()
 {
     while (true) {
@@ -369,40 +226,6 @@
         this->ended.pop_back();
 }
 
-/// Writes this VM into a job's head.
-asio::awaitable<std::optional<StoredHead>> JobOwner::claim(JobId id)
-{
-    const auto before = this->jobs[id].stored;
-    const auto silence = Clock::now() - this->jobs[id].seenAt;
-    this->jobs[id].isBeingClaimed = true;
-    auto wanted = before.head;
-    wanted.owner = this->context.identity;
-    ++wanted.writes;
-    std::vector<ItemResult> none;
-    const auto write = co_await this->store.write(id, before.version, wanted, wanted.listed, std::move(none));
-    auto& known = this->jobs[id];
-    if (write.end == JobWriteEnd::Written) {
-        this->takeovers.add();
-        logEvent(LogLevel::Info, "job-taken-over",
-            { { "job", id.value() }, { "from", before.head.owner.name.value() },
-                { "silent_ms", std::to_string(toMilliseconds(silence).count()) } });
-        known.stored = *write.current;
-        known.seenAt = Clock::now();
-        co_return write.current;
-    }
-    known.isBeingClaimed = false;
-    if (write.current)
-        this->noteHead(id, *write.current);
-    co_return std::nullopt;
-}
-
-asio::awaitable<void> JobOwner::claimAndRun(JobId id)
-{
-    const auto claimed = co_await this->claim(id);
-    if (claimed)
-        co_await this->takeOver(id, *claimed, false);
-}
-
 asio::awaitable<void> JobOwner::takeOver(JobId id, StoredHead head, bool isHandedOver)
 {
     auto submission = co_await this->store.readSubmission(id, head.head);
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -18,6 +18,9 @@
 
 namespace topaztack {
 
+/// @brief Whether a job still has items to list.
+inline bool isOpen(const JobHead& head) { return !head.isEnded && head.listed < head.total; }
+
 class JobOwner {
 public:
     JobOwner(GatewayContext& context, ServerTable& servers, JobStore& store, ItemDispatcher& dispatcher,
--- a/tests/src/platform/unit-callers.cpp
+++ b/tests/src/platform/unit-callers.cpp
@@ -116,3 +116,11 @@
                  R"({"id":"i2","state":"aborted","output":"","versions":[]}]})",
         encodeResults(page).body.c_str());
 }
+
+TEST(Callers, ThePromptsTokensAreReadFromTheUsage)
+{
+    const auto job = submitted(R"({"items":[{"id":"i","path":"/","headers":{"Topaztack-Token-Usage":"540,400"}},)"
+                               R"({"id":"k","path":"/","headers":{"Topaztack-Token-Usage":"much"}}]})");
+    LONGS_EQUAL(540, job.value().items.at(0).promptTokens);
+    LONGS_EQUAL(0, job.value().items.at(1).promptTokens);
+}
