--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -3,6 +3,8 @@
 #include "item_run.hpp"
 #include "job_runner.hpp"
 
+#include <topaztack/base/log.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -17,6 +19,7 @@
 namespace {
 
     constexpr Duration dispatchInterval = 100ms;
+    constexpr Duration waitingLogInterval = 1s;
     /// Time of an event at an engine before any was measured.
     constexpr Duration firstUnitTime = 50ms;
 
@@ -89,6 +92,28 @@
     return open;
 }
 
+/// A line for each model whose items wait, at most once a second.
+void ItemDispatcher::logWaiting(const std::vector<ServerNeed>& unmet)
+{
+    const auto now = Clock::now();
+    if (now - this->waitingLoggedAt < waitingLogInterval)
+        return;
+    this->waitingLoggedAt = now;
+    std::map<NeedKey, std::size_t> counts;
+    for (const auto& need : unmet)
+        ++counts[keyOf(need)];
+    for (const auto& [key, count] : counts) {
+        const auto& [pool, model, oldest, exact] = key;
+        const auto engines = this->servers.countEngines(pool, model, oldest);
+        logEvent(LogLevel::Info, "items-waiting",
+            { { "pool", pool.value() }, { "model", model.value() }, { "items", std::to_string(count) },
+                { "oldest_version", std::to_string(oldest.value()) },
+                { "exact_version", std::to_string(exact.value()) }, { "engines", std::to_string(engines.known) },
+                { "with_version", std::to_string(engines.withVersion) },
+                { "with_free_slot", std::to_string(engines.withFreeSlot) } });
+    }
+}
+
 void ItemDispatcher::startWhatFits()
 {
     // Held while items are started.
@@ -107,13 +132,20 @@
     std::stable_sort(waiting.begin(), waiting.end(), isBefore);
     // The smallest memory for which no server was found.
     std::map<NeedKey, std::uint64_t> exhausted;
+    std::vector<ServerNeed> unmet;
     for (const auto& each : waiting) {
-        const auto need = each.runner->needOf(*each.item);
+        auto need = each.runner->needOf(*each.item);
         const auto found = exhausted.find(keyOf(need));
         const bool isHopeless = found != exhausted.end() && need.tokens >= found->second;
-        if (!isHopeless && !each.runner->startItem(*each.item, need))
+        if (!isHopeless && each.runner->startItem(*each.item, need))
+            continue;
+        if (!isHopeless)
             exhausted[keyOf(need)] = need.tokens;
+        if (!each.item->isSpare)
+            unmet.push_back(std::move(need));
     }
+    if (!unmet.empty())
+        this->logWaiting(unmet);
 }
 
 } // namespace topaztack
--- a/src/gateway/item_dispatcher.hpp
+++ b/src/gateway/item_dispatcher.hpp
@@ -37,11 +37,13 @@
     boost::asio::awaitable<void> dispatch();
     std::vector<std::shared_ptr<JobRunner>> openRunners();
     void startWhatFits();
+    void logWaiting(const std::vector<ServerNeed>& unmet);
 
     GatewayContext& context;
     ServerTable& servers;
     std::vector<std::weak_ptr<JobRunner>> runners;
     std::map<ModelName, LengthModel> lengths;
+    TimePoint waitingLoggedAt;
 };
 
 } // namespace topaztack
--- a/src/gateway/job_owner_claims.cpp
+++ b/src/gateway/job_owner_claims.cpp
@@ -84,7 +84,13 @@
             add(peer.vm, peer.processor);
     }
     const auto chosen = placeJob(candidates, items);
-    return chosen ? vms[*chosen] : VmIdentity {};
+    const auto owner = chosen ? vms[*chosen] : VmIdentity {};
+    const auto work = chosen ? candidates[*chosen].openItems : 0;
+    logEvent(LogLevel::Info, "job-placed",
+        { { "model", model.value() }, { "items", std::to_string(items) }, { "owner", owner.name.value() },
+            { "owner_items", std::to_string(work) }, { "last_owner", last.value() },
+            { "candidates", std::to_string(candidates.size()) } });
+    return owner;
 }
 
 /// VMs claim a job in an order drawn for it; those that run jobs and have room go first, then the strong ones.
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -272,6 +272,19 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+EngineCount ServerTable::countEngines(const PoolName& pool, const ModelName& model, WeightVersion oldest)
+{
+    EngineCount count;
+    for (const auto& member : this->viewOf(pool, Clock::now()).members) {
+        const auto& server = *member.record;
+        const bool hasVersion = versionOf(server, model) >= oldest;
+        ++count.known;
+        count.withVersion += hasVersion ? 1 : 0;
+        count.withFreeSlot += hasVersion && member.use->outstanding + member.ofOthers < server.slots ? 1 : 0;
+    }
+    return count;
+}
+
 bool ServerTable::isWorthMoving(
     const ServerRecord& server, const ServerNeed& need, const std::function<bool(bool isUrgent)>& mayMove)
 {
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -31,6 +31,14 @@
     BackendName preferred;
 };
 
+/// @brief Engines of a pool as a log line tells of them.
+struct EngineCount {
+    std::size_t known { 0 };
+    std::size_t withVersion { 0 };
+    /// Of those with the version; one whose memory is taken may still take nothing.
+    std::size_t withFreeSlot { 0 };
+};
+
 /// @brief How a request at a server ended.
 enum class ServerOutcome : std::uint8_t {
     Answered,
@@ -75,6 +83,8 @@
     /// @brief The usual time between two events at the pool's engines; nothing if none was measured.
     std::optional<Duration> usualUnitTime(const PoolName& pool);
 
+    EngineCount countEngines(const PoolName& pool, const ModelName& model, WeightVersion oldest);
+
     /// @brief Whether a generation at this server is to be moved to a faster one.
     /// @param mayMove asked, with whether the server is very slow, once a move could pay.
     bool isWorthMoving(
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -225,9 +225,16 @@
         const auto took = Clock::now() - startedAt;
         this->loadTime.record(took);
         const auto pace = this->paces.find(server.pool);
-        if (verdict == OrderVerdict::Accepted && pace != this->paces.end())
+        if (verdict == OrderVerdict::Accepted && pace != this->paces.end()) {
+            const auto before = pace->second.atOnce;
             noteLoad(
                 pace->second, took, std::max(engine.beside, this->countLoading()), engine.round, this->engines.size());
+            if (pace->second.atOnce != before)
+                logEvent(LogLevel::Info, "load-limit-changed",
+                    { { "pool", server.pool.value() }, { "at_once", std::to_string(pace->second.atOnce) },
+                        { "before", std::to_string(before) },
+                        { "usual_ms", std::to_string(toMilliseconds(pace->second.usual).count()) } });
+        }
         this->servers.noteVersion(server.name, load.model, load.version);
         engine.failures = 0;
     } else {
