--- a/src/gateway/job_owner_claims.cpp
+++ b/src/gateway/job_owner_claims.cpp
@@ -84,7 +84,7 @@
             add(peer.vm, peer.processor);
     }
     const auto chosen = placeJob(candidates, items);
-    const auto owner = chosen ? vms[*chosen] : VmIdentity {};
+    auto owner = chosen ? vms[*chosen] : VmIdentity {};
     const auto work = chosen ? candidates[*chosen].openItems : 0;
     logEvent(LogLevel::Info, "job-placed",
         { { "model", model.value() }, { "items", std::to_string(items) }, { "owner", owner.name.value() },
