Texts of a job that is over are dropped; so is one that its head does not name

Cause: found in review. Test: JobHandover.ATakeoverGoesOnWhereTextsWereKept looks at the store's objects.

--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -109,7 +109,7 @@
     boost::asio::awaitable<void> keepTexts();
     boost::asio::awaitable<void> leaveTexts();
     boost::asio::awaitable<void> putTexts(std::uint64_t fewestEvents);
-    boost::asio::awaitable<void> dropOldTexts();
+    boost::asio::awaitable<void> dropTexts(std::uint64_t end);
     void stop(RunnerEnd reason);
     void cancelRuns();
     std::vector<ItemResult> nextResults();
--- a/src/gateway/job_runner_texts.cpp
+++ b/src/gateway/job_runner_texts.cpp
@@ -36,10 +36,10 @@
             { "error", left ? "" : left.error().message } });
 }
 
-/// Once the head names a later object, nobody reads those before it.
-asio::awaitable<void> JobRunner::dropOldTexts()
+/// Once the head names a later object, nobody reads those before it; once the job is over, nobody reads any.
+asio::awaitable<void> JobRunner::dropTexts(std::uint64_t end)
 {
-    while (this->droppedTextObjects + 1 < this->head.head.textObjects) {
+    while (this->droppedTextObjects < end) {
         const auto dropped = co_await this->store.dropTexts(this->job.id, this->droppedTextObjects);
         if (!dropped) {
             logEvent(LogLevel::Info, "texts-not-dropped",
@@ -55,12 +55,15 @@
     const auto self = this->shared_from_this();
     while (true) {
         co_await pauseFor(keepInterval);
+        const bool isOver = this->end == RunnerEnd::Complete || this->end == RunnerEnd::Ended;
+        if (isOver)
+            co_await this->dropTexts(this->nextTextObject);
         if (this->end || this->isReleasing)
             co_return;
         if (isStoreAway(this->context.store.contact(), Clock::now()))
             continue;
         co_await this->putTexts(fewestEventsKept);
-        co_await this->dropOldTexts();
+        co_await this->dropTexts(std::max<std::uint64_t>(1, this->head.head.textObjects) - 1);
     }
 }
 
--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -12,6 +12,8 @@
     constexpr std::string_view resultsTable = "job-results";
     /// Transactions of one part wait for each other; this many parts keep the jobs of today's trainers apart.
     constexpr std::uint64_t partCount = 16;
+    /// Objects that an owner may have put before it died and that its head does not name.
+    constexpr std::uint64_t mostUnnamedTexts = 1;
     /// Conditions, writes and removals of one transaction at most.
     constexpr std::size_t writesPerTransaction = 90;
 
@@ -238,7 +240,7 @@
         if (!dropped)
             co_return dropped.error();
     }
-    for (std::uint64_t number = 0; number < head.head.textObjects; ++number) {
+    for (std::uint64_t number = 0; number < head.head.textObjects + mostUnnamedTexts; ++number) {
         const auto dropped = co_await this->context.store.dropObject(textsKey(id, number));
         if (!dropped)
             co_return dropped.error();
--- a/tests/src/gateway/unit-job_handover.cpp
+++ b/tests/src/gateway/unit-job_handover.cpp
@@ -132,6 +132,8 @@
     const auto seen = engine.seen();
     LONGS_EQUAL(2, seen.size());
     CHECK_TRUE(std::stoi(seen.at(1).lastEvent) >= 16);
+    // The submission stays; nobody needs the texts any more.
+    CHECK_TRUE(waitFor([this] { return this->world->store.objects() == 1; }));
 }
 
 // Pattern: planned restarts; callers still reach a VM that shuts down until the balancer has taken it out.
