--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -122,9 +122,9 @@
             [](GatewaySettings& gateway, std::string_view text) {
                 return readSize(text, 1024, 1024UL * 1024 * 1024, gateway.objectBytes);
             } },
-        { "core_share", "1", "part of each core that this process may use, 0.01..1",
+        { "core_share", "1", "part of each core that this process may use, 0.001..64",
             [](GatewaySettings& gateway, std::string_view text) {
-                return readFraction(text, 0.01, 1, gateway.coreShare);
+                return readFraction(text, 0.001, 64, gateway.coreShare);
             } },
         { "cores", "1", "cores that this process may use, 1..1024",
             [](GatewaySettings& gateway, std::string_view text) { return readWhole(text, 1, 1024, gateway.cores); } },
