A job's owner counts the store's silence from the sending of its last write

Cause: the time at which a write's answer was taken in counted as the time at which the store was heard. A trainer may end the job right after the write; on a VM that is busy for a second the owner then began items for 2.5 s and that second more, past the three seconds that are allowed after an end.

Ruled out: the feed of heads alone; an end seen by it stops the job at once, but a busy loop reads it as late as the answer.

Before: StoreOutage.SilenceIsCountedFromTheSendingOfTheLastWrite fails, the item is begun a second time 2.6 s after the write and with the store away. After: it passes.

--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -20,8 +20,8 @@
 
 namespace {
 
-    /// Without an answer of the store for this long the job may have been ended or taken over, unless the store is away
-    /// for all; nothing new is started.
+    /// This long after it sent the last write that took effect, the job may have been ended or taken over, unless the
+    /// store is away for all; nothing new is started.
     constexpr Duration longestSilence = 2500ms;
     /// How long items of groups that the trainer can do without wait for the newest weights, whose text the next job
     /// can use.
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -114,7 +114,7 @@
     void cancelRuns();
     std::vector<ItemResult> nextResults();
     JobHead nextHead();
-    bool takeWrite(const JobWrite& write);
+    bool takeWrite(const JobWrite& write, TimePoint sentAt);
 
     GatewayContext& context;
     ServerTable& servers;
@@ -145,6 +145,7 @@
     RouteTablePtr table;
     /// The route of the job itself; nullptr if it has none.
     const Route* route { nullptr };
+    /// When the last write that took effect was sent: the trainer may have ended the job right after it.
     TimePoint listedAt;
     TimePoint startedAt;
     /// As the accepting VM's clock had it.
--- a/src/gateway/job_runner_listing.cpp
+++ b/src/gateway/job_runner_listing.cpp
@@ -52,13 +52,13 @@
 }
 
 /// @return whether the pending write is known to have taken effect.
-bool JobRunner::takeWrite(const JobWrite& write)
+bool JobRunner::takeWrite(const JobWrite& write, TimePoint sentAt)
 {
     const bool isOwn = write.end == JobWriteEnd::Written
         || (write.end == JobWriteEnd::Conflict && write.current && write.current->head == *this->pendingHead);
     if (isOwn) {
         this->head = *write.current;
-        this->listedAt = Clock::now();
+        this->listedAt = sentAt;
         this->beingListed.clear();
         this->pendingHead.reset();
         return true;
@@ -84,11 +84,12 @@
         co_return;
     if (!this->pendingHead)
         this->pendingHead = this->nextHead();
+    const auto sentAt = Clock::now();
     const auto write = co_await this->store.write(
         this->job.id, this->head.version, *this->pendingHead, this->head.head.listed, this->beingListed);
     if (this->end)
         co_return;
-    if (!this->takeWrite(write)) {
+    if (!this->takeWrite(write, sentAt)) {
         if (!this->end)
             co_await pauseFor(retryInterval);
         co_return;
--- a/tests/src/gateway/unit-store_outage.cpp
+++ b/tests/src/gateway/unit-store_outage.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Longer than a VM starts items after it sent the last write that was answered.
+constexpr auto longestSilence = 2600ms;
+
 /// Longer than a VM starts items without having heard the store, shorter than an event's time limit.
 constexpr auto outageBeforeBreak = 3s;
 
@@ -42,3 +45,30 @@
     this->world->store.faults.isDown = false;
     CHECK_TRUE(this->world->waitForResults(*this->world->gateways[1], "j1", 1));
 }
+
+// Pattern: a VM that is busy or far from the store takes in late that a write was done. The trainer may have ended the
+// job right after the write; counted from its answer, items would begin later than three seconds after that end.
+TEST(StoreOutage, SilenceIsCountedFromTheSendingOfTheLastWrite)
+{
+    WorkerOptions options;
+    options.events = 100;
+    auto& engine = this->world->addWorker("i-long", options);
+    engine.faults.eventTime = 100ms;
+    this->world->list(this->world->engine, "none");
+    this->world->list(engine, "lm");
+    auto& gateway = this->world->startGateway();
+    LONGS_EQUAL(202, this->world->submit(gateway, "j1", { "a" }).status);
+    CHECK_TRUE(waitFor([&] { return engine.seen().size() == 1; }));
+    this->world->store.faults.answerDelay = 800ms;
+    const auto writes = [this] { return parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value().writes; };
+    const auto before = writes();
+    CHECK_TRUE(waitFor([&] { return writes() > before; }));
+    this->world->store.faults.isDown = true;
+    std::this_thread::sleep_for(longestSilence);
+    engine.faults.breakAfter = 1;
+    std::this_thread::sleep_for(1s);
+    LONGS_EQUAL(1, engine.seen().size());
+    this->world->store.faults.isDown = false;
+    engine.faults.breakAfter = 0;
+    CHECK_TRUE(waitFor([&] { return engine.seen().size() == 2; }));
+}
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -195,6 +195,11 @@
             --this->faults.answersToLose;
             co_return;
         }
+        const auto delay = this->faults.answerDelay.load();
+        if (isWrite && delay.count() > 0) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         co_await exchange.respond(std::move(response));
         co_return;
     }
--- a/tests/src/standins/store.hpp
+++ b/tests/src/standins/store.hpp
@@ -4,6 +4,7 @@
 #include <topaztack/wire/io_threads.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,6 +24,8 @@
     std::atomic<bool> isDown { false };
     /// Writes take effect and are not answered.
     std::atomic<int> answersToLose { 0 };
+    /// Writes take effect and are answered so much later.
+    std::atomic<std::chrono::milliseconds> answerDelay { std::chrono::milliseconds(0) };
     /// The history is gone: feeds are answered 410.
     std::atomic<bool> isHistoryLost { false };
     /// Transactions are answered 503, reads are served.
