A head names only texts that its owner put itself

Cause: found in review. An owner that dies between putting texts and writing the head leaves an object that its head does not name; the next owner begins with the same number, was told that an object stood there already, took that for success and named it. The texts are true ones of the same job, but not those that were meant.

Ruled out: another naming of objects; a number that is taken is simply passed over.

Before: JobHandover.TextsThatAnotherOwnerPutAreNotNamedAsOnesOwn fails (object 0 named). After: it passes (object 1). Seen failing with its rule switched off as well: ATakeoverGoesOnWhereTextsWereKept.

--- a/src/gateway/job_runner_texts.cpp
+++ b/src/gateway/job_runner_texts.cpp
@@ -28,12 +28,15 @@
     if (texts.empty())
         co_return;
     const auto number = this->nextTextObject++;
-    const auto left = co_await this->store.putTexts(this->job.id, number, toText(texts));
-    if (left)
+    const auto put = co_await this->store.putTexts(this->job.id, number, toText(texts));
+    const bool isKept = put && put.value();
+    if (isKept)
         this->textObjects = std::max(this->textObjects, number + 1);
-    logEvent(left ? LogLevel::Debug : LogLevel::Warning, left ? "texts-kept" : "texts-not-kept",
+    // The owner before may have put an object of that number that its head does not name.
+    logEvent(isKept ? LogLevel::Debug : LogLevel::Warning, isKept ? "texts-kept" : "texts-not-kept",
         { { "job", this->job.id.value() }, { "texts", std::to_string(texts.size()) },
-            { "error", left ? "" : left.error().message } });
+            { "number", std::to_string(number) },
+            { "error", put ? (isKept ? "" : "the object stands there already") : put.error().message } });
 }
 
 /// Once the head names a later object, nobody reads those before it; once the job is over, nobody reads any.
--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -144,12 +144,9 @@
     co_return std::move(submission);
 }
 
-asio::awaitable<Result<void>> JobStore::putTexts(JobId id, std::uint64_t number, std::string texts)
+asio::awaitable<Result<bool>> JobStore::putTexts(JobId id, std::uint64_t number, std::string texts)
 {
-    const auto stored = co_await this->context.store.putObject(textsKey(id, number), std::move(texts));
-    if (!stored)
-        co_return stored.error();
-    co_return boost::outcome_v2::success();
+    co_return co_await this->context.store.putObject(textsKey(id, number), std::move(texts));
 }
 
 asio::awaitable<Result<void>> JobStore::dropTexts(JobId id, std::uint64_t number)
--- a/src/gateway/job_store.hpp
+++ b/src/gateway/job_store.hpp
@@ -51,7 +51,8 @@
     boost::asio::awaitable<Result<StoredSubmission>> readSubmission(JobId id, JobHead head);
 
     /// @brief Keeps the texts of unfinished items as the job's object of that number.
-    boost::asio::awaitable<Result<void>> putTexts(JobId id, std::uint64_t number, std::string texts);
+    /// @return false if an object of that number stands there already.
+    boost::asio::awaitable<Result<bool>> putTexts(JobId id, std::uint64_t number, std::string texts);
 
     /// @brief Removes the job's object of that number.
     boost::asio::awaitable<Result<void>> dropTexts(JobId id, std::uint64_t number);
--- a/tests/src/gateway/job_pages.hpp
+++ b/tests/src/gateway/job_pages.hpp
@@ -10,6 +10,7 @@
 inline std::vector<std::string> manyItems(int count)
 {
     std::vector<std::string> items;
+    items.reserve(static_cast<std::size_t>(count));
     for (int item = 0; item < count; ++item)
         items.push_back("i" + std::to_string(item));
     return items;
--- a/tests/src/gateway/unit-job_handover.cpp
+++ b/tests/src/gateway/unit-job_handover.cpp
@@ -136,6 +136,27 @@
     CHECK_TRUE(waitFor([this] { return this->world->store.objects() == 1; }));
 }
 
+// Pattern: an owner died after it had put texts and before its head named them.
+TEST(JobHandover, TextsThatAnotherOwnerPutAreNotNamedAsOnesOwn)
+{
+    WorkerOptions options;
+    options.events = 80;
+    auto& engine = this->world->addWorker("i-long", options);
+    engine.faults.eventTime = 50ms;
+    this->world->list(this->world->engine, "none");
+    this->world->list(engine, "lm");
+    const auto put = this->world->call(this->world->store.endpoint(), "PUT", "/-/blob-put/job-j1-texts-0",
+        { { "If-None-Match", "*" } }, "left by another");
+    LONGS_EQUAL(200, put.status);
+    auto& gateway = this->world->startGateway();
+    LONGS_EQUAL(202, this->world->submit(gateway, "j1", { "a" }).status);
+    const auto textObjects
+        = [this] { return parseJobHead(this->world->store.rowsOf("job-heads").at("j1")).value().textObjects; };
+    CHECK_TRUE(waitFor([&] { return textObjects() > 0; }));
+    LONGS_EQUAL(2, textObjects());
+    CHECK_TRUE(this->world->waitForResults(gateway, "j1", 1));
+}
+
 // Pattern: planned restarts; callers still reach a VM that shuts down until the balancer has taken it out.
 TEST(JobHandover, AVmThatShutsDownAcceptsAJobForAnother)
 {
