Estimates that are no numbers are told of; lengths of long ago weigh less

Cause: found in review. An item's estimate or prompt length that was not understood became zero without a word; a job with such items now gets one log line with their number. Lengths of finished items were added up for good, so that the first hours of a VM would outweigh how long a trained model answers now: beyond a million tokens, some hundred items, what was noted counts half.

--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -62,6 +62,8 @@
     /// Whole groups that the trainer waits for.
     std::uint64_t wantedGroups { 0 };
     std::vector<JobItem> items;
+    /// Estimates of its items that were no numbers; the items are taken to have none.
+    std::uint64_t unreadEstimates { 0 };
 };
 
 /// @brief A submission as it came, kept until its job is forgotten.
@@ -107,7 +109,7 @@
     ConfigVersion configuration;
     /// Items of groups that the trainer waits for that were not started when the head was written.
     std::uint64_t waiting { 0 };
-    /// Objects with texts of unfinished items that VMs left when they gave the job up; the last one counts.
+    /// One more than the number of the object that holds the newest texts of unfinished items; 0 for none.
     std::uint64_t textObjects { 0 };
     std::string host;
     std::string path;
@@ -123,7 +125,7 @@
 /// @return BadFrame with what is wrong.
 Result<JobHead> parseJobHead(std::string_view text);
 
-/// @brief Texts of unfinished items, as a VM that gives a job up leaves them to the next one.
+/// @brief Texts of unfinished items, as a job's owner keeps them for a VM that takes the job over.
 std::string toText(const std::map<ItemId, ItemText>& texts);
 
 /// @return BadFrame with what is wrong.
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -67,6 +67,10 @@
         logEvent(LogLevel::Warning, "job-refused", { { "job", call.id.value() }, { "error", error.message } });
         co_return errorResponse(error, call.id.value());
     }
+    if (job.value().unreadEstimates > 0)
+        logEvent(LogLevel::Warning, "job-estimates-not-understood",
+            { { "job", call.id.value() }, { "estimates", std::to_string(job.value().unreadEstimates) },
+                { "items", std::to_string(job.value().items.size()) } });
     const auto allowed = std::min(call.allowed.value_or(route.timeout), route.timeout);
     const auto deadline = Clock::now() + std::min<Duration>(longestSettling, allowed);
     auto response = co_await this->accept(std::move(submission), std::move(job).value(), deadline);
--- a/src/samples/item_length.cpp
+++ b/src/samples/item_length.cpp
@@ -9,6 +9,8 @@
     /// Part of its events that an item which has passed its estimate is expected to make yet: an eighth of all items
     /// run to several times their estimate.
     constexpr double tailPart = 0.3;
+    /// Lengths change as a model learns: beyond so many tokens, some hundred items, what was noted counts half.
+    constexpr double mostTokens = 1e6;
 
 } // namespace
 
@@ -18,6 +20,10 @@
         return;
     model.events += static_cast<double>(events);
     model.expectedTokens += static_cast<double>(expectedTokens);
+    if (model.expectedTokens > mostTokens) {
+        model.events /= 2;
+        model.expectedTokens /= 2;
+    }
 }
 
 double remainingEvents(const LengthModel& model, std::uint64_t expectedTokens, std::uint64_t eventsMade)
--- a/tests/src/platform/unit-callers.cpp
+++ b/tests/src/platform/unit-callers.cpp
@@ -103,6 +103,7 @@
 {
     const auto job = submitted(R"({"items":[{"id":"i","path":"/","headers":{"Topaztack-Length-Hint":"many"}}]})");
     LONGS_EQUAL(0, job.value().items.at(0).expectedTokens);
+    LONGS_EQUAL(1, job.value().unreadEstimates);
 }
 
 TEST(Callers, APageOfResultsIsWrittenAsTrainersReadIt)
@@ -123,4 +124,5 @@
                                R"({"id":"k","path":"/","headers":{"Topaztack-Token-Usage":"much"}}]})");
     LONGS_EQUAL(540, job.value().items.at(0).promptTokens);
     LONGS_EQUAL(0, job.value().items.at(1).promptTokens);
+    LONGS_EQUAL(1, job.value().unreadEstimates);
 }
--- a/tests/src/samples/unit-item_length.cpp
+++ b/tests/src/samples/unit-item_length.cpp
@@ -39,3 +39,14 @@
     LONGS_EQUAL(770, wholeTokens(model, 770, 0));
     LONGS_EQUAL(10010, wholeTokens(model, 770, 100));
 }
+
+// Pattern: a model learns to answer in fewer tokens; the first steps of a day must not weigh as much as the last ones.
+TEST(ItemLength, ItemsOfLongAgoWeighLess)
+{
+    LengthModel model;
+    for (int item = 0; item < 10000; ++item)
+        noteLength(model, 20, 1000);
+    for (int item = 0; item < 10000; ++item)
+        noteLength(model, 10, 1000);
+    DOUBLES_EQUAL(10, remainingEvents(model, 1000, 0), 0.1);
+}
