Owners of jobs: silence reckoned in one place, answers that do not come are logged, nothing kept for good

Cause: found in review. - The silence of an owner was worked out twice, and the order of claims (all jobs, all VMs) for every job at every look, ten times a second, though it matters only once an owner is silent for two seconds. - VMs that did not answer a question about the store, and owners that did not answer at all, left no log line. - VMs that had not taken a job were remembered for good. - The pool of a job was chosen in two places; a pool without servers was looked up anew with each request. - topaztack_job_owners_dead_total counted before the claim had succeeded, so that its test could pass without the takeover. - Comments that told of earlier uses; names that said less than they could.

Seen failing with its rule switched off: JobHandover.AnOwnerWhoseProcessIsGoneLosesItsJobBeforeItsSilenceIsOver.

--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -136,10 +136,10 @@
     for (const auto& each : waiting) {
         auto need = each.runner->needOf(*each.item);
         const auto found = exhausted.find(keyOf(need));
-        const bool isHopeless = found != exhausted.end() && need.tokens >= found->second;
-        if (!isHopeless && each.runner->startItem(*each.item, need))
+        const bool isTooLarge = found != exhausted.end() && need.tokens >= found->second;
+        if (!isTooLarge && each.runner->startItem(*each.item, need))
             continue;
-        if (!isHopeless)
+        if (!isTooLarge)
             exhausted[keyOf(need)] = need.tokens;
         if (!each.item->isSpare)
             unmet.push_back(std::move(need));
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -21,8 +21,9 @@
     constexpr std::chrono::milliseconds feedPause { 100 };
     /// In which a VM that is handed a job writes that it has it.
     constexpr Duration handoverTime = 500ms;
-    /// Texts of ended jobs are kept for this long, and of this many jobs: three of each of
-    /// three trainers.
+    /// A VM that did not take a job is handed none for this long.
+    constexpr Duration distrustTime = 15s;
+    /// Texts of ended jobs are kept for this long, and of this many jobs: the last three of three trainers.
     constexpr Duration textRetention = 15s;
     constexpr std::size_t keptRunners = 9;
     /// VMs other than the last owner remove a job within this time after it.
@@ -57,7 +58,7 @@
     , starts(context.metrics.counter("topaztack_job_starts_total", "Jobs that this VM began or went on to run"))
     , takeovers(context.metrics.counter("topaztack_job_takeovers_total", "Jobs taken over from another VM"))
     , deadOwners(context.metrics.counter(
-          "topaztack_job_owners_dead_total", "Owners that refused a connection before their silence was long enough"))
+          "topaztack_job_owners_dead_total", "Jobs taken over from an owner that refused a connection"))
 {
 }
 
@@ -220,7 +221,9 @@
         this->ended.push_front(entry->second);
         entry = this->runners.erase(entry);
     }
-    const auto oldest = Clock::now() - textRetention;
+    const auto now = Clock::now();
+    std::erase_if(this->failedHandovers, [now](const auto& failed) { return now - failed.second >= distrustTime; });
+    const auto oldest = now - textRetention;
     std::erase_if(this->ended, [oldest](const auto& runner) { return runner->stoppedAt() < oldest; });
     while (this->ended.size() > keptRunners)
         this->ended.pop_back();
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -70,13 +70,13 @@
     boost::asio::awaitable<void> watch();
     std::map<VmName, std::uint64_t> openItems() const;
     VmName lastOwner(const ModelName& model) const;
-    bool isDistrusted(const VmName& vm, TimePoint now) const;
     Duration claimDelay(const JobId& id, Duration spread) const;
     bool isClaimable(const JobId& id, const Known& known, TimePoint now) const;
     bool isForgettable(const JobId& id, const Known& known) const;
     void adopt(RunnerStart start);
     boost::asio::awaitable<std::optional<StoredHead>> claim(JobId id);
     boost::asio::awaitable<void> claimAndRun(JobId id);
+    Duration silenceOf(const Known& known, TimePoint now) const;
     bool isDoubtful(const JobId& id, const Known& known, TimePoint now) const;
     boost::asio::awaitable<void> askOwner(JobId id, StoredHead head);
     boost::asio::awaitable<void> takeOver(JobId id, StoredHead head, bool isHandedOver);
@@ -96,7 +96,7 @@
     std::map<JobId, std::shared_ptr<JobRunner>> runners;
     /// Runners of jobs that have ended, for the texts of items that come again.
     std::list<std::shared_ptr<JobRunner>> ended;
-    /// VMs that did not take a job they were handed, and when.
+    /// VMs that did not take a job they were handed, and when; forgotten after a while.
     std::map<VmName, TimePoint> failedHandovers;
     Notifier changeNotifier;
     Counter& starts;
--- a/src/gateway/job_owner_claims.cpp
+++ b/src/gateway/job_owner_claims.cpp
@@ -26,8 +26,6 @@
     constexpr Duration claimSpread = 400ms;
     constexpr Duration releaseSpread = 60ms;
     constexpr std::int64_t claimSteps = 100;
-    /// A VM that did not take a job is handed none for this long.
-    constexpr Duration distrustTime = 15s;
     /// A VM that ran a trainer's last job is preferred for this long.
     constexpr Duration longestPreference = 15s;
 
@@ -58,15 +56,8 @@
     return latest->stored.head.owner.name;
 }
 
-bool JobOwner::isDistrusted(const VmName& vm, TimePoint now) const
-{
-    const auto failed = this->failedHandovers.find(vm);
-    return failed != this->failedHandovers.end() && now - failed->second < distrustTime;
-}
-
 VmIdentity JobOwner::preferredOwner(const ModelName& model, std::uint64_t items) const
 {
-    const auto now = Clock::now();
     const auto open = this->openItems();
     const auto last = this->lastOwner(model);
     std::vector<VmIdentity> vms;
@@ -80,7 +71,7 @@
     if (!this->context.isDraining)
         add(this->context.identity, this->context.settings.gateway.processor());
     for (const auto& [name, peer] : this->peers.known()) {
-        if (!this->isDistrusted(name, now))
+        if (!this->failedHandovers.contains(name))
             add(peer.vm, peer.processor);
     }
     const auto chosen = placeJob(candidates, items);
@@ -114,6 +105,13 @@
     return turn + spread * static_cast<std::int64_t>(rank % claimSteps) / (2 * claimSteps);
 }
 
+/// For how long a head has not changed. Silence counts only while changes would have been seen.
+Duration JobOwner::silenceOf(const Known& known, TimePoint now) const
+{
+    const auto fresh = this->heads.freshSince();
+    return fresh ? now - std::max(*fresh, known.seenAt) : Duration(0);
+}
+
 bool JobOwner::isClaimable(const JobId& id, const Known& known, TimePoint now) const
 {
     const auto& head = known.stored.head;
@@ -123,10 +121,8 @@
         return true;
     if (head.owner.name.value().empty())
         return now - known.seenAt >= this->claimDelay(id, releaseSpread);
-    // Silence counts only while changes would have been seen.
-    const auto fresh = this->heads.freshSince();
-    const auto silence = ownerSilence + this->claimDelay(id, claimSpread);
-    return fresh && now - *fresh >= silence && now - known.seenAt >= silence;
+    const auto silence = this->silenceOf(known, now);
+    return silence >= ownerSilence && silence >= ownerSilence + this->claimDelay(id, claimSpread);
 }
 
 bool JobOwner::isDoubtful(const JobId& id, const Known& known, TimePoint now) const
@@ -134,9 +130,7 @@
     const auto& head = known.stored.head;
     if (known.isBeingClaimed || !isOpen(head) || head.owner.name.value().empty() || this->runnerOf(id))
         return false;
-    const auto fresh = this->heads.freshSince();
-    return known.askedAt != known.stored.version && fresh && now - *fresh >= doubtfulSilence
-        && now - known.seenAt >= doubtfulSilence;
+    return known.askedAt != known.stored.version && this->silenceOf(known, now) >= doubtfulSilence;
 }
 
 /// An owner whose process is gone loses the job at once.
@@ -152,17 +146,24 @@
     const auto askedAt = Clock::now();
     const auto answered
         = co_await this->context.backends.call(peer->second.endpoint, std::move(request), askedAt + refusalTime);
+    if (!answered)
+        logEvent(LogLevel::Debug, "job-owner-not-answering",
+            { { "job", id.value() }, { "owner", head.head.owner.name.value() },
+                { "error", answered.error().error.message } });
     const bool isRefused = !answered && answered.error().progress == AttemptProgress::NothingWritten
         && Clock::now() - askedAt < refusalTime;
     const auto known = this->jobs.find(id);
     const bool isCurrent = known != this->jobs.end() && known->second.stored.version == head.version;
     if (!isRefused || !isCurrent || known->second.isBeingClaimed || this->context.isDraining)
         co_return;
-    this->deadOwners.add();
     logEvent(LogLevel::Info, "job-owner-dead",
         { { "job", id.value() }, { "owner", head.head.owner.name.value() },
             { "error", answered.error().error.message } });
-    co_await this->claimAndRun(id);
+    const auto claimed = co_await this->claim(id);
+    if (!claimed)
+        co_return;
+    this->deadOwners.add();
+    co_await this->takeOver(id, *claimed, false);
 }
 
 /// Writes this VM into a job's head.
--- a/src/gateway/job_runner_listing.cpp
+++ b/src/gateway/job_runner_listing.cpp
@@ -41,9 +41,7 @@
     this->beingListed = this->nextResults();
     next.listed += this->beingListed.size();
     ++next.writes;
-    const auto* pool = this->route ? choosePool(*this->route, 0) : nullptr;
-    if (pool)
-        next.inFlight = this->servers.inFlight(*pool);
+    next.inFlight = this->servers.inFlight(this->pool());
     next.textObjects = this->textObjects;
     next.waiting = this->countWaiting();
     if (this->isReleasing && this->finished.empty())
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -19,7 +19,7 @@
 namespace {
 
     constexpr std::string_view peersTable = "gateways";
-    /// VMs come and go rarely; the list is used only while the store is away.
+    /// VMs come and go rarely; a job that is handed to one that is gone is claimed half a second later.
     constexpr std::chrono::milliseconds feedWait { 5000 };
     constexpr std::chrono::milliseconds feedPause { 1000 };
     constexpr Duration rewriteInterval = 60s;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -116,8 +116,9 @@
 
 ServerTable::PoolView& ServerTable::viewOf(const PoolName& pool, TimePoint now)
 {
-    auto& view = this->views[pool];
-    if (!view.members.empty() && now - view.builtAt < viewLifetime)
+    const auto [place, isNew] = this->views.try_emplace(pool);
+    auto& view = place->second;
+    if (!isNew && now - view.builtAt < viewLifetime)
         return view;
     view = PoolView {};
     view.builtAt = now;
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -20,7 +20,7 @@
     constexpr Duration answerLifetime = 1500ms;
     constexpr std::size_t mostAsked = 3;
     /// VMs that must have said so: a single one may be cut off from the store as well.
-    constexpr std::size_t fewestWitnesses = 2;
+    constexpr std::size_t fewestConfirmations = 2;
     constexpr std::string_view reached = "reached\n";
     constexpr std::string_view away = "away\n";
 
@@ -60,27 +60,30 @@
 
 asio::awaitable<void> StoreWatch::ask()
 {
-    std::size_t witnesses = 0;
+    std::size_t confirmations = 0;
     for (const auto& peer : this->peers.candidates(mostAsked)) {
         HttpRequest request;
         request.method = "GET";
         request.target = std::string(storeContactPath);
         const auto answered
             = co_await this->context.backends.call(peer.endpoint, std::move(request), Clock::now() + answerTime);
-        if (!answered)
+        if (!answered) {
+            logEvent(LogLevel::Debug, "store-contact-not-told",
+                { { "vm", peer.vm.name.value() }, { "error", answered.error().error.message } });
             continue;
+        }
         if (answered.value().body != away) {
             if (this->confirmedAt)
                 logEvent(LogLevel::Info, "store-reached-elsewhere", { { "vm", peer.vm.name.value() } });
             this->confirmedAt.reset();
             co_return;
         }
-        ++witnesses;
+        ++confirmations;
     }
-    if (witnesses < fewestWitnesses)
+    if (confirmations < fewestConfirmations)
         co_return;
     if (!this->confirmedAt)
-        logEvent(LogLevel::Info, "store-away-for-all", { { "vms_asked", std::to_string(witnesses) } });
+        logEvent(LogLevel::Info, "store-away-for-all", { { "vms_asked", std::to_string(confirmations) } });
     this->confirmedAt = Clock::now();
 }
 
--- a/src/samples/load_plan.cpp
+++ b/src/samples/load_plan.cpp
@@ -90,19 +90,19 @@
     }
 
     /// The model that is furthest from its share; nullptr if none lacks anything that can be given.
-    Queue* neediest(std::vector<Queue>& queues, std::size_t share)
+    Queue* furthestBehind(std::vector<Queue>& queues, std::size_t share)
     {
-        Queue* neediest = nullptr;
+        Queue* furthest = nullptr;
         const auto progressOf = [share](const Queue& queue) {
             return std::pair { std::min(queue.serving, share), queue.fresh };
         };
         for (auto& queue : queues) {
             if (queue.isExhausted || queue.fresh >= share)
                 continue;
-            if (!neediest || progressOf(queue) < progressOf(*neediest))
-                neediest = &queue;
+            if (!furthest || progressOf(queue) < progressOf(*furthest))
+                furthest = &queue;
         }
-        return neediest;
+        return furthest;
     }
 
 } // namespace
@@ -119,7 +119,7 @@
     const auto share = shareOf(engines.size(), models.size());
     std::vector<bool> isTaken(engines.size(), false);
     while (running < limits.atOnce) {
-        auto* queue = neediest(queues, share);
+        auto* queue = furthestBehind(queues, share);
         if (!queue)
             break;
         auto& next = queue->next;
