Servers that announce their departure in an answer get nothing more

Cause: a worker that leaves now says so in the header of each answer (Server-Leaving: 1), also where its record in the store still says ready or can't be read; the gateway looked at the record only and went on sending. Change: decoded in platform/ into ServerResponseHead::isLeaving; ServerTable::recordAnswer() notes it in the registry for that start of the server, from answers to requests, items, reports and orders. The registry marks every record of that start or an earlier one as leaving, so stale reads and records that come back change nothing; a later start clears it. An answer with 421 comes from another server and counts for nothing. Weighed: telling other VMs as well. A VM that has not had such an answer owes nothing yet, and its first one says it, so no message between VMs is sent.

--- a/include/topaztack/control/server_registry.hpp
+++ b/include/topaztack/control/server_registry.hpp
@@ -45,6 +45,9 @@
 /// Time after the end of a store outage within which records that expired during the outage are written again.
 inline constexpr std::chrono::milliseconds outageGracePeriod { 2200 };
 
+/// Time for which an announced departure is remembered; a server that leaves ends within seconds.
+inline constexpr std::chrono::hours departureRetention { 1 };
+
 /// @brief Server records by name. A record that disappears while the store is available means that the server is gone.
 /// One that disappears around an outage may merely have expired, and is kept until the grace period ends.
 struct ServerRegistry {
@@ -54,7 +57,16 @@
         std::optional<TimePoint> removeAt;
     };
 
+    /// A process that announced its departure in an answer.
+    struct Departure {
+        /// Start of the latest process of that name that did so.
+        std::chrono::milliseconds startedAt { 0 };
+        TimePoint announcedAt;
+    };
+
     std::map<BackendName, Entry> entries;
+    /// Departures announced in answers. They outlive the store's records, which may be stale or missing.
+    std::map<BackendName, Departure> departures;
     /// Until then, a missing record may have expired during an outage.
     TimePoint graceUntil {};
 };
@@ -62,7 +74,17 @@
 /// @brief Starts the grace period: the store answers again after an outage.
 void noteStoreRecovery(ServerRegistry& registry, TimePoint now);
 
-/// @brief Inserts or replaces a record.
+/// @brief Records that a server announced its departure in an answer. Its records of this start and of earlier ones
+/// count as leaving from now on, whatever the store lists; a later start does not.
+/// @param startedAt start of the process that the answer came from, as in its record.
+/// @return whether the departure was not known before.
+bool noteDeparture(
+    ServerRegistry& registry, const BackendName& name, std::chrono::milliseconds startedAt, TimePoint now);
+
+/// @brief Marks a record as leaving if that start of the server, or a later one, announced its departure.
+void applyDeparture(const ServerRegistry& registry, ServerRecord& record);
+
+/// @brief Inserts or replaces a record, marked as leaving if the server announced its departure.
 void putServer(ServerRegistry& registry, ServerRecord record);
 
 /// @brief Handles a record that is missing in the store: removes it at once, or at the end of the grace period if it
@@ -72,7 +94,7 @@
 /// @brief Applies a full read of the table: marks every server that is not in `present` as absent.
 void retainServers(ServerRegistry& registry, const std::vector<BackendName>& present, TimePoint now);
 
-/// @brief Removes the absent records whose grace period is over.
+/// @brief Removes the absent records whose grace period is over, and forgets departures after their retention.
 /// @param isStoreUnavailable if true, nothing is removed.
 /// @return the names of the removed records.
 std::vector<BackendName> removeExpiredServers(ServerRegistry& registry, TimePoint now, bool isStoreUnavailable);
--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -62,6 +62,8 @@
     bool isOtherServer { false };
     /// The server closes the connection, because it is leaving or for another reason.
     bool closesConnection { false };
+    /// The server announces its departure: it serves what it has and is to get nothing more.
+    bool isLeaving { false };
     /// Id of the request that the response belongs to; empty if it carries none.
     RequestId request;
     /// The response carries the server's stamp; without it a success doesn't count.
--- a/src/control/server_registry.cpp
+++ b/src/control/server_registry.cpp
@@ -16,8 +16,30 @@
 
 void noteStoreRecovery(ServerRegistry& registry, TimePoint now) { registry.graceUntil = now + outageGracePeriod; }
 
+bool noteDeparture(
+    ServerRegistry& registry, const BackendName& name, std::chrono::milliseconds startedAt, TimePoint now)
+{
+    const auto [place, isNew] = registry.departures.try_emplace(name);
+    auto& departure = place->second;
+    const bool isKnown = !isNew && departure.startedAt >= startedAt;
+    departure.startedAt = std::max(departure.startedAt, startedAt);
+    departure.announcedAt = now;
+    const auto entry = registry.entries.find(name);
+    if (entry != registry.entries.end())
+        applyDeparture(registry, entry->second.record);
+    return !isKnown;
+}
+
+void applyDeparture(const ServerRegistry& registry, ServerRecord& record)
+{
+    const auto departure = registry.departures.find(record.name);
+    if (departure != registry.departures.end() && record.startedAt <= departure->second.startedAt)
+        record.isLeaving = true;
+}
+
 void putServer(ServerRegistry& registry, ServerRecord record)
 {
+    applyDeparture(registry, record);
     auto& entry = registry.entries[record.name];
     entry.record = std::move(record);
     entry.removeAt.reset();
@@ -49,6 +71,9 @@
 
 std::vector<BackendName> removeExpiredServers(ServerRegistry& registry, TimePoint now, bool isStoreUnavailable)
 {
+    std::erase_if(registry.departures, [&registry, now](const auto& departure) {
+        return now - departure.second.announcedAt >= departureRetention && !registry.entries.contains(departure.first);
+    });
     std::vector<BackendName> expired;
     if (isStoreUnavailable)
         return expired;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarder.hpp"
 
 #include "error_responses.hpp"
+#include "service_call.hpp"
 
 #include <topaztack/base/log.hpp>
 
@@ -21,10 +22,6 @@
     /// Servers that can't be reached don't count as attempts; after this many of them the request fails.
     constexpr std::uint64_t maxUnreachedServers = 4;
 
-    constexpr unsigned firstServerErrorStatus = 500;
-
-    bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
-
 } // namespace
 
 /// State of one request that is being forwarded.
@@ -128,44 +125,22 @@
     auto request = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft);
     CallControl control;
     exchange.onCallerGone([&control] { control.cancel(); });
-    CallOptions options;
-    options.control = &control;
-    options.accepts = [this, &forwarding](const HttpResponse& response) {
-        const auto answer = this->context.protocol.decodeAnswer(response);
-        return answer.request.value().empty() || answer.request == forwarding.call.id;
-    };
-    auto called = co_await this->context.httpClient.call(server.endpoint, std::move(request), end, std::move(options));
+    auto result = co_await callService(this->context, this->servers, std::move(request), forwarding.call.id, server,
+        end, control, forwarding.requirements);
     exchange.onCallerGone({});
-    if (!called) {
-        if (called.error().progress == AttemptProgress::NothingWritten) {
-            --forwarding.attempts;
-            ++forwarding.unreached;
-        } else {
-            forwarding.mayHaveRun = true;
-        }
-        forwarding.problem = called.error().error;
-        this->servers.finish(server, control.isCancelled() ? ServerOutcome::Cancelled : ServerOutcome::Failed);
-        co_return;
-    }
-    auto& response = called.value();
-    const auto answer = this->context.protocol.decodeAnswer(response);
-    if (answer.isOtherServer || answer.saysNotRun) {
-        this->servers.finish(server, answer.isOtherServer ? ServerOutcome::Replaced : ServerOutcome::Refused);
-        forwarding.problem = makeError(
-            ErrorKind::Overloaded, server.name.value() + " refused with " + std::to_string(response.status));
-        co_return;
+    if (result.outcome == ServiceCallOutcome::NotReached) {
+        --forwarding.attempts;
+        ++forwarding.unreached;
     }
-    forwarding.mayHaveRun = true;
-    const bool isEncoded = !findHeader(response.headers, "Content-Encoding").empty();
-    const bool isValid = answer.hasServerStamp && !isEncoded;
-    const bool isFailure = response.status >= firstServerErrorStatus;
-    this->servers.finish(server, isValid && !isFailure ? ServerOutcome::Answered : ServerOutcome::Failed);
-    if (!isValid) {
-        forwarding.problem = makeError(ErrorKind::BackendAnswerMalformed,
-            server.name.value() + " answered without its server stamp or with a content encoding");
+    const bool mayHaveRun
+        = result.outcome == ServiceCallOutcome::Unknown || result.outcome == ServiceCallOutcome::Answered;
+    forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
+    if (!result.response) {
+        forwarding.problem = std::move(result.problem);
         co_return;
     }
-    if (isFailure && forwarding.mayAttempt()) {
+    auto& response = *result.response;
+    if (isServerError(response.status) && forwarding.mayAttempt()) {
         forwarding.problem
             = makeError(ErrorKind::BackendBroke, server.name.value() + " answered " + std::to_string(response.status));
         co_return;
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -60,9 +60,9 @@
     }
 
     /// The outcome that the head of a response decides; Whole if events follow.
-    AttemptOutcome classifyResponse(const GatewayContext& context, const ItemAttempt& attempt, const HttpResponse& head)
+    AttemptOutcome classifyResponse(
+        const ServerResponseHead& answer, const ItemAttempt& attempt, const HttpResponse& head)
     {
-        const auto answer = context.protocol.decodeAnswer(head);
         if (answer.isOtherServer)
             return AttemptOutcome::Replaced;
         if (answer.saysNotRun)
@@ -203,7 +203,9 @@
         co_return AttemptOutcome::Interrupted;
     }
     auto& stream = *opened.value();
-    auto outcome = classifyResponse(context, attempt, stream.head());
+    const auto answer = context.protocol.decodeAnswer(stream.head());
+    servers.recordAnswer(server, answer);
+    auto outcome = classifyResponse(answer, attempt, stream.head());
     if (outcome == AttemptOutcome::Whole)
         outcome = co_await readEvents(context, servers, attempt, server, stream);
     else
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -48,6 +48,7 @@
 
 void ServerTable::applyRecord(ServerRecord record)
 {
+    applyDeparture(this->servers, record);
     const auto* known = this->find(record.name);
     if (known && known->startedAt == record.startedAt)
         keepNewerVersions(*known, record);
@@ -63,7 +64,8 @@
     if (isNew || known->isLeaving != record.isLeaving)
         logEvent(LogLevel::Info, isNew ? "server-known" : "server-leaving",
             { { "server", record.name.value() }, { "pool", record.pool.value() },
-                { "address", toText(record.endpoint) }, { "leaving", record.isLeaving ? "1" : "0" } });
+                { "address", toText(record.endpoint) }, { "leaving", record.isLeaving ? "1" : "0" },
+                { "source", "record" } });
     putServer(this->servers, std::move(record));
 }
 
@@ -363,6 +365,18 @@
     this->changeNotifier.notify();
 }
 
+void ServerTable::recordAnswer(const ServerRecord& server, const ServerResponseHead& answer)
+{
+    // An answer from another server at the same address says nothing about the one that was meant.
+    if (!answer.isLeaving || answer.isOtherServer)
+        return;
+    if (!noteDeparture(this->servers, server.name, server.startedAt, Clock::now()))
+        return;
+    logEvent(LogLevel::Info, "server-leaving",
+        { { "server", server.name.value() }, { "pool", server.pool.value() }, { "address", toText(server.endpoint) },
+            { "leaving", "1" }, { "source", "answer" } });
+}
+
 void ServerTable::recordVersion(const BackendName& name, const ModelName& model, WeightVersion version)
 {
     const auto found = this->servers.entries.find(name);
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -70,6 +70,9 @@
     /// @param requirements as passed to acquire(), or as updated by updateTokenReservation().
     void finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements = {});
 
+    /// @brief Learns from the head of a server's answer whether the server is leaving; it gets nothing more then.
+    void recordAnswer(const ServerRecord& server, const ServerResponseHead& answer);
+
     /// @brief Changes the number of tokens that a running generation is expected to take, here and in `requirements`.
     void updateTokenReservation(const BackendName& name, ServerRequirements& requirements, std::uint64_t tokens);
 
--- /dev/null
+++ b/src/gateway/service_call.cpp
@@ -0,0 +1,65 @@
+#include "service_call.hpp"
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    ServiceCallResult failedCall(ServiceCallOutcome outcome, Error problem)
+    {
+        return { outcome, std::nullopt, std::move(problem) };
+    }
+
+    /// @param answer the decoded head of `response`.
+    ServiceCallResult classifyAnswer(
+        const ServerRecord& server, const ServerResponseHead& answer, HttpResponse response)
+    {
+        if (answer.isOtherServer || answer.saysNotRun)
+            return failedCall(ServiceCallOutcome::Refused,
+                makeError(
+                    ErrorKind::Overloaded, server.name.value() + " refused with " + std::to_string(response.status)));
+        const bool isEncoded = !findHeader(response.headers, "Content-Encoding").empty();
+        if (!answer.hasServerStamp || isEncoded)
+            return failedCall(ServiceCallOutcome::Unknown,
+                makeError(ErrorKind::BackendAnswerMalformed,
+                    server.name.value() + " answered without its server stamp or with a content encoding"));
+        return { ServiceCallOutcome::Answered, std::move(response), std::nullopt };
+    }
+
+    ServerOutcome toServerOutcome(const ServerResponseHead& answer, const ServiceCallResult& result)
+    {
+        if (answer.isOtherServer)
+            return ServerOutcome::Replaced;
+        if (answer.saysNotRun)
+            return ServerOutcome::Refused;
+        const bool isFailure = !result.response || isServerError(result.response->status);
+        return isFailure ? ServerOutcome::Failed : ServerOutcome::Answered;
+    }
+
+} // namespace
+
+asio::awaitable<ServiceCallResult> callService(GatewayContext& context, ServerTable& servers, HttpRequest request,
+    RequestId id, ServerRecord server, TimePoint deadline, CallControl& control, const ServerRequirements& requirements)
+{
+    CallOptions options;
+    options.control = &control;
+    options.accepts = [&context, &id](const HttpResponse& response) {
+        const auto answer = context.protocol.decodeAnswer(response);
+        return answer.request.value().empty() || answer.request == id;
+    };
+    auto called = co_await context.httpClient.call(server.endpoint, std::move(request), deadline, std::move(options));
+    if (!called) {
+        const bool isReached = called.error().progress != AttemptProgress::NothingWritten;
+        servers.finish(server, control.isCancelled() ? ServerOutcome::Cancelled : ServerOutcome::Failed, requirements);
+        co_return failedCall(
+            isReached ? ServiceCallOutcome::Unknown : ServiceCallOutcome::NotReached, std::move(called.error().error));
+    }
+    const auto answer = context.protocol.decodeAnswer(called.value());
+    servers.recordAnswer(server, answer);
+    auto result = classifyAnswer(server, answer, std::move(called).value());
+    servers.finish(server, toServerOutcome(answer, result), requirements);
+    co_return result;
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/service_call.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "context.hpp"
+#include "server_table.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+/// @file
+/// One request to a server of a plain service, and what its answer proves.
+
+namespace topaztack {
+
+enum class ServiceCallOutcome : std::uint8_t {
+    /// The server's own answer, of any status.
+    Answered,
+    /// The server stated that it did not run the request.
+    Refused,
+    /// No byte of the request was written.
+    NotReached,
+    /// The request may have run: no answer, or one that is not valid.
+    Unknown,
+};
+
+struct ServiceCallResult {
+    ServiceCallOutcome outcome { ServiceCallOutcome::Unknown };
+    /// Set if answered.
+    std::optional<HttpResponse> response;
+    /// Set unless answered.
+    std::optional<Error> problem;
+};
+
+/// @brief Whether a status reports that the server failed.
+inline bool isServerError(unsigned status) { return status >= 500; }
+
+/// @brief Whether a status reports success.
+inline bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+/// @brief Sends a request to a server that ServerTable::acquire() chose, and ends the request that was counted there.
+/// @param id the request's id; an answer that carries another one is not accepted.
+/// @param deadline end of the attempt.
+/// @param requirements as passed to acquire().
+boost::asio::awaitable<ServiceCallResult> callService(GatewayContext& context, ServerTable& servers,
+    HttpRequest request, RequestId id, ServerRecord server, TimePoint deadline, CallControl& control,
+    const ServerRequirements& requirements);
+
+} // namespace topaztack
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -155,6 +155,7 @@
             { { "server", server.name.value() }, { "error", answered.error().error.message } });
         co_return false;
     }
+    this->servers.recordAnswer(server, this->context.protocol.decodeAnswer(answered.value()));
     const auto report = this->context.protocol.decodeReport(answered.value());
     if (!report) {
         logEvent(LogLevel::Warning, "engine-report-refused",
@@ -182,6 +183,8 @@
     this->orders.add();
     const auto answered = co_await this->context.httpClient.call(
         server.endpoint, this->context.protocol.encodeOrder(order, server), Clock::now() + orderTimeout);
+    if (answered)
+        this->servers.recordAnswer(server, this->context.protocol.decodeAnswer(answered.value()));
     const auto outcome = answered ? this->context.protocol.decodeOrder(answered.value()) : OrderResponse::Unknown;
     logEvent(LogLevel::Info, "load-ordered",
         { { "server", server.name.value() }, { "model", load.model.value() },
@@ -215,6 +218,9 @@
     bool isReady = this->engineOf(server).orders.has_value();
     if (!isReady)
         isReady = co_await this->queryEngine(server);
+    // The engine may have announced its departure since the load was planned.
+    const auto* current = this->servers.find(server.name);
+    isReady = isReady && current && !current->isLeaving;
     const auto outcome = isReady ? co_await this->sendOrder(server, load) : OrderResponse::Unknown;
     auto& engine = this->engineOf(server);
     bool isLoaded = outcome == OrderResponse::AlreadyLoaded;
--- a/tests/src/gateway/unit-forwarder.cpp
+++ b/tests/src/gateway/unit-forwarder.cpp
@@ -69,6 +69,48 @@
     LONGS_EQUAL(before, this->env->booking.seen().size());
 }
 
+// A worker announces its departure in its answers while the store, here unreachable too, lists it as ready.
+TEST(Forwarder, ServerThatAnnouncesItsDepartureGetsNothingMore)
+{
+    auto& gateway = this->env->startGateway();
+    const auto& other = this->env->addWorker("i-app-2");
+    this->env->registerServer(other, "app");
+    CHECK_TRUE(waitFor([&] { return this->env->book(gateway, "r").body == "served by i-app-2"; }));
+    this->env->booking.faults.announcesDeparture = true;
+    CHECK_TRUE(waitFor([&] { return this->env->book(gateway, "r").body == "served by i-app"; }));
+    this->env->registerServer(this->env->booking, "app");
+    this->env->store.faults.isDown = true;
+    const auto before = this->env->booking.seen().size();
+    for (int request = 0; request < 20; ++request)
+        STRCMP_EQUAL("served by i-app-2", this->env->book(gateway, "r" + std::to_string(request)).body.c_str());
+    LONGS_EQUAL(before, this->env->booking.seen().size());
+}
+
+TEST(Forwarder, RequestIsRejectedAtOnceIfItsOnlyServerAnnouncedItsDeparture)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->booking.faults.announcesDeparture = true;
+    LONGS_EQUAL(200, this->env->book(gateway, "r1").status);
+    const auto startedAt = Clock::now();
+    const auto answer = this->env->book(gateway, "r2");
+    LONGS_EQUAL(503, answer.status);
+    CHECK_FALSE(findHeader(answer.headers, "Retry-After").empty());
+    CHECK_TRUE(Clock::now() - startedAt < 500ms);
+    LONGS_EQUAL(1, this->env->booking.seen().size());
+}
+
+TEST(Forwarder, RefusalThatAnnouncesADepartureCountsToo)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->booking.faults.announcesDeparture = true;
+    this->env->booking.faults.isFull = true;
+    LONGS_EQUAL(503, this->env->book(gateway, "r1").status);
+    this->env->booking.faults.isFull = false;
+    std::this_thread::sleep_for(300ms);
+    LONGS_EQUAL(503, this->env->book(gateway, "r2").status);
+    CHECK_TRUE(this->env->booking.seen().empty());
+}
+
 TEST(Forwarder, RequestIsNotRunByAServerThatTookOverTheAddress)
 {
     auto& gateway = this->env->startGateway();
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -284,3 +284,21 @@
     LONGS_EQUAL(2, this->env->engine.version());
     CHECK_TRUE(outputAt(page, 0) == this->env->engine.textOf("i1"));
 }
+
+// An engine says in the heads of its streams that it leaves; its record still says that it is ready.
+TEST(Jobs, AnEngineThatAnnouncesItsDepartureFinishesItsItemsAndGetsNoMore)
+{
+    auto& other = this->env->addWorker("i-lm-2");
+    this->env->registerServer(other, "lm");
+    auto& gateway = this->env->startGateway();
+    this->env->engine.faults.announcesDeparture = true;
+    this->env->engine.faults.eventTime = 50ms;
+    other.faults.eventTime = 50ms;
+    LONGS_EQUAL(202, this->env->submit(gateway, "j1", itemIds(24)).status);
+    CHECK_TRUE(this->env->waitForResults(gateway, "j1", 24));
+    // Its four slots are filled before its first answer arrives.
+    CHECK_TRUE(this->env->engine.seen().size() <= 4);
+    const auto page = this->env->read(gateway, "j1");
+    for (std::size_t index = 0; index < 24; ++index)
+        CHECK_TRUE(outputAt(page, index) == this->env->engine.textOf(idAt(page, index)));
+}
--- a/tests/src/gateway/unit-weights.cpp
+++ b/tests/src/gateway/unit-weights.cpp
@@ -103,3 +103,16 @@
     CHECK_TRUE(this->env->read(gateway, "j1").at("results").as_array().empty());
     CHECK_TRUE(this->env->waitForResults(gateway, "j1", 4));
 }
+
+// An engine that leaves says so in its report, before the first order.
+TEST(Weights, AnEngineThatAnnouncesItsDepartureGetsNoOrder)
+{
+    this->env->engine.faults.announcesDeparture = true;
+    auto& other = this->env->addWorker("i-lm-2");
+    this->env->registerServer(other, "lm");
+    this->env->startGateway();
+    this->env->store.put("op", "", "version/m", publishedVersion(2));
+    CHECK_TRUE(waitFor([&] { return other.version() == 2; }));
+    std::this_thread::sleep_for(600ms);
+    LONGS_EQUAL(0, this->env->engine.orders());
+}
--- a/tests/src/platform/unit-workers.cpp
+++ b/tests/src/platform/unit-workers.cpp
@@ -96,6 +96,14 @@
     CHECK_FALSE(decodeAnswer(answerWith(200, { { "Topaztack-Weight-Versions", "six" } })).version.has_value());
 }
 
+TEST(Workers, AnyAnswerMayAnnounceTheServersDeparture)
+{
+    for (const unsigned status : { 200U, 202U, 409U, 500U, 503U })
+        CHECK_TRUE(decodeAnswer(answerWith(status, { { "server-leaving", "1" } })).isLeaving);
+    CHECK_FALSE(decodeAnswer(answerWith(200, { { "Server-Leaving", "0" } })).isLeaving);
+    CHECK_FALSE(decodeAnswer(answerWith(200, {})).isLeaving);
+}
+
 TEST(Workers, AnEventNamesNewWeightsInItsFirstLine)
 {
     const auto event = decodeEvent(eventOf("7", "text", { { "topaztack-weight-versions", "8" } }));
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -23,21 +23,6 @@
         return std::string(findHeader(request.headers, name));
     }
 
-    HttpResponse answerTo(const HttpRequest& request, unsigned status)
-    {
-        HttpResponse response;
-        response.status = status;
-        response.headers.push_back({ "Topaztack-Request-Id", headerOf(request, "Topaztack-Request-Id") });
-        return response;
-    }
-
-    HttpResponse signedAnswer(const HttpRequest& request, unsigned status)
-    {
-        auto response = answerTo(request, status);
-        response.headers.push_back({ "Topaztack-Server-Stamp", "stamp" });
-        return response;
-    }
-
 } // namespace
 
 WorkerStandin::WorkerStandin(IoThreads& threads, std::string name, WorkerOptions given)
@@ -54,6 +39,23 @@
         throw std::runtime_error("worker stand-in can't listen");
 }
 
+HttpResponse WorkerStandin::answerTo(const HttpRequest& request, unsigned status) const
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.push_back({ "Topaztack-Request-Id", headerOf(request, "Topaztack-Request-Id") });
+    if (this->faults.announcesDeparture)
+        response.headers.push_back({ "Server-Leaving", "1" });
+    return response;
+}
+
+HttpResponse WorkerStandin::signedAnswer(const HttpRequest& request, unsigned status) const
+{
+    auto response = this->answerTo(request, status);
+    response.headers.push_back({ "Topaztack-Server-Stamp", "stamp" });
+    return response;
+}
+
 std::string WorkerStandin::record(const std::string& pool, const std::string& state) const
 {
     return json::serialize(json::object { { "service", pool },
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -22,6 +22,8 @@
     std::atomic<bool> isFull { false };
     /// Requests are run and the connection is closed without an answer.
     std::atomic<int> answersToLose { 0 };
+    /// Every answer announces the worker's departure.
+    std::atomic<bool> announcesDeparture { false };
     /// Streams are closed after this many events; 0 for never.
     std::atomic<int> breakAfter { 0 };
     /// Answers carry the id of another request.
@@ -81,6 +83,8 @@
     boost::asio::awaitable<void> generate(HttpExchange& exchange);
 
     boost::asio::awaitable<HttpResponse> carryOut(const HttpRequest& request);
+    HttpResponse answerTo(const HttpRequest& request, unsigned status) const;
+    HttpResponse signedAnswer(const HttpRequest& request, unsigned status) const;
     std::string dataOf(const std::string& id, int event) const;
     void logRun(const std::string& line);
 
