Items are scored by a call to a plain service before they are listed

Change: an item may name a scoring call (decoded in platform/, a malformed one refuses the job with item and field). Once its text is complete the owner sends the call through the route in force, with its own id and a deadline of the route's time limit, repeats it elsewhere after a failure, a lost answer or two latency objectives, and lists the item with the stamp of the successful answer. Answers of 500 count as failures; at the larger maxAttempts of the item's and the call's routes the item is aborted. The score is kept with the text and belongs to one call's id. ServerChoice leaves a third of a plain server's slots to callers but always lets one call through (backgroundAllowance). Ruled out: a queue of its own for scoring calls; the dispatcher already runs on every change of the servers.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -66,8 +66,8 @@
     bool isLeaving { false };
     /// Id of the request that the response belongs to; empty if it carries none.
     RequestId request;
-    /// The response carries the server's stamp; without it a success doesn't count.
-    bool hasServerStamp { false };
+    /// The server's signature of its response; without one a success doesn't count.
+    std::string serverStamp;
     /// Weight version with which the generation began.
     std::optional<WeightVersion> version;
 };
@@ -157,6 +157,9 @@
         const HttpRequest& original, const ServerRecord& server, std::chrono::milliseconds timeLeft);
     HttpRequest (*encodeItemRequest)(
         const JobSpec& job, const JobItem& item, const ServerRecord& server, std::optional<std::uint64_t> lastEvent);
+    /// `timeLeft` is the time that the server may take.
+    HttpRequest (*encodeScoringRequest)(
+        const ScoringCall& call, const ServerRecord& server, std::chrono::milliseconds timeLeft);
     ServerResponseHead (*decodeAnswer)(const HttpResponse&);
     Result<GenerationEvent> (*decodeEvent)(const SseEvent&);
     HttpRequest (*encodeOrder)(const LoadOrder& order, const ServerRecord& server);
--- a/include/topaztack/policy/server_choice.hpp
+++ b/include/topaztack/policy/server_choice.hpp
@@ -41,6 +41,12 @@
     double slowness { 1 };
 };
 
+/// @brief The most requests of any kind that a VM may have outstanding at a server for it to send one more that no
+/// caller waits for. A third of the slots is left to callers; but a server that has none of these requests always takes
+/// one, so that they progress whatever the load.
+/// @param background requests outstanding there that no caller waits for.
+std::uint32_t backgroundAllowance(std::uint64_t slots, std::uint32_t background);
+
 /// @brief Whether a server can take one more request. An engine whose memory runs out preempts its newest requests, so
 /// the expected memory is limited; an idle engine takes a request of any size.
 bool hasCapacity(const ServerLoad& server);
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -22,6 +22,16 @@
     std::string value;
 };
 
+/// @brief A request that judges the text of an item. It is sent through the route of its host and path and may be
+/// repeated.
+struct ScoringCall {
+    RequestId id;
+    std::string host;
+    /// Path and query.
+    std::string path;
+    std::string body;
+};
+
 /// @brief One generation of a job.
 struct JobItem {
     ItemId id;
@@ -36,6 +46,16 @@
     std::uint64_t promptTokens { 0 };
     /// The trainer's estimate of the generated tokens, accurate only in the median; 0 if it gave none.
     std::uint64_t expectedTokens { 0 };
+    /// The call whose answer is the score of the complete text; empty if the item is not scored.
+    std::optional<ScoringCall> scoring;
+};
+
+/// @brief The answer to a scoring call that was made after the text was complete.
+struct ItemScore {
+    RequestId call;
+    std::string value;
+
+    bool operator==(const ItemScore&) const = default;
 };
 
 /// @brief What has been generated of an item so far.
@@ -45,8 +65,12 @@
     /// Number of its last event; empty before the first.
     std::optional<std::uint64_t> lastEvent;
     bool isComplete { false };
+    std::optional<ItemScore> score {};
 };
 
+/// @brief Whether the text is complete and, if the item is scored, the answer to its own scoring call is known.
+bool isListable(const JobItem& item, const ItemProgress& progress);
+
 /// @brief Whether no version that generated the output is older than `oldest` and, if `isSingleVersion` is set, there
 /// is only one.
 bool satisfiesVersionRequirement(const ItemProgress& progress, WeightVersion oldest, bool isSingleVersion);
@@ -87,6 +111,8 @@
     std::string output;
     /// Every version that generated an event of the output.
     std::vector<WeightVersion> versions;
+    /// Answer to the item's scoring call; empty if the item is not scored or not completed.
+    std::string score {};
 
     bool operator==(const ItemResult&) const = default;
 };
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -67,7 +67,7 @@
             return AttemptOutcome::Replaced;
         if (answer.saysNotRun)
             return AttemptOutcome::Refused;
-        if (!answer.hasServerStamp)
+        if (answer.serverStamp.empty())
             return AttemptOutcome::Interrupted;
         if (head.status == statusUnprocessable)
             return AttemptOutcome::NeverDone;
--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -80,7 +80,10 @@
 asio::awaitable<void> ItemDispatcher::dispatch()
 {
     while (true) {
-        this->startWaitingItems();
+        // Keeps the runners alive while their items are started.
+        const auto open = this->activeRunners();
+        this->startWaitingItems(open);
+        this->startScoringCalls(open);
         co_await this->servers.changed().waitUntil(Clock::now() + dispatchInterval);
     }
 }
@@ -120,10 +123,23 @@
     }
 }
 
-void ItemDispatcher::startWaitingItems()
+/// Makes scoring calls, those of the job that is due first before the others.
+void ItemDispatcher::startScoringCalls(const std::vector<std::shared_ptr<JobRunner>>& open)
+{
+    auto runners = open;
+    std::stable_sort(runners.begin(), runners.end(),
+        [](const auto& one, const auto& other) { return one->dueAt() < other->dueAt(); });
+    for (const auto& runner : runners) {
+        for (auto* item : runner->scorableItems()) {
+            // The calls of a job usually share a route: if no server takes one of them, none takes another.
+            if (!runner->startScoring(*item))
+                break;
+        }
+    }
+}
+
+void ItemDispatcher::startWaitingItems(const std::vector<std::shared_ptr<JobRunner>>& open)
 {
-    // Keeps the runners alive while their items are started.
-    const auto open = this->activeRunners();
     std::vector<WaitingItem> waiting;
     for (const auto& runner : open) {
         const auto items = runner->startableItems();
--- a/src/gateway/item_dispatcher.hpp
+++ b/src/gateway/item_dispatcher.hpp
@@ -12,7 +12,8 @@
 #include <vector>
 
 /// @file
-/// Starts the waiting items of all jobs that this VM runs, in the order of their latest start times, spare items last.
+/// Starts the waiting items of all jobs that this VM runs, in the order of their latest start times, spare items last,
+/// and makes the scoring calls of complete texts.
 
 namespace topaztack {
 
@@ -36,7 +37,8 @@
 private:
     boost::asio::awaitable<void> dispatch();
     std::vector<std::shared_ptr<JobRunner>> activeRunners();
-    void startWaitingItems();
+    void startWaitingItems(const std::vector<std::shared_ptr<JobRunner>>& open);
+    void startScoringCalls(const std::vector<std::shared_ptr<JobRunner>>& open);
     void logWaiting(const std::vector<ServerRequirements>& unmet);
 
     GatewayContext& context;
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -12,9 +12,26 @@
 enum class ItemPhase : std::uint8_t {
     Waiting,
     Running,
+    /// The text is complete; its scoring call is to be made.
+    Unscored,
+    /// A scoring call is being made.
+    Scoring,
     Finished,
 };
 
+/// @brief The scoring calls made for an item's text.
+struct ScoringProgress {
+    TimePoint textCompletedAt;
+    /// Attempts of a call share a deadline: the time limit of its route, counted from the first one.
+    TimePoint deadline;
+    /// No attempt is made before this time.
+    TimePoint retryAt;
+    std::uint64_t attempts { 0 };
+    /// Answers that the call failed.
+    std::uint64_t failures { 0 };
+    std::set<BackendName> tried;
+};
+
 /// @brief The state of one item.
 struct ItemRun {
     const JobItem* item { nullptr };
@@ -29,6 +46,9 @@
     std::set<BackendName> tried;
     /// The route of the item's own path; nullptr if there is none.
     const Route* route { nullptr };
+    ScoringProgress scoring;
+    /// The route of the item's scoring call; nullptr if there is none.
+    const Route* scoringRoute { nullptr };
     /// Set while an attempt is running; cancels it.
     CallControl* control { nullptr };
 };
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -51,13 +51,15 @@
     , job(std::move(initial.job))
     , head(initial.head)
     , listingNotifier(context.loop())
-    , lastWriteSentAt(Clock::now())
-    , startedAt(Clock::now())
-    , acceptedAt(this->startedAt - ageOf(this->head.head))
     , textObjects(initial.head.head.textObjects)
     , nextTextObject(this->textObjects)
     , removedTextObjects(std::max<std::uint64_t>(1, this->textObjects) - 1)
+    , lastWriteSentAt(Clock::now())
+    , startedAt(Clock::now())
+    , acceptedAt(this->startedAt - ageOf(this->head.head))
     , attempts(context.metrics.counter("topaztack_item_attempts_total", "Generations begun or resumed at a server"))
+    , scoringTime(context.metrics.latency("topaztack_scoring_seconds", "Time that a scoring call took"))
+    , scoreDelay(context.metrics.latency("topaztack_score_delay_seconds", "Time from a complete text to its score"))
 {
     this->initializeItems(initial);
 }
@@ -85,7 +87,7 @@
             continue;
         run.text = text->second;
         if (run.text.isComplete)
-            this->finish(run, ItemState::Completed, "text of an earlier job");
+            this->completeText(run, "text of an earlier job");
     }
     if (initial.isHandedOver)
         this->lastWriteSentAt -= jobHeartbeatInterval;
@@ -184,8 +186,11 @@
         return;
     this->routeTable = this->context.routes;
     this->route = matchRoute(*this->routeTable, this->job.host, this->job.path);
-    for (const auto& item : this->items)
+    for (const auto& item : this->items) {
         item->route = matchRoute(*this->routeTable, this->job.host, item->item->path);
+        if (const auto& scoring = item->item->scoring)
+            item->scoringRoute = matchRoute(*this->routeTable, scoring->host, targetPath(scoring->path));
+    }
 }
 
 /// Aborts items whose route was removed or whose retention has passed. A configuration older than the one that accepted
@@ -201,7 +206,9 @@
         const bool isExpired = item.route && item.route->retention > 0ms && age >= item.route->retention;
         if (isExpired && item.control)
             item.control->cancel();
-        if (item.phase == ItemPhase::Waiting && (isExpired || !item.route))
+        const bool isRouteless = item.phase == ItemPhase::Waiting && !item.route;
+        const bool isPending = item.phase == ItemPhase::Waiting || item.phase == ItemPhase::Unscored;
+        if (isRouteless || (isPending && isExpired))
             this->finish(
                 item, ItemState::Aborted, isExpired ? "not finished within its retention" : "its route was removed");
     }
@@ -313,7 +320,7 @@
         if (item.route && item.route->isSingleVersion && item.text.versions.size() > 1)
             this->restart(item, "weights changed during the generation");
         else
-            this->finish(item, ItemState::Completed, "whole");
+            this->completeText(item, "whole");
         break;
     case AttemptOutcome::NeverDone:
         this->finish(item, ItemState::Aborted, "the server answered that it can never be done");
@@ -361,13 +368,15 @@
 {
     std::size_t running = 0;
     std::size_t waiting = 0;
+    std::size_t unscored = 0;
     for (const auto& item : this->items) {
         running += item->phase == ItemPhase::Running ? 1 : 0;
         waiting += item->phase == ItemPhase::Waiting ? 1 : 0;
+        unscored += item->phase == ItemPhase::Unscored || item->phase == ItemPhase::Scoring ? 1 : 0;
     }
     return json::object { { "job", this->job.id.value() }, { "step", this->job.step.value() },
         { "listed", this->head.head.listed }, { "total", this->head.head.total }, { "running", running },
-        { "waiting", waiting } };
+        { "waiting", waiting }, { "unscored", unscored } };
 }
 
 } // namespace topaztack
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -6,6 +6,7 @@
 #include "job_store.hpp"
 #include "notifier.hpp"
 #include "server_table.hpp"
+#include "service_call.hpp"
 #include "store_watch.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -79,6 +80,12 @@
 
     /// @brief Starts an item if a server can take it.
     bool startItem(ItemRun& item, const ServerRequirements& need);
+
+    /// @brief Items whose scoring calls may be made now, those with the oldest texts first.
+    std::vector<ItemRun*> scorableItems();
+
+    /// @brief Makes an item's scoring call if a server can take it.
+    bool startScoring(ItemRun& item);
     /// @}
 
     bool isStopped() const { return this->stopReason.has_value(); }
@@ -99,6 +106,10 @@
     boost::asio::awaitable<void> writeHead();
     boost::asio::awaitable<void> cancelAttemptsLater();
     boost::asio::awaitable<void> run(ItemRun& item, ServerRecord server, ServerRequirements need);
+    void completeText(ItemRun& item, std::string_view reason);
+    boost::asio::awaitable<void> score(ItemRun& item, ServerRecord server, ServerRequirements need);
+    void handleScoringResult(ItemRun& item, const ServerRecord& server, const ServiceCallResult& result);
+    void logScoring(const ItemRun& item, const ServerRecord& server, const ServiceCallResult& result, Duration took);
     void handleAttemptOutcome(ItemRun& item, const ServerRecord& server, AttemptOutcome attemptOutcome);
     void restart(ItemRun& item, std::string_view reason);
     void finish(ItemRun& item, ItemState state, std::string_view reason);
@@ -153,6 +164,8 @@
     /// When the job was accepted, by the clock of the VM that accepted it.
     TimePoint acceptedAt;
     Counter& attempts;
+    LatencyHistogram& scoringTime;
+    LatencyHistogram& scoreDelay;
 };
 
 } // namespace topaztack
--- a/src/gateway/job_runner_listing.cpp
+++ b/src/gateway/job_runner_listing.cpp
@@ -29,7 +29,9 @@
         bytes += item->text.output.size();
         if (results.size() == resultsPerWrite || (!results.empty() && bytes > bytesPerWrite))
             break;
-        results.push_back({ item->item->id, item->state, item->text.output, item->text.versions });
+        const bool isScored = item->state == ItemState::Completed && item->item->scoring && item->text.score;
+        results.push_back({ item->item->id, item->state, item->text.output, item->text.versions,
+            isScored ? item->text.score->value : "" });
     }
     this->finished.erase(this->finished.begin(), this->finished.begin() + static_cast<std::ptrdiff_t>(results.size()));
     return results;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -60,6 +60,7 @@
     const bool isNew = !known || known->startedAt != record.startedAt;
     if (isNew)
         this->usageByServer[record.name] = ServerUsage { .outstanding = this->usageByServer[record.name].outstanding,
+            .background = this->usageByServer[record.name].background,
             .tokens = this->usageByServer[record.name].tokens };
     if (isNew || known->isLeaving != record.isLeaving)
         logEvent(LogLevel::Info, isNew ? "server-known" : "server-leaving",
@@ -182,8 +183,11 @@
     std::map<BackendName, std::uint32_t> counts;
     for (const auto& [name, usage] : this->usageByServer) {
         const auto* server = this->find(name);
-        if (usage.outstanding > 0 && server && server->pool == pool)
-            counts[name] = usage.outstanding;
+        if (!server)
+            continue;
+        const auto count = server->pool == pool ? usage.outstanding : usage.background;
+        if (count > 0)
+            counts[name] = count;
     }
     return counts;
 }
@@ -218,6 +222,10 @@
     load.wasTried = !requirements.tried.empty() && requirements.tried.contains(server.name);
     load.hasConnection = member.idleConnections > 0;
     load.outstanding = usage.outstanding;
+    if (requirements.isBackground) {
+        load.outstanding += member.peerOutstanding;
+        load.allowance = backgroundAllowance(server.slots, usage.background + member.peerOutstanding);
+    }
     if (isGeneration) {
         load.outstanding += member.peerOutstanding;
         // Other VMs don't report the tokens of their generations; on average each takes one slot's share of the KV
@@ -271,6 +279,7 @@
         return std::nullopt;
     auto& member = *this->candidates[*chosen];
     ++member.usage->outstanding;
+    member.usage->background += requirements.isBackground ? 1 : 0;
     member.usage->tokens += requirements.tokens;
     if (member.idleConnections > 0)
         --member.idleConnections;
@@ -337,6 +346,8 @@
     auto& usage = this->usageByServer[server.name];
     if (usage.outstanding > 0)
         --usage.outstanding;
+    if (requirements.isBackground && usage.background > 0)
+        --usage.background;
     usage.tokens -= std::min(usage.tokens, requirements.tokens);
     switch (outcome) {
     case ServerOutcome::Answered:
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -29,6 +29,8 @@
     WeightVersion exactVersion;
     /// Tokens of an engine's KV cache that the generation is expected to take.
     std::uint64_t tokens { 0 };
+    /// Whether no caller waits for the request, so that it yields to those of callers.
+    bool isBackground { false };
     /// Server that is preferred for its prompt cache while it has room; empty for none.
     BackendName preferred;
 };
@@ -76,10 +78,12 @@
     /// @brief Changes the number of tokens that a running generation is expected to take, here and in `requirements`.
     void updateTokenReservation(const BackendName& name, ServerRequirements& requirements, std::uint64_t tokens);
 
-    /// @brief Number of this VM's running generations at each engine of a pool.
+    /// @brief Number of this VM's running generations at each engine of a pool, and of its background requests at each
+    /// server of any pool.
     std::map<BackendName, std::uint32_t> inFlight(const PoolName& pool) const;
 
-    /// @brief Records how many generations another VM reported at each engine; they count for a limited time.
+    /// @brief Records how many generations and background requests another VM reported at each server; they count for a
+    /// limited time.
     void setPeerLoad(const VmName& vm, std::map<BackendName, std::uint32_t> counts);
 
     /// @brief Records the time between two events of a generation.
@@ -111,6 +115,8 @@
 private:
     struct ServerUsage {
         std::uint32_t outstanding { 0 };
+        /// Those of them that no caller waits for.
+        std::uint32_t background { 0 };
         /// Tokens that this VM's generations there are expected to take.
         std::uint64_t tokens { 0 };
         std::uint32_t consecutiveFailures { 0 };
@@ -131,7 +137,7 @@
     struct PoolMember {
         const ServerRecord* record { nullptr };
         ServerUsage* usage { nullptr };
-        /// Generations of other VMs at the server.
+        /// Generations and background requests of other VMs at the server.
         std::uint32_t peerOutstanding { 0 };
         /// Idle connections to it, minus those taken by choices since the snapshot was made.
         std::size_t idleConnections { 0 };
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -20,7 +20,7 @@
                 makeError(
                     ErrorKind::Overloaded, server.name.value() + " refused with " + std::to_string(response.status)));
         const bool isEncoded = !findHeader(response.headers, "Content-Encoding").empty();
-        if (!answer.hasServerStamp || isEncoded)
+        if (answer.serverStamp.empty() || isEncoded)
             return failedCall(ServiceCallOutcome::Unknown,
                 makeError(ErrorKind::BackendAnswerMalformed,
                     server.name.value() + " answered without its server stamp or with a content encoding"));
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/policy/server_choice.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace topaztack {
 
@@ -59,6 +60,13 @@
 
 } // namespace
 
+std::uint32_t backgroundAllowance(std::uint64_t slots, std::uint32_t background)
+{
+    if (background == 0)
+        return std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, slots - slots / 3));
+}
+
 bool hasCapacity(const ServerLoad& server)
 {
     if (server.outstanding >= server.allowance)
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -40,9 +40,11 @@
 
     std::string resultText(const ItemResult& result)
     {
-        return json::serialize(
-            json::object { { "id", result.id.value() }, { "completed", result.state == ItemState::Completed },
-                { "output", result.output }, { "versions", versionsJson(result.versions) } });
+        json::object object { { "id", result.id.value() }, { "completed", result.state == ItemState::Completed },
+            { "output", result.output }, { "versions", versionsJson(result.versions) } };
+        if (!result.score.empty())
+            object["score"] = result.score;
+        return json::serialize(object);
     }
 
     ItemResult parseResult(std::string_view text)
@@ -53,11 +55,44 @@
         result.state = value.at("completed").as_bool() ? ItemState::Completed : ItemState::Aborted;
         result.output = json::value_to<std::string>(value.at("output"));
         result.versions = parseVersions(value.at("versions"));
+        if (const auto* score = value.as_object().if_contains("score"))
+            result.score = json::value_to<std::string>(*score);
         return result;
     }
 
+    json::object progressJson(const ItemId& id, const ItemProgress& progress)
+    {
+        json::object object { { "id", id.value() }, { "output", progress.output },
+            { "versions", versionsJson(progress.versions) }, { "last_event", *progress.lastEvent },
+            { "whole", progress.isComplete } };
+        if (progress.score)
+            object["score"]
+                = json::object { { "call", progress.score->call.value() }, { "value", progress.score->value } };
+        return object;
+    }
+
+    ItemProgress parseProgress(const json::value& value)
+    {
+        ItemProgress progress;
+        progress.output = json::value_to<std::string>(value.at("output"));
+        progress.versions = parseVersions(value.at("versions"));
+        progress.lastEvent = value.at("last_event").to_number<std::uint64_t>();
+        progress.isComplete = value.at("whole").as_bool();
+        if (const auto* score = value.as_object().if_contains("score"))
+            progress.score = ItemScore { RequestId(json::value_to<std::string>(score->at("call"))),
+                json::value_to<std::string>(score->at("value")) };
+        return progress;
+    }
+
 } // namespace
 
+bool isListable(const JobItem& item, const ItemProgress& progress)
+{
+    if (!progress.isComplete)
+        return false;
+    return !item.scoring || (progress.score && progress.score->call == item.scoring->id);
+}
+
 bool satisfiesVersionRequirement(const ItemProgress& progress, WeightVersion oldest, bool isSingleVersion)
 {
     if (isSingleVersion && progress.versions.size() > 1)
@@ -121,11 +156,8 @@
 {
     json::array list;
     for (const auto& [id, progress] : items) {
-        if (!progress.lastEvent)
-            continue;
-        list.push_back(json::object { { "id", id.value() }, { "output", progress.output },
-            { "versions", versionsJson(progress.versions) }, { "last_event", *progress.lastEvent },
-            { "whole", progress.isComplete } });
+        if (progress.lastEvent)
+            list.push_back(progressJson(id, progress));
     }
     return json::serialize(list);
 }
@@ -135,14 +167,8 @@
     try {
         const auto value = json::parse(text);
         std::map<ItemId, ItemProgress> items;
-        for (const auto& entry : value.as_array()) {
-            ItemProgress progress;
-            progress.output = json::value_to<std::string>(entry.at("output"));
-            progress.versions = parseVersions(entry.at("versions"));
-            progress.lastEvent = entry.at("last_event").to_number<std::uint64_t>();
-            progress.isComplete = entry.at("whole").as_bool();
-            items.emplace(ItemId(json::value_to<std::string>(entry.at("id"))), std::move(progress));
-        }
+        for (const auto& entry : value.as_array())
+            items.emplace(ItemId(json::value_to<std::string>(entry.at("id"))), parseProgress(entry));
         return items;
     } catch (const std::exception& problem) {
         return makeError(ErrorKind::BadFrame, std::string("malformed progress of items: ") + problem.what());
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -208,6 +208,25 @@
             { "minVersion", minVersion }, { "desiredCount", 1 }, { "items", std::move(itemList) } });
     }
 
+    /// A job whose items are scored by calls `c-ITEM` to a path of the plain route.
+    static std::string scoredJobBody(const std::vector<std::string>& items)
+    {
+        auto job = boost::json::parse(jobBody(items)).as_object();
+        for (auto& item : job.at("items").as_array()) {
+            const auto id = boost::json::value_to<std::string>(item.at("id"));
+            item.as_object()["scorerUrl"] = boost::json::object { { "id", "c-" + id }, { "hostname", "a.example" },
+                { "path", "/b/" + id }, { "body", "Ym9keQ==" } };
+        }
+        return boost::json::serialize(job);
+    }
+
+    HttpResponse submitScored(
+        const RunningGateway& gateway, const std::string& job, const std::vector<std::string>& items)
+    {
+        return this->call(
+            gateway.callers, "POST", "/j/" + job, { { "Topaztack-Request-Id", job } }, scoredJobBody(items));
+    }
+
     HttpResponse submit(const RunningGateway& gateway, const std::string& job, const std::vector<std::string>& items,
         std::uint64_t minVersion = 1)
     {
--- a/tests/src/platform/unit-callers.cpp
+++ b/tests/src/platform/unit-callers.cpp
@@ -126,3 +126,59 @@
     LONGS_EQUAL(0, job.value().items.at(1).promptTokens);
     LONGS_EQUAL(1, job.value().invalidEstimates);
 }
+
+namespace {
+
+const std::string scoredItem = R"({"id":"i1","path":"/p/1","scorerUrl":{"id":"c1","hostname":"b.example",)"
+                               R"("path":"/s/1?x=2","body":"3q2+7w=="}})";
+
+std::string withReplaced(std::string text, const std::string& before, const std::string& after)
+{
+    return text.replace(text.find(before), before.size(), after);
+}
+
+} // namespace
+
+TEST(Callers, AnItemMayNameTheCallThatScoresItsText)
+{
+    const auto job = submitted(R"({"items":[)" + scoredItem + R"(,{"id":"i2","path":"/p/2"}]})");
+    const auto& scoring = job.value().items.at(0).scoring;
+    STRCMP_EQUAL("c1", scoring->id.value().c_str());
+    STRCMP_EQUAL("b.example", scoring->host.c_str());
+    STRCMP_EQUAL("/s/1?x=2", scoring->path.c_str());
+    CHECK_TRUE(scoring->body == "\xde\xad\xbe\xef");
+    CHECK_FALSE(job.value().items.at(1).scoring.has_value());
+}
+
+TEST(Callers, AMalformedScoringCallRefusesTheJobAndNamesItemAndField)
+{
+    const std::vector<std::pair<std::string, std::string>> damages {
+        { R"("id":"c1",)", "" },
+        { R"("id":"c1")", R"("id":7)" },
+        { R"("id":"c1")", R"("id":"")" },
+        { R"("hostname":"b.example",)", "" },
+        { R"("path":"/s/1?x=2",)", "" },
+        { R"(,"body":"3q2+7w==")", "" },
+        { R"("body":"3q2+7w==")", R"("body":"?")" },
+        { R"({"id":"c1","hostname":"b.example","path":"/s/1?x=2","body":"3q2+7w=="})", R"("c1")" },
+    };
+    const std::vector<std::string> fields { "id", "id", "id", "hostname", "path", "body", "body", "scorerUrl" };
+    for (std::size_t index = 0; index < damages.size(); ++index) {
+        const auto& [before, after] = damages[index];
+        const auto job = submitted(R"({"items":[)" + withReplaced(scoredItem, before, after) + "]}");
+        CHECK_TRUE(job.error().kind == ErrorKind::BadRequest);
+        CHECK_TRUE(job.error().message.find("`i1`") != std::string::npos);
+        CHECK_TRUE(job.error().message.find("`" + fields[index] + "`") != std::string::npos);
+    }
+}
+
+TEST(Callers, AScoreStandsInItsResult)
+{
+    ResultPage page;
+    page.total = 1;
+    page.next = 1;
+    page.results.push_back({ ItemId("i1"), ItemState::Completed, "a", { WeightVersion(6) }, "3e1b.07" });
+    STRCMP_EQUAL(R"({"total":1,"next":1,"results":[{"id":"i1","state":"completed","output":"a","versions":[6],)"
+                 R"("score":"3e1b.07"}]})",
+        encodeResults(page).body.c_str());
+}
--- a/tests/src/platform/unit-workers.cpp
+++ b/tests/src/platform/unit-workers.cpp
@@ -77,6 +77,19 @@
     STRCMP_EQUAL("12", headerOf(resumed, "Last-Event-Id").c_str());
 }
 
+TEST(Workers, AScoringCallIsSentAsItWasGivenWithADeadlineOfOurs)
+{
+    const ScoringCall call { RequestId("c1"), "b.example", "/s/1?x=2", "bytes" };
+    const auto request = encodeScoringRequest(call, someServer(), 1500ms);
+    STRCMP_EQUAL("POST", request.method.c_str());
+    STRCMP_EQUAL("/s/1?x=2", request.target.c_str());
+    STRCMP_EQUAL("bytes", request.body.c_str());
+    STRCMP_EQUAL("b.example", headerOf(request, "Host").c_str());
+    STRCMP_EQUAL("c1", headerOf(request, "Topaztack-Request-Id").c_str());
+    STRCMP_EQUAL("1500", headerOf(request, "Topaztack-Deadline-Ms").c_str());
+    STRCMP_EQUAL("i-1", headerOf(request, "Topaztack-Expect-Instance").c_str());
+}
+
 TEST(Workers, OnlyASignOfNotRunningProvesIt)
 {
     CHECK_TRUE(decodeAnswer(answerWith(503, { { "Topaztack-Not-Executed", "1" } })).saysNotRun);
@@ -90,7 +103,7 @@
         { { "topaztack-request-id", "r1" }, { "Topaztack-Server-Stamp", "s" }, { "Connection", "Close" },
             { "Topaztack-Weight-Versions", "6" } }));
     STRCMP_EQUAL("r1", answer.request.value().c_str());
-    CHECK_TRUE(answer.hasServerStamp);
+    STRCMP_EQUAL("s", answer.serverStamp.c_str());
     CHECK_TRUE(answer.closesConnection);
     CHECK_TRUE(answer.version == WeightVersion(6));
     CHECK_FALSE(decodeAnswer(answerWith(200, { { "Topaztack-Weight-Versions", "six" } })).version.has_value());
--- a/tests/src/policy/unit-server_choice.cpp
+++ b/tests/src/policy/unit-server_choice.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace topaztack;
 using namespace std::chrono_literals;
 
@@ -165,3 +167,56 @@
     idle.outstanding = 1;
     CHECK_FALSE(hasCapacity(idle));
 }
+
+TEST(ServerChoice, BackgroundRequestsLeaveAThirdOfTheSlotsToCallers)
+{
+    LONGS_EQUAL(4, backgroundAllowance(6, 1));
+    LONGS_EQUAL(1, backgroundAllowance(1, 1));
+    // One is always possible, also while callers take every slot.
+    CHECK_TRUE(backgroundAllowance(6, 0) > 100);
+}
+
+// The texts of a step end within a second and their scoring calls, 56 of 200 ms, come to five servers with six slots
+// each; one server takes five times as long. Callers send short requests at the same time.
+TEST(ServerChoice, ABurstOfScoringCallsDelaysNoCallerAndEndsInTime)
+{
+    struct Running {
+        std::size_t server { 0 };
+        bool isBackground { false };
+        std::chrono::milliseconds end { 0 };
+    };
+    constexpr std::size_t serverCount = 5;
+    constexpr std::uint64_t slots = 6;
+    std::vector<Running> running;
+    const auto count = [&running](std::size_t server, bool onlyBackground) {
+        return static_cast<std::uint32_t>(std::count_if(running.begin(), running.end(),
+            [&](const Running& each) { return each.server == server && (each.isBackground || !onlyBackground); }));
+    };
+    const auto start = [&](bool isBackground, std::chrono::milliseconds now, std::chrono::milliseconds work) {
+        std::vector<ServerLoad> loads(serverCount, makeServer(0));
+        for (std::size_t server = 0; server < serverCount; ++server) {
+            loads[server].outstanding = count(server, false);
+            loads[server].allowance = isBackground ? backgroundAllowance(slots, count(server, true)) : slots;
+        }
+        const auto chosen = chooseServer(loads, this->random);
+        if (!chosen)
+            return false;
+        running.push_back({ *chosen, isBackground, now + work * (*chosen == 0 ? 5 : 1) });
+        return true;
+    };
+    std::size_t waiting = 0;
+    std::size_t arrived = 0;
+    std::chrono::milliseconds now { 0 };
+    for (; arrived < 56 || waiting > 0 || !running.empty(); now += 10ms) {
+        std::erase_if(running, [now](const Running& each) { return each.end <= now; });
+        if (now.count() % 160 == 0 && arrived < 56)
+            CHECK_TRUE(start(false, now, 25ms));
+        // All of them within one second.
+        const auto due = std::min<std::size_t>(56, static_cast<std::size_t>(now.count()) * 56 / 1000 + 1);
+        waiting += due - arrived;
+        arrived = due;
+        while (waiting > 0 && start(true, now, 200ms))
+            --waiting;
+    }
+    CHECK_TRUE(now <= 2200ms);
+}
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -105,3 +105,30 @@
     CHECK_FALSE(satisfiesVersionRequirement(progress, WeightVersion(5), false));
     CHECK_FALSE(satisfiesVersionRequirement(progress, WeightVersion(4), true));
 }
+
+TEST(Job, AScoredItemIsListableOnlyWithTheScoreOfItsOwnCall)
+{
+    JobItem item;
+    ItemProgress progress;
+    CHECK_FALSE(isListable(item, progress));
+    progress.isComplete = true;
+    CHECK_TRUE(isListable(item, progress));
+    item.scoring = ScoringCall { RequestId("c1"), "a.example", "/s/1", "body" };
+    CHECK_FALSE(isListable(item, progress));
+    progress.score = ItemScore { RequestId("c0"), "stamp" };
+    CHECK_FALSE(isListable(item, progress));
+    progress.score = ItemScore { RequestId("c1"), "stamp" };
+    CHECK_TRUE(isListable(item, progress));
+    progress.isComplete = false;
+    CHECK_FALSE(isListable(item, progress));
+}
+
+TEST(Job, ScoresAreKeptWithTextsAndResults)
+{
+    std::map<ItemId, ItemProgress> items;
+    items[ItemId("a")] = { "one", { WeightVersion(2) }, 1, true, ItemScore { RequestId("c1"), "3e1b.07" } };
+    CHECK_TRUE(parseItemProgress(toText(items)).value().at(ItemId("a")).score == items.at(ItemId("a")).score);
+    auto result = resultOf("a", 10);
+    result.score = "3e1b.07";
+    CHECK_TRUE(joinResults(0, splitResult(0, result, 1000)).value().at(0) == result);
+}
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -199,13 +199,14 @@
         co_await this->generate(exchange);
         co_return;
     }
-    auto response = signedAnswer(request, 200);
+    auto response = signedAnswer(request, this->faults.plainStatus);
     if (this->faults.foreignAnswers > 0) {
         --this->faults.foreignAnswers;
         response.headers.front().value = "another";
     }
-    if (this->options.workTime.count() > 0) {
-        asio::steady_timer timer(co_await asio::this_coro::executor, this->options.workTime);
+    const auto workTime = std::max(this->options.workTime, this->faults.plainTime.load());
+    if (workTime.count() > 0) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, workTime);
         co_await timer.async_wait(asio::use_awaitable);
     }
     response.body = "served by " + this->name;
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -30,6 +30,10 @@
     std::atomic<int> foreignAnswers { 0 };
     /// Each generation is answered with this status instead.
     std::atomic<unsigned> generationStatus { 200 };
+    /// Each plain request is answered with this status instead.
+    std::atomic<unsigned> plainStatus { 200 };
+    /// Plain requests are not answered for this long.
+    std::atomic<std::chrono::milliseconds> plainTime { std::chrono::milliseconds(0) };
     std::atomic<std::chrono::milliseconds> eventTime { std::chrono::milliseconds(1) };
     /// A generation that takes 500 ms an event; set before the first request.
     std::string slowItem;
