Spare items no longer wait for the newest weights

Cause: items of groups that a trainer can do without waited up to 1.5 s for engines with the newest weights, so that the next job could reuse their text. A trainer that asks a step ahead needs these groups two steps later, with weights newer than any that exist when the item starts: the text was never reused, and where such a group turned out to be wanted its items ended 1.5 s later.

--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -23,9 +23,6 @@
     /// No item is started if the last write that took effect was sent longer ago than this: the job may have been ended
     /// or taken over since. While no VM reaches the store neither can have happened, so items are still started.
     constexpr Duration ownershipTimeout = 2500ms;
-    /// How long spare items, those of groups that the trainer can do without, wait for an engine with the newest
-    /// weights. The next job can reuse text that was generated with these weights.
-    constexpr Duration spareItemWait = 1500ms;
     /// How long generations continue after their job has ended. The trainer's next job, which may reuse them, comes
     /// within this time.
     constexpr Duration endedJobGracePeriod = 2500ms;
@@ -240,10 +237,6 @@
     need.oldestVersion = this->job.oldestVersion;
     if (item.route->isSingleVersion && !item.text.versions.empty())
         need.exactVersion = item.text.versions.front();
-    const auto named = this->context.publishedVersions.find(this->job.model);
-    const bool mayWait = item.isSpare && Clock::now() - this->startedAt < spareItemWait;
-    if (mayWait && named != this->context.publishedVersions.end())
-        need.oldestVersion = std::max(need.oldestVersion, named->second);
     const auto preferred = this->groupServers.find(item.item->group);
     if (preferred != this->groupServers.end())
         need.preferred = preferred->second;
