Generations leave an engine that sends nothing on any of its streams

Cause: when a data centre is cut off, a fifth of the engines go silent at once. Each of their generations waited 1.5 s for its own next event and was then tried, 0.6 s each time, at other engines of the same data centre: a request without an answer counted as a refusal of a full engine, so such engines were asked again and again. Change: decision module policy/server_silence: an engine with two or more requests in progress that sent nothing on any of them for 600 ms, or 8 of its event intervals, is silent. Its generations are resumed elsewhere; until it sends something it gets one at a time, and only if no other engine can take it. A request that is not answered in time counts as such a silence unless the engine sent something meanwhile. A VM that stood still itself disregards past silence. Ruled out: shorter time limits of streams, since one stream may pause while its engine's memory is full; slow engines, whose interval extends the limit. The new test of the gateway fails without the change.

--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -112,6 +112,7 @@
             }
             if (piece.value().empty())
                 break;
+            servers.recordActivity(server.name);
             reader.feed(piece.value());
             const auto before = count;
             if (!appendEvents(context, attempt, server, reader, version, count)) {
@@ -204,6 +205,7 @@
     }
     auto& stream = *opened.value();
     const auto answer = context.protocol.decodeAnswer(stream.head());
+    servers.recordActivity(server.name);
     servers.recordAnswer(server, answer);
     auto outcome = classifyResponse(answer, attempt, stream.head());
     if (outcome == AttemptOutcome::Whole)
--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -19,6 +19,8 @@
 namespace {
 
     constexpr Duration dispatchInterval = 100ms;
+    /// Dispatches that are further apart show that this VM stood still or lacks processor time.
+    constexpr Duration maxDispatchDelay = 250ms;
     constexpr Duration waitingLogInterval = 1s;
     /// Time between two events that is assumed before any was measured.
     constexpr Duration defaultUnitTime = 50ms;
@@ -82,6 +84,7 @@
     while (true) {
         // Keeps the runners alive while their items are started.
         const auto open = this->activeRunners();
+        this->leaveSilentServers(open);
         this->startWaitingItems(open);
         this->startScoringCalls(open);
         co_await this->servers.changed().waitUntil(Clock::now() + dispatchInterval);
@@ -123,6 +126,23 @@
     }
 }
 
+/// Leaves servers that stopped sending, unless this VM itself stood still and did not read what they sent.
+void ItemDispatcher::leaveSilentServers(const std::vector<std::shared_ptr<JobRunner>>& open)
+{
+    const auto now = Clock::now();
+    if (now - this->dispatchedAt > maxDispatchDelay)
+        this->servers.forgiveSilence();
+    this->dispatchedAt = now;
+    if (now - this->silenceCheckedAt < dispatchInterval)
+        return;
+    this->silenceCheckedAt = now;
+    const auto silent = this->servers.takeSilentServers();
+    if (silent.empty())
+        return;
+    for (const auto& runner : open)
+        runner->leaveServers(silent);
+}
+
 /// Makes scoring calls, those of the job that is due first before the others.
 void ItemDispatcher::startScoringCalls(const std::vector<std::shared_ptr<JobRunner>>& open)
 {
--- a/src/gateway/item_dispatcher.hpp
+++ b/src/gateway/item_dispatcher.hpp
@@ -38,6 +38,7 @@
     boost::asio::awaitable<void> dispatch();
     std::vector<std::shared_ptr<JobRunner>> activeRunners();
     void startWaitingItems(const std::vector<std::shared_ptr<JobRunner>>& open);
+    void leaveSilentServers(const std::vector<std::shared_ptr<JobRunner>>& open);
     void startScoringCalls(const std::vector<std::shared_ptr<JobRunner>>& open);
     void logWaiting(const std::vector<ServerRequirements>& unmet);
 
@@ -46,6 +47,8 @@
     std::vector<std::weak_ptr<JobRunner>> runners;
     std::map<ModelName, LengthModel> lengths;
     TimePoint waitingLoggedAt;
+    TimePoint dispatchedAt;
+    TimePoint silenceCheckedAt;
 };
 
 } // namespace topaztack
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -49,6 +49,10 @@
     ScoringProgress scoring;
     /// The route of the item's scoring call; nullptr if there is none.
     const Route* scoringRoute { nullptr };
+    /// The server of the running attempt.
+    BackendName server;
+    /// The running attempt is cancelled because its server is silent.
+    bool isServerSilent { false };
     /// Set while an attempt is running; cancels it.
     CallControl* control { nullptr };
 };
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -278,12 +278,25 @@
     }
     this->groupServers[item.item->group] = server->name;
     item.phase = ItemPhase::Running;
+    item.server = server->name;
+    item.isServerSilent = false;
     ++item.attempts;
     this->attempts.add();
     asio::co_spawn(this->context.loop(), this->run(item, std::move(*server), need), asio::detached);
     return true;
 }
 
+void JobRunner::leaveServers(const std::set<BackendName>& silent)
+{
+    for (const auto& item : this->items) {
+        const bool isThere = item->phase == ItemPhase::Running && item->control && silent.contains(item->server);
+        if (!isThere)
+            continue;
+        item->isServerSilent = true;
+        item->control->cancel();
+    }
+}
+
 void JobRunner::restart(ItemRun& item, std::string_view reason)
 {
     logEvent(LogLevel::Info, "item-restarted",
@@ -348,8 +361,14 @@
     ItemAttempt attempt { this->job, *item.item, item.text, need, control,
         [this](bool isUrgent) { return this->mayStart() && (isUrgent || this->countWaiting() == 0); },
         [this, &item] { return this->dispatcher.expectedTokens(this->job.model, *item.item, item.text); } };
-    const auto attemptOutcome = co_await attemptItem(this->context, this->servers, std::move(attempt), server);
+    auto attemptOutcome = co_await attemptItem(this->context, this->servers, std::move(attempt), server);
     item.control = nullptr;
+    const bool isUnheard
+        = attemptOutcome == AttemptOutcome::Crowded && !this->servers.wasHeardSince(server.name, sentAt);
+    if (isUnheard)
+        this->servers.markSilent(server);
+    if (isUnheard || (attemptOutcome == AttemptOutcome::Cancelled && item.isServerSilent))
+        attemptOutcome = AttemptOutcome::Interrupted;
     logEvent(LogLevel::Debug, "item-attempted",
         { { "job", this->job.id.value() }, { "item", item.item->id.value() }, { "server", server.name.value() },
             { "attempt", std::to_string(item.attempts) }, { "end", std::string(attemptOutcomeName(attemptOutcome)) },
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -83,6 +83,9 @@
     /// @brief Starts an item if a server can take it.
     bool startItem(ItemRun& item, const ServerRequirements& need);
 
+    /// @brief Cancels the generations at these servers, which are resumed at others.
+    void leaveServers(const std::set<BackendName>& silent);
+
     /// @brief Items whose scoring calls may be made now, those with the oldest texts first.
     std::vector<ItemRun*> scorableItems();
 
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -1,6 +1,7 @@
 #include "server_table.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/server_silence.hpp>
 
 #include <boost/json.hpp>
 
@@ -170,7 +171,7 @@
         return true;
     // A generation can wait a little, so it avoids suspected servers. A plain request can't wait and takes one as a
     // last resort.
-    if (now < usage.suspectedUntil)
+    if (now < usage.suspectedUntil || (usage.isSilent && usage.outstanding > 0))
         return false;
     const auto version = versionOf(server, requirements.model);
     if (!version || *version < requirements.oldestVersion)
@@ -236,7 +237,7 @@
         load.requestTokens = requirements.tokens;
         load.slowdownAtFullLoad = engineSlowdownWhenFull;
     }
-    load.isSuspected = now < usage.suspectedUntil;
+    load.isSuspected = now < usage.suspectedUntil || usage.isSilent;
     if (snapshot.medianIntervalSeconds > 0 && usage.intervalSeconds > 0)
         load.slowness = usage.intervalSeconds / snapshot.medianIntervalSeconds;
     return load;
@@ -278,6 +279,8 @@
     if (!chosen)
         return std::nullopt;
     auto& member = *this->candidates[*chosen];
+    if (member.usage->outstanding == 0)
+        member.usage->heardAt = now;
     ++member.usage->outstanding;
     member.usage->background += requirements.isBackground ? 1 : 0;
     member.usage->tokens += requirements.tokens;
@@ -323,6 +326,56 @@
     return topaztack::isWorthMoving(slowness, this->loads);
 }
 
+void ServerTable::recordActivity(const BackendName& name)
+{
+    auto& usage = this->usageByServer[name];
+    usage.heardAt = Clock::now();
+    usage.isSilent = false;
+}
+
+void ServerTable::markSilent(const ServerRecord& server)
+{
+    auto& usage = this->usageByServer[server.name];
+    if (usage.isSilent)
+        return;
+    usage.isSilent = true;
+    logEvent(LogLevel::Info, "server-silent",
+        { { "server", server.name.value() }, { "pool", server.pool.value() },
+            { "data_centre", server.dataCentre.value() }, { "outstanding", std::to_string(usage.outstanding) },
+            { "silent_ms", std::to_string(toMilliseconds(Clock::now() - usage.heardAt).count()) } });
+}
+
+bool ServerTable::wasHeardSince(const BackendName& name, TimePoint time) const
+{
+    const auto usage = this->usageByServer.find(name);
+    return usage != this->usageByServer.end() && usage->second.heardAt > time;
+}
+
+std::set<BackendName> ServerTable::takeSilentServers()
+{
+    const auto now = Clock::now();
+    std::set<BackendName> silent;
+    for (const auto& [name, usage] : this->usageByServer) {
+        const auto interval
+            = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(usage.intervalSeconds));
+        const auto* server = this->find(name);
+        // Only generations are streams; a plain request sends nothing before its answer.
+        const bool isEngine = server && !server->models.empty();
+        if (!isEngine || usage.isSilent || !isSilent({ usage.outstanding, usage.heardAt, interval }, now))
+            continue;
+        silent.insert(name);
+        this->markSilent(*server);
+    }
+    return silent;
+}
+
+void ServerTable::forgiveSilence()
+{
+    const auto now = Clock::now();
+    for (auto& [name, usage] : this->usageByServer)
+        usage.heardAt = now;
+}
+
 void ServerTable::recordEventInterval(const BackendName& name, Duration interval)
 {
     auto& usage = this->usageByServer[name];
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -86,6 +86,22 @@
     /// limited time.
     void setPeerLoad(const VmName& vm, std::map<BackendName, std::uint32_t> counts);
 
+    /// @brief Records that a server sent something on any of this VM's requests.
+    void recordActivity(const BackendName& name);
+
+    /// @brief Marks a server as silent: it gets one generation at a time, and only if no other server can take it,
+    /// until it sends something.
+    void markSilent(const ServerRecord& server);
+
+    /// @brief Whether a server sent something after a time.
+    bool wasHeardSince(const BackendName& name, TimePoint time) const;
+
+    /// @brief Servers that newly stopped sending on all of this VM's requests. They are marked as silent.
+    std::set<BackendName> takeSilentServers();
+
+    /// @brief Disregards past silence: this VM did not read what servers sent.
+    void forgiveSilence();
+
     /// @brief Records the time between two events of a generation.
     void recordEventInterval(const BackendName& name, Duration interval);
 
@@ -125,6 +141,9 @@
         double intervalSeconds { 0 };
         std::uint32_t consecutiveRefusals { 0 };
         std::map<ModelName, TimePoint> refusingUntil;
+        /// When the server last sent anything, or when the first of the outstanding requests was sent.
+        TimePoint heardAt;
+        bool isSilent { false };
     };
 
     /// The generations that another VM last reported.
--- a/tests/src/gateway/unit-dispatch.cpp
+++ b/tests/src/gateway/unit-dispatch.cpp
@@ -74,3 +74,36 @@
     const auto last = std::max(arrivalIndex(engine, "long-1"), arrivalIndex(engine, "long-2"));
     CHECK_TRUE(arrivalIndex(engine, "short") < last);
 }
+
+// A data centre is cut off: its engines send nothing more, and no connection to them is closed. Their generations are
+// resumed elsewhere before each stream's own time limit of 1.5 s.
+TEST(Dispatch, GenerationsLeaveAnEngineThatIsSilentOnAllStreams)
+{
+    this->env->store.remove("servers", "", "i-lm");
+    WorkerOptions options;
+    options.events = 40;
+    auto& cut = this->env->addWorker("i-cut", options);
+    auto& sound = this->env->addWorker("i-sound", options);
+    for (auto* engine : { &cut, &sound }) {
+        engine->faults.eventTime = 20ms;
+        this->env->registerServer(*engine, "lm");
+    }
+    auto& gateway = this->env->startGateway();
+    LONGS_EQUAL(202, this->env->submit(gateway, "j1", itemIds(8)).status);
+    CHECK_TRUE(waitFor([&] { return cut.seen().size() == 4; }));
+    std::this_thread::sleep_for(200ms);
+    cut.faults.isSilent = true;
+    const auto silentAt = Clock::now();
+    const auto countResumed = [&sound] {
+        const auto seen = sound.seen();
+        return std::count_if(seen.begin(), seen.end(), [](const auto& request) { return !request.lastEvent.empty(); });
+    };
+    // Four slots of the sound engine are free once its own generations have ended.
+    CHECK_TRUE(waitFor([&] { return countResumed() == 4; }));
+    CHECK_TRUE(Clock::now() - silentAt < 1200ms);
+    CHECK_TRUE(this->env->waitForResults(gateway, "j1", 8));
+    const auto page = this->env->read(gateway, "j1");
+    for (std::size_t index = 0; index < 8; ++index)
+        CHECK_TRUE(outputAt(page, index) == sound.textOf(idAt(page, index)));
+    LONGS_EQUAL(4, cut.seen().size());
+}
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -17,6 +17,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds slowEventTime { 500 };
+    constexpr std::chrono::milliseconds silenceCheckInterval { 10 };
 
     std::string headerOf(const HttpRequest& request, std::string_view name)
     {
@@ -148,6 +149,10 @@
         const bool isSlow = !id.empty() && id == this->faults.slowItem;
         timer.expires_after(isSlow ? slowEventTime : this->faults.eventTime.load());
         co_await timer.async_wait(asio::use_awaitable);
+        while (this->faults.isSilent && !exchange.isCallerGone()) {
+            timer.expires_after(silenceCheckInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         const auto now = this->weightVersion.load();
         const auto change = now == version ? "" : "topaztack-weight-versions:" + std::to_string(now) + "\n";
         version = now;
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -22,6 +22,8 @@
     std::atomic<bool> isFull { false };
     /// Requests are run and the connection is closed without an answer.
     std::atomic<int> answersToLose { 0 };
+    /// Streams send nothing more and stay open.
+    std::atomic<bool> isSilent { false };
     /// Every answer announces the worker's departure.
     std::atomic<bool> announcesDeparture { false };
     /// Streams are closed after this many events; 0 for never.
