A store that turns some VMs away is no longer taken for one that is away for all

Change: decision module policy/outage_evidence: three rounds in a row, each to six VMs, must find none that reaches the store, and one that does refutes all rounds before. Ruled out: asking all VMs, which 195 VMs would do at once.

--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -58,6 +58,7 @@
 #include <topaztack/policy/class_queue.hpp>
 #include <topaztack/policy/home.hpp>
 #include <topaztack/policy/job_placement.hpp>
+#include <topaztack/policy/outage_evidence.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/pool_scheduler.hpp>
 #include <topaztack/policy/prefix.hpp>
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -16,11 +16,7 @@
 
     constexpr Duration checkInterval = 300ms;
     constexpr Duration responseTimeout = 250ms;
-    /// How long a confirmation stays valid.
-    constexpr Duration confirmationLifetime = 1500ms;
-    constexpr std::size_t maxPeersAsked = 3;
-    /// VMs that must confirm an outage: a single one may itself be cut off from the store.
-    constexpr std::size_t minConfirmations = 2;
+    constexpr std::size_t maxPeersAsked = 6;
     constexpr std::string_view reachableBody = "reached\n";
     constexpr std::string_view unreachableBody = "away\n";
 
@@ -37,8 +33,7 @@
 bool StoreWatch::isUnreachableForAll() const
 {
     const auto now = Clock::now();
-    return isStoreAway(this->context.store.contact(), now) && this->confirmedAt
-        && now - *this->confirmedAt < confirmationLifetime;
+    return isStoreAway(this->context.store.contact(), now) && isOutageConfirmed(this->evidence, now);
 }
 
 HttpResponse StoreWatch::answer() const
@@ -55,13 +50,15 @@
     while (true) {
         if (isStoreAway(this->context.store.contact(), Clock::now()))
             co_await this->askPeers();
+        else
+            this->evidence = OutageEvidence {};
         co_await pauseFor(checkInterval);
     }
 }
 
 asio::awaitable<void> StoreWatch::askPeers()
 {
-    std::size_t confirmations = 0;
+    OutageRound round;
     for (const auto& peer : this->peers.candidates(maxPeersAsked)) {
         HttpRequest request;
         request.method = "GET";
@@ -73,19 +70,23 @@
                 { { "vm", peer.vm.name.value() }, { "error", answered.error().error.message } });
             continue;
         }
-        if (answered.value().body != unreachableBody) {
-            if (this->confirmedAt)
-                logEvent(LogLevel::Info, "store-reached-elsewhere", { { "vm", peer.vm.name.value() } });
-            this->confirmedAt.reset();
-            co_return;
-        }
-        ++confirmations;
+        ++(answered.value().body == unreachableBody ? round.away : round.reached);
+        if (round.reached > 0)
+            break;
     }
-    if (confirmations < minConfirmations)
-        co_return;
-    if (!this->confirmedAt)
-        logEvent(LogLevel::Info, "store-away-for-all", { { "vms_asked", std::to_string(confirmations) } });
-    this->confirmedAt = Clock::now();
+    this->applyRound(round);
+}
+
+void StoreWatch::applyRound(const OutageRound& round)
+{
+    const auto now = Clock::now();
+    const bool wasConfirmed = isOutageConfirmed(this->evidence, now);
+    recordRound(this->evidence, round, now);
+    const bool isConfirmed = isOutageConfirmed(this->evidence, now);
+    if (isConfirmed != wasConfirmed)
+        logEvent(LogLevel::Info, isConfirmed ? "store-away-for-all" : "store-reached-elsewhere",
+            { { "vms_asked", std::to_string(round.away + round.reached) },
+                { "vms_away", std::to_string(round.away) } });
 }
 
 } // namespace topaztack
--- a/src/gateway/store_watch.hpp
+++ b/src/gateway/store_watch.hpp
@@ -3,11 +3,11 @@
 #include "context.hpp"
 #include "peer_directory.hpp"
 
+#include <topaztack/policy/outage_evidence.hpp>
 #include <topaztack/wire/http.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
-#include <optional>
 #include <string_view>
 
 /// @file
@@ -35,11 +35,11 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> askPeers();
+    void applyRound(const OutageRound& round);
 
     GatewayContext& context;
     const PeerDirectory& peers;
-    /// When other VMs last confirmed that they don't reach the store either.
-    std::optional<TimePoint> confirmedAt;
+    OutageEvidence evidence;
 };
 
 } // namespace topaztack
