--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -48,9 +48,9 @@
             route = self.random.choice(self.world.extra_routes)
             prefix, kind = f"/{route}/", "once"
         request = self.new_id("b")
-        booking = Booking(kind, vm.name, time.monotonic())
-        self.ledger.bookings[request] = booking
         process = (vm.name, vm.incarnation)
+        booking = Booking(kind, process, time.monotonic())
+        self.ledger.bookings[request] = booking
         headers = [("Topaztack-Request-Id", request), ("Topaztack-Deadline-Ms", str(DEADLINE_MS))]
         was_open = connection.writer is not None
         try:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,9 +45,11 @@
         able = [vm for vm in self.world.vms if vm.takes_callers()]
         return self.random.choice(able) if able else None
 
+    def is_free(self, worker):
+        return worker.process and worker.state == "ready" and not worker.announces
+
     def free_worker(self):
-        able = [worker for worker in self.world.workers if worker.process and worker.state == "ready"]
-        return self.random.choice(able)
+        return self.random.choice([worker for worker in self.world.workers if self.is_free(worker)])
 
     # Planned work
 
@@ -80,7 +82,7 @@
     async def worker_drain(self):
         """A worker leaves as planned, and a new one takes its place under a new id."""
         worker = self.free_worker()
-        if sum(each.pool == worker.pool and each.state == "ready" for each in self.world.workers) < 3:
+        if sum(each.pool == worker.pool and bool(self.is_free(each)) for each in self.world.workers) < 3:
             return
         worker.state = "draining"
         try:
@@ -99,6 +101,31 @@
             self.ledger.counts["removal not taken"] += 1
         self.world.start_worker(worker)
 
+    async def announce_departures(self, until, generator):
+        """Workers announce their departure in their answers alone, leave, and come back under a new id."""
+        while time.monotonic() < until:
+            await asyncio.sleep(generator.uniform(1.0, 3.0))
+            free = [worker for worker in self.world.workers if self.is_free(worker)]
+            able = [worker for worker in free if sum(each.pool == worker.pool for each in free) >= 3]
+            if able:
+                await self.worker_announces(generator.choice(able))
+
+    async def worker_announces(self, worker):
+        self.ledger.counts["fault worker_announces"] += 1
+        worker.announces = True
+        worker.process.send_signal(signal.SIGUSR1)
+        await asyncio.sleep(5.0)
+        # To a VM that had no answer of it this looks like a crash.
+        self.ledger.disturb(worker.name, time.monotonic() + 1.0)
+        await self.world.end(worker.process)
+        old, worker.name = worker.name, worker.name + "a"
+        try:
+            await self.world.put_row("servers", old, None)
+        except Broken:
+            self.ledger.counts["removal not taken"] += 1
+        worker.announces = False
+        self.world.start_worker(worker)
+
     # Troubles of VMs
 
     async def vm_kill(self):
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -16,9 +16,11 @@
 
 
 class Booking:
-    def __init__(self, kind, vm, sent_at):
+    def __init__(self, kind, process, sent_at):
         self.kind = kind
-        self.vm = vm
+        # Name of the VM and number of its start.
+        self.process = process
+        self.vm = process[0]
         self.sent_at = sent_at
         self.status = None
 
@@ -50,6 +52,8 @@
         self.item_jobs = collections.defaultdict(list)
         self.disturbances = []
         self.draining_since = {}
+        # When a process of a VM first passed on an answer in which a worker announced its departure.
+        self.announced = {}
         self.logs = {}
         self.lines_read = collections.Counter()
         self.runs = collections.defaultdict(list)
@@ -75,6 +79,9 @@
         self.counts[f"{booking.kind} {answer.status}"] += 1
         if answer.status == 200 and not answer.body.startswith(request.encode() + b" served by "):
             self.violate("own whole answer", f"{request} got {answer.body[:80]!r}")
+        if answer.status == 200 and "server-leaving" in answer.headers:
+            worker = answer.body.decode().rpartition(" ")[2]
+            self.announced.setdefault((booking.process, worker), time.monotonic())
         if answer.status == 200 and "topaztack-server-stamp" not in answer.headers:
             self.violate("own whole answer", f"{request} got a success without its worker's mark")
 
@@ -136,6 +143,9 @@
         subjects = {"store", worker, booking.vm if booking else None}
         if booking and since and at > since + DRAIN_S and not self.is_disturbed(subjects, since, at):
             self.violate("drain", f"{request} reached {worker} {at - since:.2f} s after it was draining")
+        announced = self.announced.get((booking.process, worker)) if booking else None
+        if announced and booking.sent_at > announced + DRAIN_S and not self.is_disturbed({booking.vm}, announced, at):
+            self.violate("drain", f"{request} reached {worker} {at - announced:.2f} s after {booking.vm} was told")
         for job_id in self.item_jobs.get(request, ()):
             self.check_cancelled(request, at, self.jobs[job_id])
 
--- a/tests/soak/standin.cpp
+++ b/tests/soak/standin.cpp
@@ -40,6 +40,7 @@
     sigemptyset(&ends);
     sigaddset(&ends, SIGTERM);
     sigaddset(&ends, SIGINT);
+    sigaddset(&ends, SIGUSR1);
     pthread_sigmask(SIG_BLOCK, &ends, nullptr);
     IoThreads threads(1);
     std::unique_ptr<StoreStandin> storeStandin;
@@ -52,7 +53,11 @@
         workerStandin->faults.eventTime = std::chrono::milliseconds(eventMs);
     threads.start();
     int number = 0;
-    sigwait(&ends, &number);
+    // SIGUSR1 makes a worker announce its departure from then on.
+    while (sigwait(&ends, &number) == 0 && number == SIGUSR1) {
+        if (workerStandin)
+            workerStandin->faults.announcesDeparture = true;
+    }
     threads.stop();
     return 0;
 }
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -69,6 +69,8 @@
         self.process = None
         self.link = None
         self.state = "ready"
+        # It says in its answers that it leaves, while its record still says that it is ready.
+        self.announces = False
         self.version = 1
         self.sequence = 0
         self.born_ms = 0
