Scoring calls of one route no longer hold up those of another

Cause: found in reading the change: the first call of a job that no server took ended the pass, so a job whose items are scored by several services waited for the one that has no server left. Change: a route that no server takes a call of is passed over for the rest of the pass. Measured: the new test failed before (nothing but the first call was tried for 6 s), passes now; all 11 tests of scoring.

--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -150,10 +150,11 @@
     std::stable_sort(runners.begin(), runners.end(),
         [](const auto& one, const auto& other) { return one->dueAt() < other->dueAt(); });
     for (const auto& runner : runners) {
+        // If no server takes one call of a route, none takes another.
+        std::set<const Route*> fullRoutes;
         for (auto* item : runner->scorableItems()) {
-            // The calls of a job usually share a route: if no server takes one of them, none takes another.
-            if (!runner->startScoring(*item))
-                break;
+            if (!fullRoutes.contains(item->scoringRoute) && !runner->startScoring(*item))
+                fullRoutes.insert(item->scoringRoute);
         }
     }
 }
--- a/tests/src/gateway/unit-scoring.cpp
+++ b/tests/src/gateway/unit-scoring.cpp
@@ -175,3 +175,28 @@
     CHECK_TRUE(this->env->store.rowsOf("job-heads").empty());
     CHECK_TRUE(this->env->engine.seen().empty());
 }
+
+// One of the services that score a job's texts has no server left.
+TEST(Scoring, CallsOfOneRouteDoNotHoldUpThoseOfAnother)
+{
+    auto configuration = boost::json::parse(TestEnvironment::configuration(2)).as_object();
+    auto empty = configuration.at("routes").at(1).as_object();
+    empty["name"] = "empty";
+    empty["prefix"] = "/n/";
+    empty["service"] = "none";
+    configuration.at("routes").as_array().push_back(empty);
+    configuration.at("services").as_array().push_back(boost::json::object { { "name", "none" } });
+    this->env->store.put("op", "", "config", boost::json::serialize(configuration));
+    auto& gateway = this->env->startGateway();
+    auto job = boost::json::parse(TestEnvironment::scoredJobBody({ "i1", "i2", "i3" })).as_object();
+    job.at("items").at(0).at("scorerUrl").as_object()["path"] = "/n/i1";
+    // The second and third texts end after the first.
+    this->env->engine.faults.slowItem = "i2";
+    LONGS_EQUAL(202,
+        this->env
+            ->call(gateway.callers, "POST", "/j/j1", { { "Topaztack-Request-Id", "j1" } }, boost::json::serialize(job))
+            .status);
+    CHECK_TRUE(waitFor([&] { return countSeen(this->env->booking, "c-i2") == 1; }, 6s));
+    CHECK_TRUE(this->env->waitForResults(gateway, "j1", 2));
+    LONGS_EQUAL(1, countSeen(this->env->booking, "c-i3"));
+}
