Scoring calls prefer free slots to a server that callers fill

Cause: found in reading the change: a server without a scoring call had an unlimited allowance, so its load counted as nothing and a server whose slots callers had filled was preferred to a free one that had a scoring call. Change: such a server takes one call more than it has requests, and counts as full in the choice. Besides: any answer shows that its server is not silent, so recordAnswer() notes it; the functions about silent servers stand in a file of their own; a comment on the order in applyRecord().

--- a/include/topaztack/policy/server_choice.hpp
+++ b/include/topaztack/policy/server_choice.hpp
@@ -41,11 +41,11 @@
     double slowness { 1 };
 };
 
-/// @brief The most requests of any kind that a VM may have outstanding at a server for it to send one more that no
-/// caller waits for. A third of the slots is left to callers; but a server that has none of these requests always takes
-/// one, so that they progress whatever the load.
+/// @brief The allowance of a server for a request that no caller waits for. A third of the slots is left to callers;
+/// but a server that has no such request always takes one, so that they progress whatever the load.
 /// @param background requests outstanding there that no caller waits for.
-std::uint32_t backgroundAllowance(std::uint64_t slots, std::uint32_t background);
+/// @param outstanding all requests outstanding there.
+std::uint32_t backgroundAllowance(std::uint64_t slots, std::uint32_t background, std::uint32_t outstanding);
 
 /// @brief Whether a server can take one more request. An engine whose memory runs out preempts its newest requests, so
 /// the expected memory is limited; an idle engine takes a request of any size.
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -205,7 +205,6 @@
     }
     auto& stream = *opened.value();
     const auto answer = context.protocol.decodeAnswer(stream.head());
-    servers.recordActivity(server.name);
     servers.recordAnswer(server, answer);
     auto outcome = classifyResponse(answer, attempt, stream.head());
     if (outcome == AttemptOutcome::Whole)
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -1,7 +1,6 @@
 #include "server_table.hpp"
 
 #include <topaztack/base/log.hpp>
-#include <topaztack/policy/server_silence.hpp>
 
 #include <boost/json.hpp>
 
@@ -49,6 +48,7 @@
 
 void ServerTable::applyRecord(ServerRecord record)
 {
+    // Applied before the comparison, since the known record has been marked.
     applyDeparture(this->servers, record);
     const auto* known = this->find(record.name);
     if (known && known->startedAt == record.startedAt)
@@ -225,7 +225,7 @@
     load.outstanding = usage.outstanding;
     if (requirements.isBackground) {
         load.outstanding += member.peerOutstanding;
-        load.allowance = backgroundAllowance(server.slots, usage.background + member.peerOutstanding);
+        load.allowance = backgroundAllowance(server.slots, usage.background + member.peerOutstanding, load.outstanding);
     }
     if (isGeneration) {
         load.outstanding += member.peerOutstanding;
@@ -326,56 +326,6 @@
     return topaztack::isWorthMoving(slowness, this->loads);
 }
 
-void ServerTable::recordActivity(const BackendName& name)
-{
-    auto& usage = this->usageByServer[name];
-    usage.heardAt = Clock::now();
-    usage.isSilent = false;
-}
-
-void ServerTable::markSilent(const ServerRecord& server)
-{
-    auto& usage = this->usageByServer[server.name];
-    if (usage.isSilent)
-        return;
-    usage.isSilent = true;
-    logEvent(LogLevel::Info, "server-silent",
-        { { "server", server.name.value() }, { "pool", server.pool.value() },
-            { "data_centre", server.dataCentre.value() }, { "outstanding", std::to_string(usage.outstanding) },
-            { "silent_ms", std::to_string(toMilliseconds(Clock::now() - usage.heardAt).count()) } });
-}
-
-bool ServerTable::wasHeardSince(const BackendName& name, TimePoint time) const
-{
-    const auto usage = this->usageByServer.find(name);
-    return usage != this->usageByServer.end() && usage->second.heardAt > time;
-}
-
-std::set<BackendName> ServerTable::takeSilentServers()
-{
-    const auto now = Clock::now();
-    std::set<BackendName> silent;
-    for (const auto& [name, usage] : this->usageByServer) {
-        const auto interval
-            = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(usage.intervalSeconds));
-        const auto* server = this->find(name);
-        // Only generations are streams; a plain request sends nothing before its answer.
-        const bool isEngine = server && !server->models.empty();
-        if (!isEngine || usage.isSilent || !isSilent({ usage.outstanding, usage.heardAt, interval }, now))
-            continue;
-        silent.insert(name);
-        this->markSilent(*server);
-    }
-    return silent;
-}
-
-void ServerTable::forgiveSilence()
-{
-    const auto now = Clock::now();
-    for (auto& [name, usage] : this->usageByServer)
-        usage.heardAt = now;
-}
-
 void ServerTable::recordEventInterval(const BackendName& name, Duration interval)
 {
     auto& usage = this->usageByServer[name];
@@ -432,9 +382,10 @@
 void ServerTable::recordAnswer(const ServerRecord& server, const ServerResponseHead& answer)
 {
     // An answer from another server at the same address says nothing about the one that was meant.
-    if (!answer.isLeaving || answer.isOtherServer)
+    if (answer.isOtherServer)
         return;
-    if (!noteDeparture(this->servers, server.name, server.startedAt, Clock::now()))
+    this->recordActivity(server.name);
+    if (!answer.isLeaving || !noteDeparture(this->servers, server.name, server.startedAt, Clock::now()))
         return;
     logEvent(LogLevel::Info, "server-leaving",
         { { "server", server.name.value() }, { "pool", server.pool.value() }, { "address", toText(server.endpoint) },
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -72,7 +72,8 @@
     /// @param requirements as passed to acquire(), or as updated by updateTokenReservation().
     void finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements = {});
 
-    /// @brief Learns from the head of a server's answer whether the server is leaving; it gets nothing more then.
+    /// @brief Learns from the head of a server's answer that the server is not silent and whether it is leaving; it
+    /// gets nothing more then.
     void recordAnswer(const ServerRecord& server, const ServerResponseHead& answer);
 
     /// @brief Changes the number of tokens that a running generation is expected to take, here and in `requirements`.
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -1,7 +1,6 @@
 #include <topaztack/policy/server_choice.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace topaztack {
 
@@ -60,11 +59,10 @@
 
 } // namespace
 
-std::uint32_t backgroundAllowance(std::uint64_t slots, std::uint32_t background)
+std::uint32_t backgroundAllowance(std::uint64_t slots, std::uint32_t background, std::uint32_t outstanding)
 {
-    if (background == 0)
-        return std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, slots - slots / 3));
+    const auto share = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, slots - slots / 3));
+    return background == 0 ? std::max(share, outstanding + 1) : share;
 }
 
 bool hasCapacity(const ServerLoad& server)
