Scoring calls: no use of a route that may be gone, no pass over all items

Cause: found in reading the change: an attempt read its route after it was queued on the loop; a configuration without that route in between would have made it read through a null pointer. Each dispatch, of which there are thousands a second on the large site, also passed over all items of every job to find those without a score, and sorted all jobs. Change: deadline and attempt time are taken from the route when the call is placed; a runner keeps the items that lack their score in a list in the order of their texts; jobs are sorted only if there are calls. The time of a repeatable attempt is one function for callers' requests and scoring calls. Measured: the race was not provoked by a test; CallsWaitWhileTheirRouteIsMissing covers a route that goes and comes back and passed before as well.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -16,9 +16,6 @@
 
     /// Retry-After of a request that was refused because no server was free.
     constexpr std::chrono::milliseconds refusalRetryAfter { 100 };
-    /// An attempt that may be repeated is abandoned for another server after this many latency objectives.
-    constexpr int latencyObjectivesPerAttempt = 2;
-    constexpr std::chrono::milliseconds minAttemptTime { 50 };
     /// Servers that can't be reached don't count as attempts; after this many of them the request fails.
     constexpr std::uint64_t maxUnreachedServers = 4;
 
@@ -119,8 +116,7 @@
     const auto now = Clock::now();
     auto end = forwarding.deadline;
     if (forwarding.isRepeatable() && forwarding.attempts < forwarding.route.maxAttempts)
-        end = std::min<TimePoint>(
-            end, now + std::max(minAttemptTime, latencyObjectivesPerAttempt * forwarding.route.latencyObjective));
+        end = std::min<TimePoint>(end, now + repeatableAttemptTime(forwarding.route));
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - now));
     auto request = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft);
     CallControl control;
--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -146,16 +146,19 @@
 /// Makes scoring calls, those of the job that is due first before the others.
 void ItemDispatcher::startScoringCalls(const std::vector<std::shared_ptr<JobRunner>>& open)
 {
-    auto runners = open;
-    std::stable_sort(runners.begin(), runners.end(),
-        [](const auto& one, const auto& other) { return one->dueAt() < other->dueAt(); });
-    for (const auto& runner : runners) {
-        // If no server takes one call of a route, none takes another.
-        std::set<const Route*> fullRoutes;
-        for (auto* item : runner->scorableItems()) {
-            if (!fullRoutes.contains(item->scoringRoute) && !runner->startScoring(*item))
-                fullRoutes.insert(item->scoringRoute);
-        }
+    std::vector<std::pair<JobRunner*, ItemRun*>> calls;
+    for (const auto& runner : open) {
+        for (auto* item : runner->scorableItems())
+            calls.emplace_back(runner.get(), item);
+    }
+    std::stable_sort(calls.begin(), calls.end(),
+        [](const auto& one, const auto& other) { return one.first->dueAt() < other.first->dueAt(); });
+    // If no server takes one call of a route, none takes another.
+    std::set<std::pair<JobRunner*, const Route*>> fullRoutes;
+    for (const auto& [runner, item] : calls) {
+        const std::pair route { runner, item->scoringRoute };
+        if (!fullRoutes.contains(route) && !runner->startScoring(*item))
+            fullRoutes.insert(route);
     }
 }
 
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -47,7 +47,7 @@
     , storeWatch(storeWatch)
     , job(std::move(initial.job))
     , head(initial.head)
-    , carriedGroups(initial.carriedGroups.size())
+    , carriedGroupCount(initial.carriedGroups.size())
     , listingNotifier(context.loop())
     , textObjects(initial.head.head.textObjects)
     , nextTextObject(this->textObjects)
@@ -102,7 +102,7 @@
             { "oldest_version", std::to_string(this->job.oldestVersion.value()) },
             { "wanted_groups", std::to_string(this->job.wantedGroups) },
             { "items", std::to_string(this->items.size()) }, { "listed", std::to_string(this->head.head.listed) },
-            { "reused", std::to_string(reused) }, { "carried_groups", std::to_string(this->carriedGroups) } });
+            { "reused", std::to_string(reused) }, { "carried_groups", std::to_string(this->carriedGroupCount) } });
     this->dispatcher.add(this->weak_from_this());
     asio::co_spawn(this->context.loop(), this->listResults(), asio::detached);
     asio::co_spawn(this->context.loop(), this->saveTextsPeriodically(), asio::detached);
@@ -308,6 +308,7 @@
 {
     item.phase = ItemPhase::Finished;
     item.state = state;
+    std::erase(this->unscored, &item);
     this->finished.push_back(&item);
     logEvent(state == ItemState::Completed ? LogLevel::Debug : LogLevel::Warning, "item-finished",
         { { "job", this->job.id.value() }, { "item", item.item->id.value() },
@@ -382,15 +383,13 @@
 {
     std::size_t running = 0;
     std::size_t waiting = 0;
-    std::size_t unscored = 0;
     for (const auto& item : this->items) {
         running += item->phase == ItemPhase::Running ? 1 : 0;
         waiting += item->phase == ItemPhase::Waiting ? 1 : 0;
-        unscored += item->phase == ItemPhase::Unscored || item->phase == ItemPhase::Scoring ? 1 : 0;
     }
     return json::object { { "job", this->job.id.value() }, { "step", this->job.step.value() },
         { "listed", this->head.head.listed }, { "total", this->head.head.total }, { "running", running },
-        { "waiting", waiting }, { "unscored", unscored } };
+        { "waiting", waiting }, { "unscored", this->unscored.size() } };
 }
 
 } // namespace topaztack
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -46,7 +46,7 @@
     std::vector<ItemResult> listed;
     /// Texts of earlier jobs, and those that the previous owner saved.
     std::map<ItemId, ItemProgress> texts;
-    /// Groups that were part of an earlier job of the trainer.
+    /// Groups that were part of an earlier step of the trainer.
     std::set<GroupId> carriedGroups;
     /// Whether the job was assigned by another VM, so that the head must be written at once to show that it was taken.
     bool isHandedOver { false };
@@ -112,7 +112,8 @@
     boost::asio::awaitable<void> cancelAttemptsLater();
     boost::asio::awaitable<void> run(ItemRun& item, ServerRecord server, ServerRequirements need);
     void completeText(ItemRun& item, std::string_view reason);
-    boost::asio::awaitable<void> score(ItemRun& item, ServerRecord server, ServerRequirements need);
+    boost::asio::awaitable<void> score(
+        ItemRun& item, ServerRecord server, ServerRequirements need, TimePoint attemptDeadline);
     void handleScoringResult(ItemRun& item, const ServerRecord& server, const ServiceCallResult& result);
     void logScoring(const ItemRun& item, const ServerRecord& server, const ServiceCallResult& result, Duration took);
     void handleAttemptOutcome(ItemRun& item, const ServerRecord& server, AttemptOutcome attemptOutcome);
@@ -147,9 +148,10 @@
     /// effect.
     std::optional<JobHead> pendingHead;
     std::vector<ItemResult> pendingResults;
+    /// Items with complete texts that lack their score, those with the oldest texts first.
+    std::vector<ItemRun*> unscored;
     std::map<GroupId, BackendName> groupServers;
-    /// Number of groups that were part of an earlier job.
-    const std::size_t carriedGroups;
+    const std::size_t carriedGroupCount;
     Notifier listingNotifier;
     std::optional<RunnerStopReason> stopReason;
     TimePoint stopTime;
--- a/src/gateway/job_runner_scoring.cpp
+++ b/src/gateway/job_runner_scoring.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 /// @file
 /// Scoring calls: the requests that judge complete texts before they are listed.
@@ -20,9 +21,6 @@
 namespace {
 
     constexpr unsigned statusServerError = 500;
-    /// An attempt is abandoned for another server after this many latency objectives of the call's route.
-    constexpr int latencyObjectivesPerAttempt = 2;
-    constexpr std::chrono::milliseconds minAttemptTime { 50 };
     /// Pause after an attempt without a score, doubled with each further one.
     constexpr Duration minRetryPause = 25ms;
     constexpr std::uint64_t maxRetryDoublings = 5;
@@ -53,21 +51,19 @@
     item.phase = ItemPhase::Unscored;
     item.scoring = ScoringProgress {};
     item.scoring.textCompletedAt = Clock::now();
+    this->unscored.push_back(&item);
 }
 
 std::vector<ItemRun*> JobRunner::scorableItems()
 {
     std::vector<ItemRun*> scorable;
-    if (!this->mayStart())
+    if (this->unscored.empty() || !this->mayStart())
         return scorable;
     const auto now = Clock::now();
-    for (const auto& item : this->items) {
-        if (item->phase == ItemPhase::Unscored && item->scoringRoute && now >= item->scoring.retryAt)
-            scorable.push_back(item.get());
-    }
-    std::stable_sort(scorable.begin(), scorable.end(), [](const ItemRun* one, const ItemRun* other) {
-        return one->scoring.textCompletedAt < other->scoring.textCompletedAt;
-    });
+    std::copy_if(
+        this->unscored.begin(), this->unscored.end(), std::back_inserter(scorable), [now](const ItemRun* item) {
+            return item->phase == ItemPhase::Unscored && item->scoringRoute && now >= item->scoring.retryAt;
+        });
     return scorable;
 }
 
@@ -83,28 +79,32 @@
     auto server = this->servers.acquire(need);
     if (!server)
         return false;
+    // The route may be gone by the time the attempt runs.
+    const auto& route = *item.scoringRoute;
+    const auto now = Clock::now();
+    const auto attemptTime = repeatableAttemptTime(route);
+    // If too little time is left for another attempt, the call starts anew.
+    if (now + attemptTime / 2 > item.scoring.deadline)
+        item.scoring.deadline = now + route.timeout;
+    const auto attemptDeadline = std::min<TimePoint>(item.scoring.deadline, now + attemptTime);
     item.phase = ItemPhase::Scoring;
-    asio::co_spawn(this->context.loop(), this->score(item, std::move(*server), std::move(need)), asio::detached);
+    asio::co_spawn(
+        this->context.loop(), this->score(item, std::move(*server), std::move(need), attemptDeadline), asio::detached);
     return true;
 }
 
-asio::awaitable<void> JobRunner::score(ItemRun& item, ServerRecord server, ServerRequirements need)
+asio::awaitable<void> JobRunner::score(
+    ItemRun& item, ServerRecord server, ServerRequirements need, TimePoint attemptDeadline)
 {
     const auto self = this->shared_from_this();
-    const auto& route = *item.scoringRoute;
     const auto sentAt = Clock::now();
-    const auto attemptTime = std::max<Duration>(minAttemptTime, latencyObjectivesPerAttempt * route.latencyObjective);
-    // Too little time is left for another attempt, so the call starts anew.
-    if (sentAt + attemptTime / 2 > item.scoring.deadline)
-        item.scoring.deadline = sentAt + route.timeout;
-    const auto deadline = item.scoring.deadline;
     auto request = this->context.protocol.encodeScoringRequest(
-        *item.item->scoring, server, std::max(1ms, toMilliseconds(deadline - sentAt)));
+        *item.item->scoring, server, std::max(1ms, toMilliseconds(item.scoring.deadline - sentAt)));
     ++item.scoring.attempts;
     CallControl control;
     item.control = &control;
     const auto result = co_await callService(this->context, this->servers, std::move(request), item.item->scoring->id,
-        server, std::min<TimePoint>(deadline, sentAt + attemptTime), control, need);
+        server, attemptDeadline, control, need);
     item.control = nullptr;
     const auto took = Clock::now() - sentAt;
     this->scoringTime.record(took);
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -1,11 +1,17 @@
 #include "service_call.hpp"
 
+#include <algorithm>
+
 namespace topaztack {
 
 namespace asio = boost::asio;
 
 namespace {
 
+    /// An attempt is abandoned after this many latency objectives of its route.
+    constexpr int latencyObjectivesPerAttempt = 2;
+    constexpr std::chrono::milliseconds minAttemptTime { 50 };
+
     ServiceCallResult failedCall(ServiceCallOutcome outcome, Error problem)
     {
         return { outcome, std::nullopt, std::move(problem) };
@@ -39,6 +45,11 @@
 
 } // namespace
 
+Duration repeatableAttemptTime(const Route& route)
+{
+    return std::max(minAttemptTime, latencyObjectivesPerAttempt * route.latencyObjective);
+}
+
 asio::awaitable<ServiceCallResult> callService(GatewayContext& context, ServerTable& servers, HttpRequest request,
     RequestId id, ServerRecord server, TimePoint deadline, CallControl& control, const ServerRequirements& requirements)
 {
--- a/src/gateway/service_call.hpp
+++ b/src/gateway/service_call.hpp
@@ -35,6 +35,9 @@
 /// @brief Whether a status reports success.
 inline bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
+/// @brief Time after which an attempt that may be repeated is abandoned for another server.
+Duration repeatableAttemptTime(const Route& route);
+
 /// @brief Sends a request to a server that ServerTable::acquire() chose, and ends the request that was counted there.
 /// @param id the request's id; an answer that carries another one is not accepted.
 /// @param deadline end of the attempt.
--- a/tests/src/gateway/unit-scoring.cpp
+++ b/tests/src/gateway/unit-scoring.cpp
@@ -200,3 +200,24 @@
     CHECK_TRUE(this->env->waitForResults(gateway, "j1", 2));
     LONGS_EQUAL(1, countSeen(this->env->booking, "c-i3"));
 }
+
+// The route of the calls is removed while they are made, and comes back.
+TEST(Scoring, CallsWaitWhileTheirRouteIsMissing)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->booking.faults.plainTime = 200ms;
+    this->env->booking.faults.plainStatus = 404;
+    LONGS_EQUAL(202, this->env->submitScored(gateway, "j1", itemIds(20)).status);
+    CHECK_TRUE(waitFor([&] { return !this->env->booking.seen().empty(); }));
+    auto configuration = boost::json::parse(TestEnvironment::configuration(2)).as_object();
+    auto& routes = configuration.at("routes").as_array();
+    routes.erase(routes.begin() + 1);
+    this->env->store.put("op", "", "config", boost::json::serialize(configuration));
+    std::this_thread::sleep_for(1s);
+    const auto before = this->env->booking.seen().size();
+    std::this_thread::sleep_for(500ms);
+    LONGS_EQUAL(before, this->env->booking.seen().size());
+    this->env->booking.faults.plainStatus = 200;
+    this->env->store.put("op", "", "config", TestEnvironment::configuration(3));
+    CHECK_TRUE(this->env->waitForResults(gateway, "j1", 20));
+}
