Carried-over groups: a test through the gateway, and only of earlier steps

The new test plays two steps through a gateway and fails without the owner's part. Change besides: only groups of earlier steps count. A VM that lost a job and took it over again compared the job with itself and took all its groups for carried over.

--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -119,8 +119,8 @@
     return found == this->runners.end() || found->second->isStopped() ? nullptr : found->second;
 }
 
-/// Adds texts of this trainer's other jobs on this VM for items that are submitted again. Texts that the previous owner
-/// saved take precedence.
+/// Adds texts of this trainer's other jobs on this VM for items that are submitted again, and the groups of its earlier
+/// steps that come again. Texts that the previous owner saved take precedence.
 void JobOwner::addEarlierWork(InitialJobState& initial) const
 {
     const auto& job = initial.job;
@@ -133,8 +133,11 @@
     for (const auto& runner : others) {
         if (runner->spec().model != job.model)
             continue;
-        for (const auto& item : runner->spec().items)
-            earlierGroups.insert(item.group);
+        const bool isEarlier = runner->spec().step < job.step;
+        for (const auto& item : runner->spec().items) {
+            if (isEarlier)
+                earlierGroups.insert(item.group);
+        }
         for (const auto& item : job.items) {
             if (initial.texts.contains(item.id))
                 continue;
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -84,7 +84,6 @@
     boost::asio::awaitable<void> takeOver(JobId id, StoredHead head, bool isHandedOver);
     boost::asio::awaitable<void> watchHandover(JobSpec job, StoredHead head);
     boost::asio::awaitable<void> removeExpired(JobId id);
-    /// Adds what earlier jobs of the trainer on this VM left: texts, and groups that come again.
     void addEarlierWork(InitialJobState& initial) const;
     void dropStoppedRunners();
 
--- a/tests/src/gateway/unit-dispatch.cpp
+++ b/tests/src/gateway/unit-dispatch.cpp
@@ -107,3 +107,44 @@
         CHECK_TRUE(outputAt(page, index) == sound.textOf(idAt(page, index)));
     LONGS_EQUAL(4, cut.seen().size());
 }
+
+// A step ends without its group with the longest item, and the trainer's next step waits for just this group. The text
+// of the first step is too old to be reused.
+TEST(Dispatch, AGroupThatAStepEndedWithoutStartsFirstInTheNextOne)
+{
+    auto& gateway = this->env->startGateway();
+    auto& engine = this->env->engine;
+    engine.faults.slowItem = "long";
+    const auto submitStep = [this, &gateway](const std::string& id, int step, int oldestVersion,
+                                const std::vector<std::string>& shortItems) {
+        auto items = shortItems;
+        items.push_back("long");
+        auto job = boost::json::parse(TestEnvironment::jobBody(items)).as_object();
+        job["step"] = step;
+        job["minVersion"] = oldestVersion;
+        job["desiredCount"] = shortItems.size();
+        for (auto& item : job.at("items").as_array()) {
+            const bool isLong = item.at("id") == "long";
+            item.at("headers").as_object()["Topaztack-Length-Hint"] = isLong ? "300" : "10";
+        }
+        return this->env
+            ->call(gateway.callers, "POST", "/j/" + id, { { "Topaztack-Request-Id", id } }, boost::json::serialize(job))
+            .status;
+    };
+    LONGS_EQUAL(202, submitStep("j1", 1, 1, { "a", "b" }));
+    CHECK_TRUE(this->env->waitForResults(gateway, "j1", 2));
+    LONGS_EQUAL(200, this->env->call(gateway.callers, "DELETE", "/-/lots/j1").status);
+    // The generation of the ended job goes on for a while; then the engine's four slots are free.
+    std::this_thread::sleep_for(3s);
+    this->env->store.put("op", "", "version/m", R"({"model":"m","version":2})");
+    CHECK_TRUE(waitFor([&] { return engine.version() == 2; }));
+    this->env->registerServer(engine, "lm");
+    engine.faults.eventTime = 100ms;
+    const auto before = static_cast<std::ptrdiff_t>(engine.seen().size());
+    LONGS_EQUAL(202, submitStep("j2", 2, 2, { "c", "d", "e", "f", "g", "h", "i", "k" }));
+    CHECK_TRUE(this->env->waitForResults(gateway, "j2", 8));
+    const auto seen = engine.seen();
+    const auto next
+        = std::find_if(seen.begin() + before, seen.end(), [](const auto& request) { return request.id == "long"; });
+    CHECK_TRUE(next - (seen.begin() + before) < 4);
+}
