Limits that backend servers name are logged and counted

Neither logs nor metrics told which server names a limit, which VM knows it and what it sends there. server-limit, limited-request and topaztack_limited_requests_total do. A malformed limit is told from none. No decision changes.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -64,6 +64,10 @@
     bool closesConnection { false };
     /// The server announces its departure: it serves what it has and is to get nothing more.
     bool isLeaving { false };
+    /// The requests per second that the server takes from all VMs together; empty if it names no limit.
+    std::optional<double> requestsPerSecond;
+    /// It names a limit that is not understood.
+    bool isLimitMalformed { false };
     /// Id of the request that the response belongs to; empty if it carries none.
     RequestId request;
     /// The server's signature of its response; without one a success doesn't count.
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -42,6 +42,8 @@
 
 ServerTable::ServerTable(GatewayContext& context)
     : context(context)
+    , limitedRequests(context.metrics.counter(
+          "topaztack_limited_requests_total", "Requests to servers that name a limit of requests per second"))
     , changeNotifier(context.loop())
 {
 }
@@ -286,6 +288,12 @@
     member.usage->tokens += requirements.tokens;
     if (member.idleConnections > 0)
         --member.idleConnections;
+    if (member.usage->requestsPerSecond) {
+        this->limitedRequests.add();
+        logEvent(LogLevel::Debug, "limited-request",
+            { { "server", member.record->name.value() }, { "pool", requirements.pool.value() },
+                { "per_second", std::to_string(*member.usage->requestsPerSecond) } });
+    }
     return *member.record;
 }
 
@@ -385,6 +393,7 @@
     if (answer.isOtherServer)
         return;
     this->recordActivity(server.name);
+    this->recordRequestLimit(server, answer);
     if (!answer.isLeaving || !noteDeparture(this->servers, server.name, server.startedAt, Clock::now()))
         return;
     logEvent(LogLevel::Info, "server-leaving",
@@ -392,6 +401,18 @@
             { "leaving", "1" }, { "source", "answer" } });
 }
 
+void ServerTable::recordRequestLimit(const ServerRecord& server, const ServerResponseHead& answer)
+{
+    auto& known = this->usageByServer[server.name].requestsPerSecond;
+    if (known == answer.requestsPerSecond || answer.isLimitMalformed)
+        return;
+    const auto toText = [](const std::optional<double>& limit) { return limit ? std::to_string(*limit) : "none"; };
+    logEvent(LogLevel::Info, "server-limit",
+        { { "server", server.name.value() }, { "pool", server.pool.value() },
+            { "per_second", toText(answer.requestsPerSecond) }, { "before", toText(known) } });
+    known = answer.requestsPerSecond;
+}
+
 void ServerTable::recordVersion(const BackendName& name, const ModelName& model, WeightVersion version)
 {
     const auto found = this->servers.entries.find(name);
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -145,6 +145,8 @@
         /// When the server last sent anything, or when the first of the outstanding requests was sent.
         TimePoint heardAt;
         bool isSilent { false };
+        /// The requests per second that the server said it takes from all VMs together; empty for no limit.
+        std::optional<double> requestsPerSecond;
     };
 
     /// The generations that another VM last reported.
@@ -176,6 +178,7 @@
 
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
+    void recordRequestLimit(const ServerRecord& server, const ServerResponseHead& answer);
     PoolSnapshot& snapshotOf(const PoolName& pool, TimePoint now);
     bool canServe(const PoolMember& member, const ServerRequirements& requirements, TimePoint now) const;
     ServerLoad loadOf(const PoolMember& member, const ServerRequirements& requirements, const PoolSnapshot& snapshot,
@@ -183,6 +186,7 @@
     void gatherCandidates(PoolSnapshot& snapshot, const ServerRequirements& requirements, TimePoint now);
 
     GatewayContext& context;
+    Counter& limitedRequests;
     ServerRegistry servers;
     std::map<BackendName, ServerUsage> usageByServer;
     std::map<VmName, PeerLoad> peerLoads;
--- a/tests/src/platform/unit-workers.cpp
+++ b/tests/src/platform/unit-workers.cpp
@@ -117,6 +117,24 @@
     CHECK_FALSE(decodeAnswer(answerWith(200, {})).isLeaving);
 }
 
+TEST(Workers, AnswersOfAnyStatusNameTheRequestLimit)
+{
+    for (const auto status : { 200U, 429U, 500U, 503U })
+        DOUBLES_EQUAL(2.5, *decodeAnswer(answerWith(status, { { "server-limit", "2.5" } })).requestsPerSecond, 0);
+    DOUBLES_EQUAL(0, *decodeAnswer(answerWith(200, { { "Server-Limit", "0" } })).requestsPerSecond, 0);
+    CHECK_FALSE(decodeAnswer(answerWith(200, {})).requestsPerSecond.has_value());
+    CHECK_FALSE(decodeAnswer(answerWith(200, {})).isLimitMalformed);
+}
+
+TEST(Workers, AMalformedRequestLimitIsToldFromNone)
+{
+    for (const std::string text : { "-1", "nan", "inf", "1e999", "2.5/s", "many" }) {
+        const auto answer = decodeAnswer(answerWith(200, { { "Server-Limit", text } }));
+        CHECK_FALSE(answer.requestsPerSecond.has_value());
+        CHECK_TRUE(answer.isLimitMalformed);
+    }
+}
+
 TEST(Workers, AnEventNamesNewWeightsInItsFirstLine)
 {
     const auto event = decodeEvent(eventOf("7", "text", { { "topaztack-weight-versions", "8" } }));
