--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -47,6 +47,8 @@
     response.headers.push_back({ "Topaztack-Request-Id", headerOf(request, "Topaztack-Request-Id") });
     if (this->faults.announcesDeparture)
         response.headers.push_back({ "Server-Leaving", "1" });
+    if (this->faults.requestsPerSecond >= 0)
+        response.headers.push_back({ "Server-Limit", std::to_string(this->faults.requestsPerSecond.load()) });
     return response;
 }
 
@@ -193,7 +195,7 @@
     {
         const std::lock_guard guard(this->lock);
         this->requests.push_back({ headerOf(request, "Topaztack-Request-Id"), request.target, request.body,
-            headerOf(request, "Last-Event-Id") });
+            headerOf(request, "Last-Event-Id"), Clock::now() });
     }
     this->logRun("run " + headerOf(request, "Topaztack-Request-Id") + " " + headerOf(request, "Last-Event-Id"));
     if (this->faults.answersToLose > 0) {
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -26,6 +26,8 @@
     std::atomic<bool> isSilent { false };
     /// Every answer announces the worker's departure.
     std::atomic<bool> announcesDeparture { false };
+    /// Every answer names this limit of requests per second; negative for none.
+    std::atomic<double> requestsPerSecond { -1 };
     /// Streams are closed after this many events; 0 for never.
     std::atomic<int> breakAfter { 0 };
     /// Answers carry the id of another request.
@@ -47,6 +49,7 @@
     std::string target;
     std::string body;
     std::string lastEvent;
+    std::chrono::steady_clock::time_point at;
 };
 
 /// @brief What a worker is like, apart from its faults.
