What VMs send to a backend server stays within the limit that it names, all of them together

Callers saw slow answers of servers in need; the servers got up to 21 times what they had said they take, and two to three times what the rule allows, on every deployment. Cause: the limit was not read, and no VM knew what the others send. Class of the fault: a limit for all VMs together that each VM would have to keep alone; slots and memory of engines are shared by reports already, the rate was not. Ruled out: repeated attempts (none at the capped servers), an owner alone (one VM in seven seconds on the large site). Fix: for each server that names a limit one VM, the same on each VM that knows the same VMs, keeps a token bucket; the others ask it before each request and otherwise take another server. Up to two VMs of other data centres stand in with a small part of the limit while the first one can't be reached, so that keepers that act at once stay below what the server bears. The end of a limit is seen in answers to requests sent after the limit was last named, and told on with the answers of the keeper. A request that no server may take is refused at once; Retry-After says when the next one may go. Evidence: tests RequestLimit failed before (134 requests in 4 s where 17 are allowed) and pass.

--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -63,6 +63,7 @@
 #include <topaztack/policy/pool_scheduler.hpp>
 #include <topaztack/policy/prefix.hpp>
 #include <topaztack/policy/prefix_view.hpp>
+#include <topaztack/policy/request_quota.hpp>
 #include <topaztack/policy/request_state_machine.hpp>
 #include <topaztack/policy/retry.hpp>
 #include <topaztack/policy/routing.hpp>
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -86,6 +86,11 @@
         const auto server = this->servers.acquire(forwarding.requirements);
         if (!server)
             break;
+        const bool isAdmitted = co_await this->servers.admit(*server);
+        if (!isAdmitted || exchange.isCallerGone()) {
+            this->servers.finish(*server, ServerOutcome::Cancelled, forwarding.requirements);
+            continue;
+        }
         if (forwarding.attempts > 0)
             this->retries.add();
         ++forwarding.attempts;
@@ -103,7 +108,8 @@
         this->refused.add();
         const auto error = forwarding.problem.value_or(makeError(
             ErrorKind::NoBackendServer, "pool `" + forwarding.requirements.pool.value() + "` has no free server"));
-        return notRunResponse(error, forwarding.call.id, refusalRetryAfter);
+        const auto admission = toMilliseconds(this->servers.timeUntilAdmission(forwarding.requirements.pool));
+        return notRunResponse(error, forwarding.call.id, std::max(refusalRetryAfter, admission));
     }
     this->failed.add();
     return mayHaveRunResponse(forwarding.problem.value_or(makeError(
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "order_lease.hpp"
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
+#include "request_quota.hpp"
 #include "server_table.hpp"
 #include "store_watch.hpp"
 #include "table_follower.hpp"
@@ -81,16 +82,18 @@
     bool isConfigurationStale() const;
     HttpServerLimits callerLimits() const;
     asio::awaitable<void> handle(HttpExchange& exchange);
+    asio::awaitable<void> handlePeer(HttpExchange& exchange);
     asio::awaitable<void> handleRoute(HttpExchange& exchange, const CallerRequest& call);
     asio::awaitable<void> expire();
     asio::awaitable<void> handOver(TimePoint deadline);
     json::value dump() const;
 
     GatewayContext context;
+    PeerDirectory peers;
+    RequestQuota quota;
     ServerTable servers;
     JobStore jobStore;
     ItemDispatcher dispatcher;
-    PeerDirectory peers;
     StoreWatch storeWatch;
     JobOwner jobs;
     JobService jobService;
@@ -109,10 +112,11 @@
 
 Gateway::Parts::Parts(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol)
     : context(std::move(settings), std::move(identity), protocol)
-    , servers(this->context)
+    , peers(this->context)
+    , quota(this->context, this->peers)
+    , servers(this->context, this->quota)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers)
-    , peers(this->context)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
@@ -134,8 +138,7 @@
           "operators")
     , peerServer(
           this->context.threads, this->context.settings.peers, [this] { return this->callerLimits(); },
-          [this](HttpExchange& exchange) { return this->jobCalls.handlePeer(exchange); }, this->context.metrics,
-          "peers")
+          [this](HttpExchange& exchange) { return this->handlePeer(exchange); }, this->context.metrics, "peers")
 {
     this->addOperatorRoutes();
 }
@@ -167,8 +170,9 @@
     return json::object { { "vm", this->context.identity.name.value() },
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
-        { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
+        { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() }, { "weights", this->weights.dump() },
+        { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -247,6 +251,14 @@
         co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call.value(), nullptr));
 }
 
+asio::awaitable<void> Gateway::Parts::handlePeer(HttpExchange& exchange)
+{
+    if (exchange.request().target == requestQuotaPath)
+        co_await exchange.respond(this->quota.answer(exchange.request()));
+    else
+        co_await this->jobCalls.handlePeer(exchange);
+}
+
 asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, const CallerRequest& call)
 {
     // Keeps the table alive for the whole request: a newer configuration may replace it meanwhile.
@@ -273,6 +285,7 @@
 {
     while (true) {
         this->servers.expire();
+        this->quota.expire();
         co_await pauseFor(expiryInterval);
     }
 }
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -155,8 +155,8 @@
 
 std::string_view attemptOutcomeName(AttemptOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 9> names { "whole", "interrupted", "moved", "failed", "never-done",
-        "crowded", "refused", "replaced", "cancelled" };
+    static constexpr std::array<std::string_view, 10> names { "whole", "interrupted", "moved", "failed", "never-done",
+        "crowded", "refused", "not-admitted", "replaced", "cancelled" };
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -175,6 +175,7 @@
     case AttemptOutcome::Replaced:
         return ServerOutcome::Replaced;
     case AttemptOutcome::Moved:
+    case AttemptOutcome::NotAdmitted:
     case AttemptOutcome::Cancelled:
         break;
     }
@@ -184,6 +185,11 @@
 asio::awaitable<AttemptOutcome> attemptItem(
     GatewayContext& context, ServerTable& servers, ItemAttempt attempt, const ServerRecord& server)
 {
+    if (!co_await servers.admit(server))
+        co_return AttemptOutcome::NotAdmitted;
+    if (attempt.control.isCancelled())
+        co_return AttemptOutcome::Cancelled;
+    const auto sentAt = Clock::now();
     auto request = context.protocol.encodeItemRequest(attempt.job, attempt.item, server, attempt.text.lastEvent);
     CallOptions options;
     options.control = &attempt.control;
@@ -205,7 +211,7 @@
     }
     auto& stream = *opened.value();
     const auto answer = context.protocol.decodeAnswer(stream.head());
-    servers.recordAnswer(server, answer);
+    servers.recordAnswer(server, answer, sentAt);
     auto outcome = classifyResponse(answer, attempt, stream.head());
     if (outcome == AttemptOutcome::Whole)
         outcome = co_await readEvents(context, servers, attempt, server, stream);
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -27,6 +27,8 @@
     Crowded,
     /// The server doesn't take the item now.
     Refused,
+    /// It was not sent: the limit that the server states is used up, or the server began to leave.
+    NotAdmitted,
     /// Another server has the address now.
     Replaced,
     Cancelled,
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -345,6 +345,9 @@
     case AttemptOutcome::Crowded:
         item.tried.insert(server.name);
         break;
+    case AttemptOutcome::NotAdmitted:
+        --item.attempts;
+        break;
     case AttemptOutcome::Refused:
     case AttemptOutcome::Replaced:
     case AttemptOutcome::Cancelled:
--- a/src/gateway/job_runner_scoring.cpp
+++ b/src/gateway/job_runner_scoring.cpp
@@ -97,12 +97,19 @@
     ItemRun& item, ServerRecord server, ServerRequirements need, TimePoint attemptDeadline)
 {
     const auto self = this->shared_from_this();
+    CallControl control;
+    item.control = &control;
+    const bool isAdmitted = co_await this->servers.admit(server);
+    if (!isAdmitted || control.isCancelled()) {
+        item.control = nullptr;
+        item.phase = ItemPhase::Unscored;
+        this->servers.finish(server, ServerOutcome::Cancelled, need);
+        co_return;
+    }
     const auto sentAt = Clock::now();
     auto request = this->context.protocol.encodeScoringRequest(
         *item.item->scoring, server, std::max(1ms, toMilliseconds(item.scoring.deadline - sentAt)));
     ++item.scoring.attempts;
-    CallControl control;
-    item.control = &control;
     const auto result = co_await callService(this->context, this->servers, std::move(request), item.item->scoring->id,
         server, attemptDeadline, control, need);
     item.control = nullptr;
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -133,6 +133,8 @@
             co_await pauseFor(publishRetryDelay);
             continue;
         }
+        if (!this->firstPublishedAt && !this->isWithdrawn)
+            this->firstPublishedAt = Clock::now();
         co_await pauseFor(rewriteInterval);
         co_await this->removeStaleRow();
     }
@@ -156,6 +158,7 @@
 asio::awaitable<void> PeerDirectory::withdraw()
 {
     this->isWithdrawn = true;
+    this->firstPublishedAt.reset();
     StoreTransaction transaction;
     transaction.writes.push_back({ rowKeyOf(this->context.identity.name), std::nullopt });
     const auto removed = co_await this->context.store.commit(std::move(transaction));
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -7,6 +7,7 @@
 #include <boost/json/value.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 /// @file
@@ -43,6 +44,9 @@
     /// @brief The other VMs that have a row.
     const std::map<VmName, PeerRecord>& known() const { return this->peers; }
 
+    /// @brief When this VM first wrote its row; empty before, and once it is removed.
+    const std::optional<TimePoint>& publishedAt() const { return this->firstPublishedAt; }
+
     /// @brief Removes this VM's row.
     boost::asio::awaitable<void> withdraw();
 
@@ -56,6 +60,7 @@
     GatewayContext& context;
     TableFollower rows;
     std::map<VmName, PeerRecord> peers;
+    std::optional<TimePoint> firstPublishedAt;
     bool isWithdrawn { false };
 };
 
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -8,6 +8,7 @@
 
 namespace topaztack {
 
+namespace asio = boost::asio;
 namespace json = boost::json;
 using namespace std::chrono_literals;
 
@@ -40,10 +41,9 @@
 
 } // namespace
 
-ServerTable::ServerTable(GatewayContext& context)
+ServerTable::ServerTable(GatewayContext& context, RequestQuota& quota)
     : context(context)
-    , limitedRequests(context.metrics.counter(
-          "topaztack_limited_requests_total", "Requests to servers that name a limit of requests per second"))
+    , quota(quota)
     , changeNotifier(context.loop())
 {
 }
@@ -162,7 +162,7 @@
 {
     const auto& server = *member.record;
     const auto& usage = *member.usage;
-    if (server.isLeaving)
+    if (server.isLeaving || now < this->quota.availableAt(server.name))
         return false;
     if (!usage.refusingUntil.empty()) {
         const auto refusing = usage.refusingUntil.find(requirements.model);
@@ -288,15 +288,33 @@
     member.usage->tokens += requirements.tokens;
     if (member.idleConnections > 0)
         --member.idleConnections;
-    if (member.usage->requestsPerSecond) {
-        this->limitedRequests.add();
-        logEvent(LogLevel::Debug, "limited-request",
-            { { "server", member.record->name.value() }, { "pool", requirements.pool.value() },
-                { "per_second", std::to_string(*member.usage->requestsPerSecond) } });
-    }
     return *member.record;
 }
 
+asio::awaitable<bool> ServerTable::admit(const ServerRecord& server)
+{
+    const auto name = server.name;
+    const auto startedAt = server.startedAt;
+    if (!co_await this->quota.admit(server))
+        co_return false;
+    const auto* current = this->find(name);
+    co_return current && current->startedAt == startedAt && !current->isLeaving;
+}
+
+asio::awaitable<void> ServerTable::charge(const ServerRecord& server) { return this->quota.charge(server); }
+
+Duration ServerTable::timeUntilAdmission(const PoolName& pool)
+{
+    const auto now = Clock::now();
+    std::optional<TimePoint> earliest;
+    for (const auto& member : this->snapshotOf(pool, now).members) {
+        const auto at = this->quota.availableAt(member.record->name);
+        if (at > now && !member.record->isLeaving)
+            earliest = std::min(earliest.value_or(at), at);
+    }
+    return earliest ? *earliest - now : Duration(0);
+}
+
 std::optional<Duration> ServerTable::medianEventInterval(const PoolName& pool)
 {
     const auto seconds = this->snapshotOf(pool, Clock::now()).medianIntervalSeconds;
@@ -387,13 +405,13 @@
     this->changeNotifier.notify();
 }
 
-void ServerTable::recordAnswer(const ServerRecord& server, const ServerResponseHead& answer)
+void ServerTable::recordAnswer(const ServerRecord& server, const ServerResponseHead& answer, TimePoint sentAt)
 {
     // An answer from another server at the same address says nothing about the one that was meant.
     if (answer.isOtherServer)
         return;
     this->recordActivity(server.name);
-    this->recordRequestLimit(server, answer);
+    this->quota.recordAnswer(server, answer, sentAt);
     if (!answer.isLeaving || !noteDeparture(this->servers, server.name, server.startedAt, Clock::now()))
         return;
     logEvent(LogLevel::Info, "server-leaving",
@@ -401,18 +419,6 @@
             { "leaving", "1" }, { "source", "answer" } });
 }
 
-void ServerTable::recordRequestLimit(const ServerRecord& server, const ServerResponseHead& answer)
-{
-    auto& known = this->usageByServer[server.name].requestsPerSecond;
-    if (known == answer.requestsPerSecond || answer.isLimitMalformed)
-        return;
-    const auto toText = [](const std::optional<double>& limit) { return limit ? std::to_string(*limit) : "none"; };
-    logEvent(LogLevel::Info, "server-limit",
-        { { "server", server.name.value() }, { "pool", server.pool.value() },
-            { "per_second", toText(answer.requestsPerSecond) }, { "before", toText(known) } });
-    known = answer.requestsPerSecond;
-}
-
 void ServerTable::recordVersion(const BackendName& name, const ModelName& model, WeightVersion version)
 {
     const auto found = this->servers.entries.find(name);
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -2,6 +2,7 @@
 
 #include "context.hpp"
 #include "notifier.hpp"
+#include "request_quota.hpp"
 
 #include <topaztack/control/server_registry.hpp>
 #include <topaztack/policy/server_choice.hpp>
@@ -57,7 +58,7 @@
 
 class ServerTable {
 public:
-    explicit ServerTable(GatewayContext& context);
+    ServerTable(GatewayContext& context, RequestQuota& quota);
 
     void applyRows(const std::vector<StoreRow>& rows, bool isFullTable);
 
@@ -68,13 +69,25 @@
     /// @return empty if no server can take the request now.
     std::optional<ServerRecord> acquire(const ServerRequirements& requirements);
 
+    /// @brief Whether the request for which acquire() chose a server may be sent there now: the server may take only so
+    /// many requests per second from all VMs together, and it may have begun to leave while another VM was asked.
+    boost::asio::awaitable<bool> admit(const ServerRecord& server);
+
+    /// @brief Counts a request that is sent whatever limit the server states.
+    boost::asio::awaitable<void> charge(const ServerRecord& server);
+
+    /// @brief Time until a server of the pool may get a request within the limit that it states; 0 if none is waited
+    /// for.
+    Duration timeUntilAdmission(const PoolName& pool);
+
     /// @brief Ends the request that acquire() counted.
     /// @param requirements as passed to acquire(), or as updated by updateTokenReservation().
     void finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements = {});
 
-    /// @brief Learns from the head of a server's answer that the server is not silent and whether it is leaving; it
-    /// gets nothing more then.
-    void recordAnswer(const ServerRecord& server, const ServerResponseHead& answer);
+    /// @brief Learns from the head of a server's answer that the server is not silent, which limit it states, and
+    /// whether it is leaving; it gets nothing more then.
+    /// @param sentAt when the request was sent.
+    void recordAnswer(const ServerRecord& server, const ServerResponseHead& answer, TimePoint sentAt);
 
     /// @brief Changes the number of tokens that a running generation is expected to take, here and in `requirements`.
     void updateTokenReservation(const BackendName& name, ServerRequirements& requirements, std::uint64_t tokens);
@@ -145,8 +158,6 @@
         /// When the server last sent anything, or when the first of the outstanding requests was sent.
         TimePoint heardAt;
         bool isSilent { false };
-        /// The requests per second that the server said it takes from all VMs together; empty for no limit.
-        std::optional<double> requestsPerSecond;
     };
 
     /// The generations that another VM last reported.
@@ -178,7 +189,6 @@
 
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
-    void recordRequestLimit(const ServerRecord& server, const ServerResponseHead& answer);
     PoolSnapshot& snapshotOf(const PoolName& pool, TimePoint now);
     bool canServe(const PoolMember& member, const ServerRequirements& requirements, TimePoint now) const;
     ServerLoad loadOf(const PoolMember& member, const ServerRequirements& requirements, const PoolSnapshot& snapshot,
@@ -186,7 +196,7 @@
     void gatherCandidates(PoolSnapshot& snapshot, const ServerRequirements& requirements, TimePoint now);
 
     GatewayContext& context;
-    Counter& limitedRequests;
+    RequestQuota& quota;
     ServerRegistry servers;
     std::map<BackendName, ServerUsage> usageByServer;
     std::map<VmName, PeerLoad> peerLoads;
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -59,6 +59,7 @@
         const auto answer = context.protocol.decodeAnswer(response);
         return answer.request.value().empty() || answer.request == id;
     };
+    const auto sentAt = Clock::now();
     auto called = co_await context.httpClient.call(server.endpoint, std::move(request), deadline, std::move(options));
     if (!called) {
         const bool isReached = called.error().progress != AttemptProgress::NothingWritten;
@@ -67,7 +68,7 @@
             isReached ? ServiceCallOutcome::Unknown : ServiceCallOutcome::NotReached, std::move(called.error().error));
     }
     const auto answer = context.protocol.decodeAnswer(called.value());
-    servers.recordAnswer(server, answer);
+    servers.recordAnswer(server, answer, sentAt);
     auto result = classifyAnswer(server, answer, std::move(called).value());
     servers.finish(server, toServerOutcome(answer, result), requirements);
     co_return result;
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -148,6 +148,8 @@
 /// @return whether it answered and is not busy.
 asio::awaitable<bool> WeightLoader::queryEngine(ServerRecord server)
 {
+    co_await this->servers.charge(server);
+    const auto sentAt = Clock::now();
     auto answered = co_await this->context.httpClient.call(
         server.endpoint, this->context.protocol.encodeReportQuery(server), Clock::now() + reportTimeout);
     if (!answered) {
@@ -155,7 +157,7 @@
             { { "server", server.name.value() }, { "error", answered.error().error.message } });
         co_return false;
     }
-    this->servers.recordAnswer(server, this->context.protocol.decodeAnswer(answered.value()));
+    this->servers.recordAnswer(server, this->context.protocol.decodeAnswer(answered.value()), sentAt);
     const auto report = this->context.protocol.decodeReport(answered.value());
     if (!report) {
         logEvent(LogLevel::Warning, "engine-report-refused",
@@ -170,6 +172,8 @@
 
 asio::awaitable<OrderResponse> WeightLoader::sendOrder(ServerRecord server, PlannedLoad load)
 {
+    // Before the lease is looked at, since another VM may be asked.
+    co_await this->servers.charge(server);
     const auto fencingNumber = this->lease.fencingNumberForOrder();
     if (!fencingNumber)
         co_return OrderResponse::FencedOff;
@@ -181,10 +185,11 @@
     order.fencingNumber = *fencingNumber;
     order.expectedOrders = this->engineOf(server).orders.value_or(0);
     this->orders.add();
+    const auto sentAt = Clock::now();
     const auto answered = co_await this->context.httpClient.call(
         server.endpoint, this->context.protocol.encodeOrder(order, server), Clock::now() + orderTimeout);
     if (answered)
-        this->servers.recordAnswer(server, this->context.protocol.decodeAnswer(answered.value()));
+        this->servers.recordAnswer(server, this->context.protocol.decodeAnswer(answered.value()), sentAt);
     const auto outcome = answered ? this->context.protocol.decodeOrder(answered.value()) : OrderResponse::Unknown;
     logEvent(LogLevel::Info, "load-ordered",
         { { "server", server.name.value() }, { "model", load.model.value() },
--- a/tests/src/gateway/unit-request_limit.cpp
+++ b/tests/src/gateway/unit-request_limit.cpp
@@ -138,6 +138,41 @@
     this->env->booking.faults.requestsPerSecond = 1;
     this->bookAtAll(1s);
     this->env->booking.faults.requestsPerSecond = -1;
-    CHECK_TRUE(waitFor([&] { return this->bookAtAll(200ms) == this->sent; }));
-    LONGS_EQUAL(0, this->sent - this->bookAtAll(1s));
+    CHECK_TRUE(waitFor([&] {
+        const auto answered = this->bookAtAll(200ms);
+        return answered == this->sent;
+    }));
+    const auto served = this->bookAtAll(1s);
+    LONGS_EQUAL(this->sent, served);
+}
+
+// The VM that keeps the budget of a server is lost, and its row in the store stays.
+TEST(RequestLimit, TheLossOfAVmNeitherStopsNorRaisesWhatALimitedServerGets)
+{
+    const auto& other = this->env->addWorker("i-app-2");
+    this->env->registerServer(other, "app");
+    this->startVms(4);
+    this->env->booking.faults.requestsPerSecond = 4;
+    const auto start = Clock::now() + 500ms;
+    while (this->env->gateways.size() > 1) {
+        const auto served = this->bookAtAll(2s);
+        LONGS_EQUAL(this->sent, served);
+        this->env->gateways.pop_back();
+    }
+    const auto before = this->env->booking.seen().size();
+    this->bookAtAll(6s);
+    CHECK_COMPARE(mostInWindow(this->env->booking, start), <=, allowedInWindow(4));
+    CHECK_COMPARE(this->env->booking.seen().size() - before, >=, 3);
+}
+
+TEST(RequestLimit, AMalformedQueryOfAnotherVmIsRefused)
+{
+    this->startVms(1);
+    const auto& vm = *this->env->gateways[0];
+    for (const std::string body : { "", "[]", "{}", R"({"server":1,"charge":false,"limit":{}})",
+             R"({"server":"i-app","charge":0,"limit":{"per_second":1,"age_ms":0}})",
+             R"({"server":"i-app","charge":false,"limit":{"per_second":"x","age_ms":0}})",
+             R"({"server":"i-app","charge":false,"limit":{"per_second":1,"age_ms":1e300}})" })
+        LONGS_EQUAL(400, this->env->call(vm.peers, "POST", "/request-quota", {}, body).status);
+    LONGS_EQUAL(200, this->env->book(vm, "r1").status);
 }
