Software versions of backend servers are read and logged

Whether a text or stream was made by servers of two versions could not be told from logs: the records' version was not read. Records, server-known and item-attempted have it. No decision changes.

--- a/include/topaztack/control/server_registry.hpp
+++ b/include/topaztack/control/server_registry.hpp
@@ -31,6 +31,8 @@
     DataCentre dataCentre;
     std::uint64_t slots { 1 };
     bool isLeaving { false };
+    /// Version of its software; empty if unknown. What servers of two versions generate doesn't fit together.
+    std::string softwareVersion;
     std::vector<LoadedModel> models;
     /// Start time of the process in milliseconds of Unix time, 0 if unknown. A later start under the same name is a new
     /// process that has no state of the previous one.
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -375,7 +375,8 @@
         attemptOutcome = AttemptOutcome::Interrupted;
     logEvent(LogLevel::Debug, "item-attempted",
         { { "job", this->job.id.value() }, { "item", item.item->id.value() }, { "server", server.name.value() },
-            { "attempt", std::to_string(item.attempts) }, { "end", std::string(attemptOutcomeName(attemptOutcome)) },
+            { "software", server.softwareVersion }, { "attempt", std::to_string(item.attempts) },
+            { "end", std::string(attemptOutcomeName(attemptOutcome)) },
             { "took_ms", std::to_string(toMilliseconds(Clock::now() - sentAt).count()) },
             { "last_event", std::to_string(item.text.lastEvent.value_or(0)) } });
     this->handleAttemptOutcome(item, server, attemptOutcome);
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -68,8 +68,8 @@
     if (isNew || known->isLeaving != record.isLeaving)
         logEvent(LogLevel::Info, isNew ? "server-known" : "server-leaving",
             { { "server", record.name.value() }, { "pool", record.pool.value() },
-                { "address", toText(record.endpoint) }, { "leaving", record.isLeaving ? "1" : "0" },
-                { "source", "record" } });
+                { "address", toText(record.endpoint) }, { "software", record.softwareVersion },
+                { "leaving", record.isLeaving ? "1" : "0" }, { "source", "record" } });
     putServer(this->servers, std::move(record));
 }
 
--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -68,6 +68,7 @@
     CHECK_FALSE(server.value().isLeaving);
     CHECK_TRUE(versionOf(server.value(), ModelName("m")) == WeightVersion(3));
     CHECK_TRUE(server.value().startedAt == 1800000000123ms);
+    STRCMP_EQUAL("v1", server.value().softwareVersion.c_str());
     CHECK_TRUE(decodeServer("i-1", replaced(wholeServer, "\"ready\"", "\"draining\"")).value().isLeaving);
 }
 
