--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -133,7 +133,11 @@
             + bookingTimeout
             + R"(,"targetLatencyMs":150,"service":"app","maxAttempts":2},)"
               R"({"name":"once","hostname":"a.example","prefix":"/u/","type":"unsafe","timeoutMs":2000,)"
-              R"("targetLatencyMs":150,"service":"app","maxAttempts":2}],)"
+              R"("targetLatencyMs":150,"service":"app","maxAttempts":2},)"
+              R"({"name":"stream","hostname":"a.example","prefix":"/s/","type":"streaming","resumable":true,"timeoutMs":8000,)"
+              R"("targetLatencyMs":400,"service":"lm","maxAttempts":3},)"
+              R"({"name":"once-stream","hostname":"a.example","prefix":"/o/","type":"streaming","timeoutMs":8000,)"
+              R"("targetLatencyMs":400,"service":"lm","maxAttempts":3}],)"
               R"("services":[{"name":"lm","engine":{"slots":4,"kvCapacity":1000,"models":[{"name":"m"}]}},{"name":"app"}],)"
               R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"idleTimeoutMs":15000}})";
     }
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -62,8 +62,9 @@
 std::string WorkerStandin::record(const std::string& pool, const std::string& state) const
 {
     return json::serialize(json::object { { "service", pool },
-        { "address", "127.0.0.1:" + std::to_string(this->server.port()) }, { "zone", "z1" }, { "version", "v1" },
-        { "slots", 4 }, { "state", state }, { "coldRemainingMs", 0 }, { "sequence", 1 },
+        { "address", "127.0.0.1:" + std::to_string(this->server.port()) }, { "zone", "z1" },
+        { "version", this->options.softwareVersion }, { "slots", 4 }, { "state", state }, { "coldRemainingMs", 0 },
+        { "sequence", 1 },
         { "models",
             json::array { json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } });
 }
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -58,6 +58,7 @@
     /// Events of a generation.
     int events { 5 };
     std::uint64_t version { 1 };
+    std::string softwareVersion { "v1" };
     /// Time to load weights.
     std::chrono::milliseconds loadTime { 0 };
     /// Time for a request that is no generation.
