Items go on only at servers of the software version that began them

Trainers were given texts of which one part was written by one software version and the rest by another. Cause: a text that broke off, was moved or taken over was resumed at any engine with fitting weights; the software version was not known. Class of the fault: an attribute of the server that began the work is not part of what the work requires of the next server. Fix: texts carry the software version that began them, also in the store and between jobs, and require it; if no server of it has been usable for 0.5 s, the text is restarted. Texts saved by earlier releases have no version and are restarted. Evidence: the test failed before.

--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -66,6 +66,8 @@
     std::optional<std::uint64_t> lastEvent;
     bool isComplete { false };
     std::optional<ItemScore> score {};
+    /// Version of the software that generated it; only a server of the same version may go on. Empty if unknown.
+    std::string softwareVersion {};
 };
 
 /// @brief Whether the text is complete and, if the item is scored, the answer to its own scoring call is known.
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -92,6 +92,8 @@
                 return false;
             }
             ++count;
+            attempt.text.softwareVersion = server.softwareVersion;
+            attempt.need.softwareVersion = server.softwareVersion;
         }
         return true;
     }
--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -41,11 +41,11 @@
 
     /// What decides which servers can take an item. If there is none for one item, there is none for another with the
     /// same key that needs as much memory or more.
-    using NeedKey = std::tuple<PoolName, ModelName, WeightVersion, WeightVersion>;
+    using NeedKey = std::tuple<PoolName, ModelName, WeightVersion, WeightVersion, std::optional<std::string>>;
 
     NeedKey keyOf(const ServerRequirements& need)
     {
-        return { need.pool, need.model, need.oldestVersion, need.exactVersion };
+        return { need.pool, need.model, need.oldestVersion, need.exactVersion, need.softwareVersion };
     }
 
 } // namespace
@@ -115,13 +115,13 @@
     for (const auto& need : unmet)
         ++counts[keyOf(need)];
     for (const auto& [key, count] : counts) {
-        const auto& [pool, model, oldest, exact] = key;
+        const auto& [pool, model, oldest, exact, software] = key;
         const auto engines = this->servers.countEngines(pool, model, oldest);
         logEvent(LogLevel::Info, "items-waiting",
             { { "pool", pool.value() }, { "model", model.value() }, { "items", std::to_string(count) },
                 { "oldest_version", std::to_string(oldest.value()) },
-                { "exact_version", std::to_string(exact.value()) }, { "engines", std::to_string(engines.known) },
-                { "with_version", std::to_string(engines.withVersion) },
+                { "exact_version", std::to_string(exact.value()) }, { "software", software.value_or("any") },
+                { "engines", std::to_string(engines.known) }, { "with_version", std::to_string(engines.withVersion) },
                 { "with_free_slot", std::to_string(engines.withFreeSlot) } });
     }
 }
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -26,6 +26,8 @@
     /// How long generations continue after their job has ended. The trainer's next job, which may reuse them, comes
     /// within this time.
     constexpr Duration endedJobGracePeriod = 2500ms;
+    /// How long no server of a software version may be usable before the texts that it began are given up.
+    constexpr Duration maxSoftwareAbsence = 500ms;
     /// Limit for the computed age, since the clocks of VMs may differ. No job that a trainer still waits for is older.
     constexpr std::chrono::milliseconds maxJobAge { 60'000 };
 
@@ -237,6 +239,8 @@
     need.oldestVersion = this->job.oldestVersion;
     if (item.route->isSingleVersion && !item.text.versions.empty())
         need.exactVersion = item.text.versions.front();
+    if (item.text.lastEvent)
+        need.softwareVersion = item.text.softwareVersion;
     const auto preferred = this->groupServers.find(item.item->group);
     if (preferred != this->groupServers.end())
         need.preferred = preferred->second;
@@ -261,6 +265,7 @@
     this->abortExpiredItems();
     if (!this->mayStart())
         return startable;
+    this->restartItemsWithoutSoftware();
     for (const auto& item : this->items) {
         if (item->phase == ItemPhase::Waiting && item->route)
             startable.push_back(item.get());
@@ -286,6 +291,34 @@
     return true;
 }
 
+/// Restarts the items whose text was begun by a software version of which no server has been usable for a while. A
+/// server that is merely full or suspected for a moment is waited for.
+void JobRunner::restartItemsWithoutSoftware()
+{
+    const auto now = Clock::now();
+    std::map<SoftwareKey, bool> isMissing;
+    for (const auto& item : this->items) {
+        if (item->phase != ItemPhase::Waiting || !item->route || !item->text.lastEvent)
+            continue;
+        const auto* pool = choosePool(*item->route, stableHash(item->item->id.value()));
+        if (!pool)
+            continue;
+        const SoftwareKey key { *pool, item->text.softwareVersion };
+        const auto [place, isNew] = isMissing.try_emplace(key);
+        if (isNew)
+            place->second = !this->servers.hasSoftware(key.first, key.second);
+        if (!place->second)
+            continue;
+        const auto since = this->softwareMissingSince.try_emplace(key, now).first->second;
+        if (now - since >= maxSoftwareAbsence)
+            this->restart(*item, "no server runs the software that began it");
+    }
+    std::erase_if(this->softwareMissingSince, [&isMissing](const auto& missing) {
+        const auto found = isMissing.find(missing.first);
+        return found == isMissing.end() || !found->second;
+    });
+}
+
 void JobRunner::leaveServers(const std::set<BackendName>& silent)
 {
     for (const auto& item : this->items) {
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -106,6 +106,9 @@
     boost::json::value dump() const;
 
 private:
+    /// A pool and the version of its servers' software.
+    using SoftwareKey = std::pair<PoolName, std::string>;
+
     void initializeItems(const InitialJobState& initial);
     boost::asio::awaitable<void> listResults();
     boost::asio::awaitable<void> writeHead();
@@ -117,6 +120,7 @@
     void handleScoringResult(ItemRun& item, const ServerRecord& server, const ServiceCallResult& result);
     void logScoring(const ItemRun& item, const ServerRecord& server, const ServiceCallResult& result, Duration took);
     void handleAttemptOutcome(ItemRun& item, const ServerRecord& server, AttemptOutcome attemptOutcome);
+    void restartItemsWithoutSoftware();
     void restart(ItemRun& item, std::string_view reason);
     void finish(ItemRun& item, ItemState state, std::string_view reason);
     bool mayStart() const;
@@ -151,6 +155,8 @@
     /// Items with complete texts that lack their score, those with the oldest texts first.
     std::vector<ItemRun*> unscored;
     std::map<GroupId, BackendName> groupServers;
+    /// Software versions of which no server is usable, and since when.
+    std::map<SoftwareKey, TimePoint> softwareMissingSince;
     const std::size_t carriedGroupCount;
     Notifier listingNotifier;
     std::optional<RunnerStopReason> stopReason;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -169,6 +169,8 @@
         if (refusing != usage.refusingUntil.end() && now < refusing->second)
             return false;
     }
+    if (requirements.softwareVersion && server.softwareVersion != *requirements.softwareVersion)
+        return false;
     if (requirements.model.value().empty())
         return true;
     // A generation can wait a little, so it avoids suspected servers. A plain request can't wait and takes one as a
@@ -336,6 +338,16 @@
     return count;
 }
 
+bool ServerTable::hasSoftware(const PoolName& pool, const std::string& softwareVersion)
+{
+    const auto now = Clock::now();
+    const auto& members = this->snapshotOf(pool, now).members;
+    return std::any_of(members.begin(), members.end(), [&softwareVersion, now](const PoolMember& member) {
+        return member.record->softwareVersion == softwareVersion && !member.record->isLeaving
+            && now >= member.usage->suspectedUntil && !member.usage->isSilent;
+    });
+}
+
 bool ServerTable::isWorthMoving(const ServerRecord& server, const ServerRequirements& requirements,
     const std::function<bool(bool isUrgent)>& mayMove)
 {
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -28,6 +28,8 @@
     WeightVersion oldestVersion;
     /// The only version that may serve it; 0 for any.
     WeightVersion exactVersion;
+    /// The only software version that may serve it, if another server began it.
+    std::optional<std::string> softwareVersion;
     /// Tokens of an engine's KV cache that the generation is expected to take.
     std::uint64_t tokens { 0 };
     /// Whether no caller waits for the request, so that it yields to those of callers.
@@ -122,6 +124,9 @@
     /// @brief The median over the pool's engines of the mean time between two events; empty if none was measured.
     std::optional<Duration> medianEventInterval(const PoolName& pool);
 
+    /// @brief Whether a server of the pool that is neither leaving nor suspected or silent runs this software version.
+    bool hasSoftware(const PoolName& pool, const std::string& softwareVersion);
+
     EngineCount countEngines(const PoolName& pool, const ModelName& model, WeightVersion oldest);
 
     /// @brief Whether a generation at this server should move to a faster one.
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -64,7 +64,7 @@
     {
         json::object object { { "id", id.value() }, { "output", progress.output },
             { "versions", versionsJson(progress.versions) }, { "last_event", *progress.lastEvent },
-            { "whole", progress.isComplete } };
+            { "software", progress.softwareVersion }, { "whole", progress.isComplete } };
         if (progress.score)
             object["score"]
                 = json::object { { "call", progress.score->call.value() }, { "value", progress.score->value } };
@@ -78,6 +78,9 @@
         progress.versions = parseVersions(value.at("versions"));
         progress.lastEvent = value.at("last_event").to_number<std::uint64_t>();
         progress.isComplete = value.at("whole").as_bool();
+        // Texts saved by earlier releases lack this field.
+        if (const auto* software = value.as_object().if_contains("software"))
+            progress.softwareVersion = json::value_to<std::string>(*software);
         if (const auto* score = value.as_object().if_contains("score"))
             progress.score = ItemScore { RequestId(json::value_to<std::string>(score->at("call"))),
                 json::value_to<std::string>(score->at("value")) };
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -55,12 +55,14 @@
     std::map<ItemId, ItemProgress> items;
     items[ItemId("a")] = { "one\ntwo", { WeightVersion(2), WeightVersion(3) }, 2, false };
     items[ItemId("none")] = {};
+    items[ItemId("a")].softwareVersion = "v1.1";
     const auto read = parseItemProgress(toText(items)).value();
     LONGS_EQUAL(1, read.size());
     const auto& progress = read.at(ItemId("a"));
     STRCMP_EQUAL("one\ntwo", progress.output.c_str());
     CHECK_TRUE(progress.versions == items.at(ItemId("a")).versions);
     LONGS_EQUAL(2, *progress.lastEvent);
+    STRCMP_EQUAL("v1.1", progress.softwareVersion.c_str());
     CHECK_FALSE(progress.isComplete);
     const auto bytes = toText(items);
     for (std::size_t length = 0; length < bytes.size(); ++length)
