Items are restarted for want of their software only if a server of another version can take them

An item whose only engine broke off again and again was restarted from its first event each time and never came to its end: the engine was suspected for longer than the 0.5 s after which its software counted as gone. Cause: didn't look whether any other server is usable.

--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -291,8 +291,8 @@
     return true;
 }
 
-/// Restarts the items whose text was begun by a software version of which no server has been usable for a while. A
-/// server that is merely full or suspected for a moment is waited for.
+/// Restarts the items whose text was begun by a software version of which no server has been usable for a while, though
+/// one of another version is. A server that is merely full or suspected for a moment is waited for.
 void JobRunner::restartItemsWithoutSoftware()
 {
     const auto now = Clock::now();
@@ -306,7 +306,8 @@
         const SoftwareKey key { *pool, item->text.softwareVersion };
         const auto [place, isNew] = isMissing.try_emplace(key);
         if (isNew)
-            place->second = !this->servers.hasSoftware(key.first, key.second);
+            place->second = !this->servers.hasUsableServer(key.first, key.second)
+                && this->servers.hasUsableServer(key.first, std::nullopt);
         if (!place->second)
             continue;
         const auto since = this->softwareMissingSince.try_emplace(key, now).first->second;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -338,13 +338,14 @@
     return count;
 }
 
-bool ServerTable::hasSoftware(const PoolName& pool, const std::string& softwareVersion)
+bool ServerTable::hasUsableServer(const PoolName& pool, const std::optional<std::string>& softwareVersion)
 {
     const auto now = Clock::now();
     const auto& members = this->snapshotOf(pool, now).members;
     return std::any_of(members.begin(), members.end(), [&softwareVersion, now](const PoolMember& member) {
-        return member.record->softwareVersion == softwareVersion && !member.record->isLeaving
-            && now >= member.usage->suspectedUntil && !member.usage->isSilent;
+        const bool isFitting = !softwareVersion || member.record->softwareVersion == *softwareVersion;
+        return isFitting && !member.record->isLeaving && now >= member.usage->suspectedUntil
+            && !member.usage->isSilent;
     });
 }
 
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -124,8 +124,9 @@
     /// @brief The median over the pool's engines of the mean time between two events; empty if none was measured.
     std::optional<Duration> medianEventInterval(const PoolName& pool);
 
-    /// @brief Whether a server of the pool that is neither leaving nor suspected or silent runs this software version.
-    bool hasSoftware(const PoolName& pool, const std::string& softwareVersion);
+    /// @brief Whether the pool has a server that is neither leaving nor suspected or silent.
+    /// @param softwareVersion the version that it must run; empty for any.
+    bool hasUsableServer(const PoolName& pool, const std::optional<std::string>& softwareVersion);
 
     EngineCount countEngines(const PoolName& pool, const ModelName& model, WeightVersion oldest);
 
