Callers' streams are forwarded event by event, resumed and taken up at the software version that began them

Cause: the forwarder reads an answer whole before it passes on a byte. Fix: each whole event goes on as it arrives, and a caller that reads slowly slows the reading from the server. A stream that may be resumed goes on within the same answer at another server of the software version that began it; without one, or when its attempts are used up, the connection is closed after a whole event. At the first event, three VMs in different data centres, found by the id of the attempt, are told the software version; the VM at which a caller takes the stream up asks them at once. If none knows, the version is taken for known only if no other was listed for 15 s, else the stream is refused as not run. A stalled stream is one without a whole event for 1.5 s or eight of its server's intervals; bytes don't extend that, and 1 MB without an event ends it. Streams that may run once are neither cut for a pause nor sent again. A caller that leaves frees the server at once. The choice of the VMs that keep shared state moves to policy/keepers.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -38,6 +38,12 @@
     std::optional<std::chrono::milliseconds> timeLimit;
     /// Number of the last event that the caller received, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
+    /// The attempt that brought the first event of that stream; empty if not stated.
+    RequestId resumedAttempt;
+    /// For generations: the model, and the tokens that the prompt has and the answer is expected to have.
+    ModelName model;
+    std::uint64_t promptTokens { 0 };
+    std::uint64_t expectedTokens { 0 };
     JobId job;
     ItemId item;
     /// Position of the first result to return.
@@ -157,8 +163,9 @@
     HttpResponse (*encodeResults)(const ResultPage&);
 
     /// Builds the request to a backend server from the caller's; `timeLeft` is the time until the caller's deadline.
-    HttpRequest (*encodeServiceRequest)(
-        const HttpRequest& original, const ServerRecord& server, std::chrono::milliseconds timeLeft);
+    /// With `lastEvent`, the server goes on after that event of the stream.
+    HttpRequest (*encodeServiceRequest)(const HttpRequest& original, const ServerRecord& server,
+        std::chrono::milliseconds timeLeft, std::optional<std::uint64_t> lastEvent);
     HttpRequest (*encodeItemRequest)(
         const JobSpec& job, const JobItem& item, const ServerRecord& server, std::optional<std::uint64_t> lastEvent);
     /// `timeLeft` is the time that the server may take.
--- a/include/topaztack/policy/request_quota.hpp
+++ b/include/topaztack/policy/request_quota.hpp
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <topaztack/base/ids.hpp>
 #include <topaztack/base/time.hpp>
 
 #include <cstddef>
 #include <optional>
-#include <vector>
 
 /// @file
 /// How VMs share the requests per second that a backend server takes from all of them together. For each server one VM
@@ -47,18 +45,6 @@
 /// @brief Time after the last use of the budget until it holds a request.
 Duration timeUntilRequest(const RequestBudget& budget, double rate);
 
-/// @brief A VM that may keep budgets.
-struct QuotaKeeper {
-    VmName name;
-    DataCentre dataCentre;
-};
-
-/// @brief The VMs that keep a server's budget, in the order in which they are asked: the next one only if those before
-/// it can't be reached. They are in different data centres as far as possible, and are the same on each VM that knows
-/// the same VMs.
-/// @return indices of at most three VMs.
-std::vector<std::size_t> rankKeepers(const BackendName& server, const std::vector<QuotaKeeper>& vms);
-
 /// @brief The part of the limit that a keeper may hand out. Those after the first one may be asked while it goes on, so
 /// theirs are small.
 /// @param rank its place in the order of rankKeepers(), from 0.
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -56,8 +56,10 @@
 #include <topaztack/policy/claim_batch.hpp>
 #include <topaztack/policy/claim_history.hpp>
 #include <topaztack/policy/class_queue.hpp>
+#include <topaztack/policy/event_stream.hpp>
 #include <topaztack/policy/home.hpp>
 #include <topaztack/policy/job_placement.hpp>
+#include <topaztack/policy/keepers.hpp>
 #include <topaztack/policy/outage_evidence.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/pool_scheduler.hpp>
--- a/include/topaztack/wire/sse.hpp
+++ b/include/topaztack/wire/sse.hpp
@@ -34,17 +34,29 @@
     /// @brief The next whole event that has data; nothing until more is fed. Comments are passed over.
     std::optional<SseEvent> nextEvent();
 
+    /// @brief The bytes of the event that nextEvent() returned last and of the comments before it, as received; after
+    /// nextEvent() returned nothing, those of comments that no event has followed yet. Valid until the next call.
+    std::string_view bytes() const;
+
     /// @brief The data of the next whole event; nothing until more is fed.
     std::optional<std::string> next();
 
     /// @brief Bytes held that make no whole event yet.
     std::size_t pending() const { return this->buffer.size() - this->start; }
 
+    /// @brief Bytes received since the last event. A sender may never complete another one, so callers limit them.
+    std::size_t sinceLastEvent() const { return this->buffer.size() - (this->hasEvent ? this->start : this->first); }
+
 private:
     std::optional<std::string_view> nextBlock();
 
     std::string buffer;
+    /// End of the blocks that were read.
     std::size_t start { 0 };
+    /// Start of what bytes() returns.
+    std::size_t first { 0 };
+    /// Whether bytes() ends with an event.
+    bool hasEvent { false };
 };
 
 /// @brief Prints one event with this data; the data must hold no line breaks.
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -124,7 +124,7 @@
     if (forwarding.isRepeatable() && forwarding.attempts < forwarding.route.maxAttempts)
         end = std::min<TimePoint>(end, now + repeatableAttemptTime(forwarding.route));
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - now));
-    auto request = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft);
+    auto request = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft, std::nullopt);
     CallControl control;
     exchange.onCallerGone([&control] { control.cancel(); });
     auto result = co_await callService(this->context, this->servers, std::move(request), forwarding.call.id, server,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 #include "request_quota.hpp"
 #include "server_table.hpp"
 #include "store_watch.hpp"
+#include "stream_forwarder.hpp"
+#include "stream_origins.hpp"
 #include "table_follower.hpp"
 #include "weight_loader.hpp"
 
@@ -92,6 +94,8 @@
     PeerDirectory peers;
     RequestQuota quota;
     ServerTable servers;
+    StreamOrigins streamOrigins;
+    StreamForwarder streams;
     JobStore jobStore;
     ItemDispatcher dispatcher;
     StoreWatch storeWatch;
@@ -115,8 +119,10 @@
     , peers(this->context)
     , quota(this->context, this->peers)
     , servers(this->context, this->quota)
+    , streamOrigins(this->context, this->peers)
+    , streams(this->context, this->servers, this->streamOrigins)
     , jobStore(this->context)
-    , dispatcher(this->context, this->servers)
+    , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
@@ -255,6 +261,8 @@
 {
     if (exchange.request().target == requestQuotaPath)
         co_await exchange.respond(this->quota.answer(exchange.request()));
+    else if (exchange.request().target == streamOriginPath)
+        co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
     else
         co_await this->jobCalls.handlePeer(exchange);
 }
@@ -277,6 +285,8 @@
     }
     if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
         co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call, route));
+    else if (route->kind == RouteKind::Streaming)
+        co_await this->streams.handle(exchange, call, *route);
     else
         co_await this->forwarder.handle(exchange, call, *route);
 }
@@ -286,6 +296,7 @@
     while (true) {
         this->servers.expire();
         this->quota.expire();
+        this->streamOrigins.expire();
         co_await pauseFor(expiryInterval);
     }
 }
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -1,6 +1,7 @@
 #include "item_attempt.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/event_stream.hpp>
 
 #include <algorithm>
 #include <array>
@@ -21,8 +22,6 @@
     constexpr Duration eventTimeout = 1500ms;
     /// How long a generation stays at a server before it may be moved to a faster one, and how often this is checked.
     constexpr Duration moveCheckInterval = 300ms;
-    /// The number of the first event of a generation.
-    constexpr std::uint64_t firstEventNumber = 1;
 
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusServerError = 500;
@@ -37,10 +36,9 @@
     /// @return false if the event does not follow the last one, or no version is known for it.
     bool appendEvent(ItemProgress& text, const GenerationEvent& event, std::optional<WeightVersion>& version)
     {
-        const auto expected = text.lastEvent ? *text.lastEvent + 1 : firstEventNumber;
         if (event.version)
             version = event.version;
-        if (event.number != expected || !version)
+        if (!isNextEvent(text.lastEvent, event.number) || !version)
             return false;
         addVersion(text, *version);
         if (text.lastEvent)
--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "item_run.hpp"
 #include "job_runner.hpp"
+#include "stream_forwarder.hpp"
 
 #include <topaztack/base/log.hpp>
 
@@ -50,9 +51,10 @@
 
 } // namespace
 
-ItemDispatcher::ItemDispatcher(GatewayContext& context, ServerTable& servers)
+ItemDispatcher::ItemDispatcher(GatewayContext& context, ServerTable& servers, StreamForwarder& streams)
     : context(context)
     , servers(servers)
+    , streams(streams)
 {
 }
 
@@ -139,6 +141,7 @@
     const auto silent = this->servers.takeSilentServers();
     if (silent.empty())
         return;
+    this->streams.leaveServers(silent);
     for (const auto& runner : open)
         runner->leaveServers(silent);
 }
--- a/src/gateway/item_dispatcher.hpp
+++ b/src/gateway/item_dispatcher.hpp
@@ -18,10 +18,11 @@
 namespace topaztack {
 
 class JobRunner;
+class StreamForwarder;
 
 class ItemDispatcher {
 public:
-    ItemDispatcher(GatewayContext& context, ServerTable& servers);
+    ItemDispatcher(GatewayContext& context, ServerTable& servers, StreamForwarder& streams);
 
     void start();
 
@@ -44,6 +45,7 @@
 
     GatewayContext& context;
     ServerTable& servers;
+    StreamForwarder& streams;
     std::vector<std::weak_ptr<JobRunner>> runners;
     std::map<ModelName, LengthModel> lengths;
     TimePoint waitingLoggedAt;
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -3,6 +3,7 @@
 #include "notifier.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/keepers.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -119,6 +120,28 @@
     return chosen;
 }
 
+std::vector<PeerRecord> PeerDirectory::keepersOf(std::string_view key) const
+{
+    std::vector<PeerRecord> records;
+    std::vector<KeeperCandidate> vms;
+    const auto add = [&](const PeerRecord& record) {
+        records.push_back(record);
+        vms.push_back({ record.vm.name, record.dataCentre });
+    };
+    if (!this->context.isDraining && this->firstPublishedAt) {
+        PeerRecord own;
+        own.vm = this->context.identity;
+        own.dataCentre = this->context.settings.dataCentre;
+        add(own);
+    }
+    for (const auto& [name, record] : this->peers)
+        add(record);
+    std::vector<PeerRecord> keepers;
+    for (const auto index : rankKeepers(key, vms))
+        keepers.push_back(records[index]);
+    return keepers;
+}
+
 /// Writes this VM's row and rewrites it periodically, so that rows of VMs that no longer exist can be recognised by
 /// their age.
 asio::awaitable<void> PeerDirectory::publish()
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -44,6 +44,9 @@
     /// @brief The other VMs that have a row.
     const std::map<VmName, PeerRecord>& known() const { return this->peers; }
 
+    /// @brief The VMs that keep the shared state of a key, this one possibly among them: see rankKeepers().
+    std::vector<PeerRecord> keepersOf(std::string_view key) const;
+
     /// @brief When this VM first wrote its row; empty before, and once it is removed.
     const std::optional<TimePoint>& publishedAt() const { return this->firstPublishedAt; }
 
--- a/src/gateway/request_quota.cpp
+++ b/src/gateway/request_quota.cpp
@@ -105,28 +105,6 @@
     return found == this->accounts.end() ? TimePoint() : found->second.availableAt;
 }
 
-std::vector<PeerRecord> RequestQuota::keepersOf(const BackendName& server) const
-{
-    std::vector<PeerRecord> records;
-    std::vector<QuotaKeeper> vms;
-    const auto add = [&](const PeerRecord& record) {
-        records.push_back(record);
-        vms.push_back({ record.vm.name, record.dataCentre });
-    };
-    if (!this->context.isDraining && this->peers.publishedAt()) {
-        PeerRecord own;
-        own.vm = this->context.identity;
-        own.dataCentre = this->context.settings.dataCentre;
-        add(own);
-    }
-    for (const auto& [name, record] : this->peers.known())
-        add(record);
-    std::vector<PeerRecord> keepers;
-    for (const auto index : rankKeepers(server, vms))
-        keepers.push_back(records[index]);
-    return keepers;
-}
-
 /// Decides as the VM that keeps the server's budget.
 RequestQuota::Decision RequestQuota::decide(const BackendName& server, Need need, TimePoint now)
 {
@@ -137,7 +115,7 @@
         decision.isAdmitted = true;
         return decision;
     }
-    const auto keepers = this->keepersOf(server);
+    const auto keepers = this->peers.keepersOf(server.value());
     const auto own = std::find_if(keepers.begin(), keepers.end(),
         [this](const PeerRecord& keeper) { return keeper.vm.name == this->context.identity.name; });
     const auto& publishedAt = this->peers.publishedAt();
@@ -193,7 +171,7 @@
     Decision decision;
     decision.retryAfter = undecidedPause;
     std::string decidedBy = "none";
-    for (const auto& keeper : this->keepersOf(server.name)) {
+    for (const auto& keeper : this->peers.keepersOf(server.name.value())) {
         const auto silent = this->silentKeepers.find(keeper.vm.name);
         if (silent != this->silentKeepers.end() && Clock::now() < silent->second)
             continue;
--- a/src/gateway/request_quota.hpp
+++ b/src/gateway/request_quota.hpp
@@ -68,7 +68,6 @@
     boost::asio::awaitable<std::optional<Decision>> ask(PeerRecord keeper, BackendName server, Need need);
     Decision decide(const BackendName& server, Need need, TimePoint now);
     void applyLimit(const BackendName& server, const LimitStatement& limit, std::string_view source);
-    std::vector<PeerRecord> keepersOf(const BackendName& server) const;
 
     GatewayContext& context;
     const PeerDirectory& peers;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -29,6 +29,9 @@
     constexpr double maxPreferredSlowness = 1.7;
     /// How long choices reuse what was looked up about a pool's servers: counts of other VMs and idle connections.
     constexpr Duration snapshotLifetime = 50ms;
+    /// Longer than a caller waits for a stream.
+    constexpr Duration softwareRetention = 15s;
+    constexpr Duration softwareRecordInterval = 500ms;
     /// Requests that one VM sends to a server of a plain service beyond its slots; they queue there.
     constexpr std::uint32_t maxQueuedPerServer = 4;
 
@@ -96,6 +99,8 @@
     }
     if (isFullTable)
         retainServers(this->servers, present, now);
+    if (!this->watchedSince)
+        this->watchedSince = now;
     this->snapshots.clear();
     this->changeNotifier.notify();
 }
@@ -109,6 +114,7 @@
         noteStoreRecovery(this->servers, now);
     }
     const bool isStoreUnreachable = contact.lostSince.has_value();
+    this->recordSoftware(now);
     this->snapshots.clear();
     for (const auto& name : removeExpiredServers(this->servers, now, isStoreUnreachable))
         logEvent(LogLevel::Info, "server-expired", { { "server", name.value() } });
@@ -119,6 +125,17 @@
     });
 }
 
+void ServerTable::recordSoftware(TimePoint now)
+{
+    if (now - this->softwareRecordedAt < softwareRecordInterval)
+        return;
+    this->softwareRecordedAt = now;
+    for (const auto& [name, entry] : this->servers.entries)
+        this->softwareSeen[entry.record.pool][entry.record.softwareVersion] = now;
+    for (auto& [pool, seen] : this->softwareSeen)
+        std::erase_if(seen, [now](const auto& each) { return now - each.second >= softwareRetention; });
+}
+
 const ServerRecord* ServerTable::find(const BackendName& name) const
 {
     const auto found = this->servers.entries.find(name);
@@ -221,7 +238,8 @@
     const auto& usage = *member.usage;
     const bool isGeneration = !requirements.model.value().empty();
     ServerLoad load;
-    load.allowance = static_cast<std::uint32_t>(server.slots) + (isGeneration ? 0 : maxQueuedPerServer);
+    const bool mayQueue = !isGeneration || requirements.hasCaller;
+    load.allowance = static_cast<std::uint32_t>(server.slots) + (mayQueue ? maxQueuedPerServer : 0);
     // A generation takes long compared with the round trip to another data centre.
     load.isLocal = isGeneration || server.dataCentre == this->context.settings.dataCentre;
     load.wasTried = !requirements.tried.empty() && requirements.tried.contains(server.name);
@@ -338,14 +356,29 @@
     return count;
 }
 
+std::optional<std::string> ServerTable::onlySoftware(const PoolName& pool) const
+{
+    const auto seen = this->softwareSeen.find(pool);
+    const bool isWatched = this->watchedSince && Clock::now() - *this->watchedSince >= softwareRetention;
+    if (!isWatched || seen == this->softwareSeen.end() || seen->second.size() != 1)
+        return std::nullopt;
+    return seen->second.begin()->first;
+}
+
+Duration ServerTable::eventInterval(const BackendName& name) const
+{
+    const auto usage = this->usageByServer.find(name);
+    const auto seconds = usage == this->usageByServer.end() ? 0 : usage->second.intervalSeconds;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 bool ServerTable::hasUsableServer(const PoolName& pool, const std::optional<std::string>& softwareVersion)
 {
     const auto now = Clock::now();
     const auto& members = this->snapshotOf(pool, now).members;
     return std::any_of(members.begin(), members.end(), [&softwareVersion, now](const PoolMember& member) {
         const bool isFitting = !softwareVersion || member.record->softwareVersion == *softwareVersion;
-        return isFitting && !member.record->isLeaving && now >= member.usage->suspectedUntil
-            && !member.usage->isSilent;
+        return isFitting && !member.record->isLeaving && now >= member.usage->suspectedUntil && !member.usage->isSilent;
     });
 }
 
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -34,6 +34,8 @@
     std::uint64_t tokens { 0 };
     /// Whether no caller waits for the request, so that it yields to those of callers.
     bool isBackground { false };
+    /// Whether a caller waits for the generation, so that it may queue at an engine whose slots are taken.
+    bool hasCaller { false };
     /// Server that is preferred for its prompt cache while it has room; empty for none.
     BackendName preferred;
 };
@@ -124,6 +126,13 @@
     /// @brief The median over the pool's engines of the mean time between two events; empty if none was measured.
     std::optional<Duration> medianEventInterval(const PoolName& pool);
 
+    /// @brief The software version of the pool's servers, if no other has been listed for longer than callers wait for
+    /// a stream.
+    std::optional<std::string> onlySoftware(const PoolName& pool) const;
+
+    /// @brief The mean time between two events of a generation at the server; 0 if none was measured.
+    Duration eventInterval(const BackendName& name) const;
+
     /// @brief Whether the pool has a server that is neither leaving nor suspected or silent.
     /// @param softwareVersion the version that it must run; empty for any.
     bool hasUsableServer(const PoolName& pool, const std::optional<std::string>& softwareVersion);
@@ -195,6 +204,7 @@
 
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
+    void recordSoftware(TimePoint now);
     PoolSnapshot& snapshotOf(const PoolName& pool, TimePoint now);
     bool canServe(const PoolMember& member, const ServerRequirements& requirements, TimePoint now) const;
     ServerLoad loadOf(const PoolMember& member, const ServerRequirements& requirements, const PoolSnapshot& snapshot,
@@ -213,6 +223,11 @@
     std::vector<ServerLoad> loads;
     Notifier changeNotifier;
     std::optional<TimePoint> storeRegainedAt;
+    /// When servers of each software version were last listed.
+    std::map<PoolName, std::map<std::string, TimePoint>> softwareSeen;
+    TimePoint softwareRecordedAt;
+    /// Since when the servers are known without a gap; empty before the first full read.
+    std::optional<TimePoint> watchedSince;
 };
 
 } // namespace topaztack
--- /dev/null
+++ b/src/gateway/stream_forwarder.cpp
@@ -0,0 +1,410 @@
+#include "stream_forwarder.hpp"
+
+#include "error_responses.hpp"
+#include "service_call.hpp"
+
+#include <topaztack/base/log.hpp>
+#include <topaztack/policy/event_stream.hpp>
+#include <topaztack/wire/sse.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// Retry-After of a stream that was refused because no server was free.
+    constexpr std::chrono::milliseconds refusalRetryAfter { 100 };
+    /// Servers that can't be reached don't count as attempts; after this many of them the stream fails.
+    constexpr std::uint64_t maxUnreachedServers = 4;
+    /// How long a stream waits for a server that can go on with it; then the caller may do better at another VM.
+    constexpr Duration maxResumeWait = 1s;
+    constexpr Duration serverCheckInterval = 50ms;
+    constexpr std::size_t maxPlainAnswer = 1024 * 1024;
+    constexpr std::uint64_t maxTokens = 1'000'000;
+    constexpr unsigned statusOk = 200;
+
+    bool isEventStream(const HttpResponse& head)
+    {
+        return head.status == statusOk && findHeader(head.headers, "Content-Encoding").empty();
+    }
+
+} // namespace
+
+/// How an attempt at one server ended.
+enum class StreamForwarder::AttemptEnd : std::uint8_t {
+    /// The whole answer was passed on.
+    Complete,
+    CallerGone,
+    /// No byte of the request was written.
+    NotReached,
+    /// The server stated that it did not run the request.
+    Refused,
+    /// Another server has the address now.
+    Replaced,
+    /// The server sent no event in time, or broke off, or what it sent is not valid.
+    Broken,
+};
+
+/// State of one caller's stream.
+struct StreamForwarder::Forwarding {
+    const CallerRequest& call;
+    const Route& route;
+    TimePoint startedAt;
+    TimePoint deadline;
+    ServerRequirements requirements;
+    /// Servers to which the stream was sent and that may have run it.
+    std::uint64_t attempts { 0 };
+    std::uint64_t unreached { 0 };
+    /// Number of the last event that the caller has.
+    std::optional<std::uint64_t> lastEvent;
+    std::uint64_t events { 0 };
+    TimePoint lastEventAt;
+    bool hasBegun { false };
+    bool mayHaveRun { false };
+    bool isCallerGone { false };
+    bool isComplete { false };
+    std::optional<Error> problem;
+
+    bool isResumable() const { return this->route.isResumable; }
+    bool mayAttempt() const
+    {
+        return this->attempts < this->route.maxAttempts && this->unreached < maxUnreachedServers
+            && (this->isResumable() || !this->mayHaveRun) && Clock::now() < this->deadline;
+    }
+};
+
+StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins)
+    : context(context)
+    , servers(servers)
+    , origins(origins)
+    , resumes(context.metrics.counter(
+          "topaztack_streams_resumed_total", "Callers' streams that went on at another server within an answer"))
+    , takenUp(context.metrics.counter("topaztack_streams_taken_up_total", "Streams that callers took up again"))
+    , originsUnknown(context.metrics.counter("topaztack_stream_origins_unknown_total",
+          "Streams that callers took up and that were refused since no VM knew which software began them"))
+    , firstEventTime(context.metrics.latency("topaztack_stream_first_event_seconds", "Time to a stream's first event"))
+    , eventGap(context.metrics.latency("topaztack_stream_event_gap_seconds", "Time between two events of a stream"))
+{
+}
+
+asio::awaitable<void> StreamForwarder::handle(HttpExchange& exchange, const CallerRequest& call, const Route& route)
+{
+    Forwarding forwarding { .call = call, .route = route };
+    forwarding.startedAt = Clock::now();
+    forwarding.lastEventAt = forwarding.startedAt;
+    forwarding.deadline = forwarding.startedAt + std::min(call.timeLimit.value_or(route.timeout), route.timeout);
+    forwarding.lastEvent = call.lastEvent;
+    auto& need = forwarding.requirements;
+    const auto* pool = choosePool(route, this->context.random.next());
+    if (pool)
+        need.pool = *pool;
+    need.model = call.model;
+    need.tokens = std::min(call.promptTokens, maxTokens) + std::min(call.expectedTokens, maxTokens);
+    need.hasCaller = true;
+    const bool isOriginKnown = co_await this->findOrigin(exchange, forwarding);
+    if (isOriginKnown)
+        co_await this->forward(exchange, forwarding);
+    if (!forwarding.hasBegun && !forwarding.isCallerGone)
+        co_await exchange.respond(this->failureResponse(forwarding));
+    this->finish(exchange, forwarding);
+}
+
+/// For a stream that the caller takes up: finds the software version that began it.
+asio::awaitable<bool> StreamForwarder::findOrigin(HttpExchange& exchange, Forwarding& forwarding)
+{
+    const auto& call = forwarding.call;
+    if (!call.lastEvent)
+        co_return true;
+    if (!forwarding.isResumable()) {
+        forwarding.problem = makeError(ErrorKind::BadRequest, "the route's streams can't be resumed");
+        co_return false;
+    }
+    this->takenUp.add();
+    auto origin = co_await this->origins.find(call.resumedAttempt);
+    if (!origin)
+        origin = this->servers.onlySoftware(forwarding.requirements.pool);
+    forwarding.isCallerGone = exchange.isCallerGone();
+    if (origin) {
+        forwarding.requirements.softwareVersion = std::move(origin);
+        co_return true;
+    }
+    this->originsUnknown.add();
+    forwarding.problem = makeError(ErrorKind::NoBackendServer, "no VM knows which software version began the stream");
+    co_return false;
+}
+
+asio::awaitable<std::optional<ServerRecord>> StreamForwarder::chooseServer(
+    HttpExchange& exchange, Forwarding& forwarding)
+{
+    const auto now = Clock::now();
+    const Duration wait = forwarding.hasBegun ? maxResumeWait : Duration(forwarding.route.latencyObjective) / 4;
+    const auto end = std::min(forwarding.deadline, now + wait);
+    while (!exchange.isCallerGone()) {
+        auto server = this->servers.acquire(forwarding.requirements);
+        if (server && co_await this->servers.admit(*server))
+            co_return std::move(server);
+        if (server) {
+            this->servers.finish(*server, ServerOutcome::Cancelled, forwarding.requirements);
+            continue;
+        }
+        const auto asked = Clock::now();
+        if (asked >= end)
+            break;
+        co_await this->servers.changed().waitUntil(std::min<TimePoint>(end, asked + serverCheckInterval));
+    }
+    co_return std::nullopt;
+}
+
+bool StreamForwarder::mayContinue(const Forwarding& forwarding, AttemptEnd end) const
+{
+    return end != AttemptEnd::Complete && end != AttemptEnd::CallerGone && forwarding.mayAttempt();
+}
+
+asio::awaitable<void> StreamForwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
+{
+    AttemptEnd end = AttemptEnd::Refused;
+    while (this->mayContinue(forwarding, end)) {
+        auto server = co_await this->chooseServer(exchange, forwarding);
+        if (!server)
+            break;
+        if (forwarding.hasBegun) {
+            this->resumes.add();
+            logEvent(LogLevel::Info, "stream-resumed",
+                { { "id", forwarding.call.id.value() }, { "server", server->name.value() },
+                    { "software", server->softwareVersion },
+                    { "last_event", std::to_string(forwarding.lastEvent.value_or(0)) } });
+        }
+        forwarding.requirements.tried.insert(server->name);
+        Attempt attempt(std::move(*server));
+        attempt.isResumable = forwarding.isResumable();
+        this->open.push_back(attempt);
+        end = co_await this->attempt(exchange, forwarding, attempt);
+    }
+    forwarding.isCallerGone = end == AttemptEnd::CallerGone || exchange.isCallerGone();
+    forwarding.isComplete = end == AttemptEnd::Complete;
+}
+
+asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::attempt(
+    HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt)
+{
+    const auto& server = attempt.server;
+    const auto sentAt = Clock::now();
+    const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - sentAt));
+    auto request
+        = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft, forwarding.lastEvent);
+    CallOptions options;
+    options.control = &attempt.control;
+    options.accepts = [this, &forwarding](const HttpResponse& response) {
+        const auto answered = this->context.protocol.decodeAnswer(response).request;
+        return answered.value().empty() || answered == forwarding.call.id;
+    };
+    exchange.onCallerGone([&attempt] { attempt.control.cancel(); });
+    // Only a stream that may be resumed can be tried elsewhere once it was sent.
+    auto headDeadline = forwarding.deadline;
+    if (forwarding.isResumable() && forwarding.attempts + 1 < forwarding.route.maxAttempts)
+        headDeadline = std::min<TimePoint>(headDeadline,
+            sentAt + firstEventTimeLimit(forwarding.route.latencyObjective, this->servers.eventInterval(server.name)));
+    auto opened
+        = co_await this->context.httpClient.open(server.endpoint, std::move(request), headDeadline, std::move(options));
+    auto end = AttemptEnd::Broken;
+    if (!opened) {
+        const bool isReached = opened.error().progress != AttemptProgress::NothingWritten;
+        end = isReached ? AttemptEnd::Broken : AttemptEnd::NotReached;
+        forwarding.problem = std::move(opened.error().error);
+    } else {
+        const auto answer = this->context.protocol.decodeAnswer(opened.value()->head());
+        this->servers.recordAnswer(server, answer, sentAt);
+        if (answer.isOtherServer || answer.saysNotRun) {
+            end = answer.isOtherServer ? AttemptEnd::Replaced : AttemptEnd::Refused;
+            forwarding.problem = makeError(ErrorKind::Overloaded,
+                server.name.value() + " refused with " + std::to_string(opened.value()->head().status));
+        } else if (answer.serverStamp.empty()) {
+            forwarding.problem = makeError(
+                ErrorKind::BackendAnswerMalformed, server.name.value() + " answered without its server stamp");
+        } else if (isEventStream(opened.value()->head())) {
+            end = co_await this->passEvents(exchange, forwarding, attempt, *opened.value());
+        } else {
+            end = co_await this->passAnswer(exchange, forwarding, attempt, *opened.value());
+        }
+    }
+    exchange.onCallerGone({});
+    if (exchange.isCallerGone())
+        end = AttemptEnd::CallerGone;
+    if (end == AttemptEnd::NotReached)
+        ++forwarding.unreached;
+    const bool mayHaveRun = end == AttemptEnd::Broken || end == AttemptEnd::Complete || end == AttemptEnd::CallerGone;
+    forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
+    forwarding.attempts += mayHaveRun ? 1 : 0;
+    static constexpr std::array<ServerOutcome, 6> outcomes { ServerOutcome::Answered, ServerOutcome::Cancelled,
+        ServerOutcome::Failed, ServerOutcome::Refused, ServerOutcome::Replaced, ServerOutcome::Failed };
+    this->servers.finish(server, outcomes.at(static_cast<std::size_t>(end)), forwarding.requirements);
+    co_return end;
+}
+
+/// Passes on an answer that is not a stream, such as the server's own failure, unless another server may be tried.
+asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::passAnswer(
+    HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream)
+{
+    auto response = stream.head();
+    forwarding.problem = makeError(
+        ErrorKind::BackendBroke, attempt.server.name.value() + " answered " + std::to_string(response.status));
+    const bool mayTryAnother = forwarding.isResumable() && forwarding.attempts + 1 < forwarding.route.maxAttempts;
+    const bool isEncoded = !findHeader(response.headers, "Content-Encoding").empty();
+    if (forwarding.hasBegun || isEncoded || (isServerError(response.status) && mayTryAnother))
+        co_return AttemptEnd::Broken;
+    while (true) {
+        const auto piece = co_await stream.read(forwarding.deadline);
+        if (!piece || response.body.size() > maxPlainAnswer)
+            co_return AttemptEnd::Broken;
+        if (piece.value().empty())
+            break;
+        response.body += piece.value();
+    }
+    std::erase_if(response.headers, [](const HttpHeader& header) { return isConnectionHeader(header.name); });
+    forwarding.hasBegun = true;
+    const bool isDelivered = co_await exchange.respond(std::move(response));
+    co_return isDelivered ? AttemptEnd::Complete : AttemptEnd::CallerGone;
+}
+
+/// Passes on bytes of whole events, with the head of the first server before the first of them.
+asio::awaitable<bool> StreamForwarder::passBytes(
+    HttpExchange& exchange, Forwarding& forwarding, const HttpStream& stream, std::string_view bytes)
+{
+    if (!forwarding.hasBegun) {
+        auto head = stream.head();
+        std::erase_if(head.headers, [](const HttpHeader& header) { return isConnectionHeader(header.name); });
+        forwarding.hasBegun = true;
+        if (!co_await exchange.beginStream(std::move(head)))
+            co_return false;
+    }
+    co_return co_await exchange.writeChunk(bytes);
+}
+
+void StreamForwarder::recordFirstEvent(Forwarding& forwarding, const ServerRecord& server)
+{
+    if (!forwarding.call.lastEvent)
+        this->firstEventTime.record(Clock::now() - forwarding.startedAt);
+    forwarding.requirements.softwareVersion = server.softwareVersion;
+    const auto& resumed = forwarding.call.resumedAttempt;
+    const bool isResumed = forwarding.call.lastEvent && !resumed.value().empty();
+    if (forwarding.isResumable())
+        this->origins.record(isResumed ? resumed : forwarding.call.id, server.softwareVersion);
+}
+
+asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::passEvents(
+    HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream)
+{
+    const auto& server = attempt.server;
+    const auto broken = [&forwarding, &server](const std::string& what) {
+        forwarding.problem = makeError(ErrorKind::BackendBroke, server.name.value() + ": " + what);
+        return AttemptEnd::Broken;
+    };
+    SseReader reader;
+    std::uint64_t count = 0;
+    auto eventAt = Clock::now();
+    while (true) {
+        const auto interval = this->servers.eventInterval(server.name);
+        // A stream that runs once can't go on elsewhere, so a pause is no reason to end it.
+        const auto limit = forwarding.isResumable()
+            ? std::min<TimePoint>(forwarding.deadline, eventAt + eventTimeLimit(interval))
+            : forwarding.deadline;
+        const auto piece = co_await stream.read(limit);
+        if (attempt.isServerSilent)
+            co_return broken("silent on all of its streams");
+        if (!piece)
+            co_return broken(piece.error().error.message);
+        if (piece.value().empty())
+            break;
+        this->servers.recordActivity(server.name);
+        reader.feed(piece.value());
+        const auto before = count;
+        const auto arrivedAt = Clock::now();
+        while (const auto event = reader.nextEvent()) {
+            const auto decoded = this->context.protocol.decodeEvent(*event);
+            if (!decoded)
+                co_return broken(decoded.error().message);
+            if (!isNextEvent(forwarding.lastEvent, decoded.value().number))
+                co_return broken("an event is out of order");
+            if (++count == 1)
+                this->recordFirstEvent(forwarding, server);
+            // Counted before it is written: what may have reached the caller must not come again.
+            forwarding.lastEvent = decoded.value().number;
+            ++forwarding.events;
+            if (!co_await this->passBytes(exchange, forwarding, stream, reader.bytes()))
+                co_return AttemptEnd::CallerGone;
+        }
+        if (reader.sinceLastEvent() > maxEventSize)
+            co_return broken("its bytes make no event");
+        if (count > before) {
+            if (before > 0) {
+                const auto gap = (arrivedAt - eventAt) / static_cast<std::int64_t>(count - before);
+                this->servers.recordEventInterval(server.name, gap);
+                this->eventGap.record(gap);
+            }
+            // The time in which the caller didn't read is not the server's.
+            eventAt = Clock::now();
+        }
+    }
+    if (reader.pending() > 0 || !forwarding.lastEvent)
+        co_return broken("the stream ended within an event or without any");
+    const bool isEnded
+        = co_await this->passBytes(exchange, forwarding, stream, reader.bytes()) && co_await exchange.endStream();
+    co_return isEnded ? AttemptEnd::Complete : AttemptEnd::CallerGone;
+}
+
+void StreamForwarder::leaveServers(const std::set<BackendName>& silent)
+{
+    for (auto& attempt : this->open) {
+        if (!attempt.isResumable || !silent.contains(attempt.server.name))
+            continue;
+        attempt.isServerSilent = true;
+        attempt.control.cancel();
+    }
+}
+
+HttpResponse StreamForwarder::failureResponse(const Forwarding& forwarding)
+{
+    const auto& id = forwarding.call.id;
+    if (forwarding.mayHaveRun)
+        return mayHaveRunResponse(forwarding.problem.value_or(makeError(
+                                      ErrorKind::BackendTimeout, "no backend server answered before the deadline")),
+            id);
+    const auto error = forwarding.problem.value_or(makeError(
+        ErrorKind::NoBackendServer, "pool `" + forwarding.requirements.pool.value() + "` has no free server"));
+    if (error.kind == ErrorKind::BadRequest)
+        return errorResponse(error, id.value());
+    const auto admission = toMilliseconds(this->servers.timeUntilAdmission(forwarding.requirements.pool));
+    return notRunResponse(error, id, std::max(refusalRetryAfter, admission));
+}
+
+void StreamForwarder::finish(const HttpExchange& exchange, const Forwarding& forwarding)
+{
+    const bool isCallerGone = forwarding.isCallerGone || exchange.isCallerGone();
+    std::string_view outcome = "broken-off";
+    if (forwarding.isComplete)
+        outcome = "complete";
+    else if (isCallerGone)
+        outcome = "caller-gone";
+    else if (!forwarding.hasBegun)
+        outcome = forwarding.mayHaveRun ? "failed" : "refused";
+    this->context.metrics
+        .counter(
+            "topaztack_streams_total", "Callers' streams by outcome", R"(outcome=")" + std::string(outcome) + R"(")")
+        .add();
+    logEvent(forwarding.isComplete ? LogLevel::Debug : LogLevel::Info, "stream-ended",
+        { { "id", forwarding.call.id.value() }, { "route", forwarding.route.name.value() },
+            { "outcome", std::string(outcome) }, { "events", std::to_string(forwarding.events) },
+            { "last_event", std::to_string(forwarding.lastEvent.value_or(0)) },
+            { "resumes", forwarding.call.resumedAttempt.value() },
+            { "software", forwarding.requirements.softwareVersion.value_or("none") },
+            { "attempts", std::to_string(forwarding.attempts) },
+            { "took_ms", std::to_string(toMilliseconds(Clock::now() - forwarding.startedAt).count()) },
+            { "error", !forwarding.isComplete && forwarding.problem ? forwarding.problem->message : "" } });
+}
+
+} // namespace topaztack
--- /dev/null
+++ b/src/gateway/stream_forwarder.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "context.hpp"
+#include "server_table.hpp"
+#include "stream_origins.hpp"
+
+#include <topaztack/wire/http_server.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include <set>
+
+/// @file
+/// Forwards callers' streams event by event. A stream that may be resumed goes on within the same answer at another
+/// server of the software version that began it, and a caller may take it up at any VM.
+
+namespace topaztack {
+
+class StreamForwarder {
+public:
+    StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins);
+
+    boost::asio::awaitable<void> handle(HttpExchange& exchange, const CallerRequest& call, const Route& route);
+
+    /// @brief Ends the attempts of streams that may be resumed at servers that stopped sending.
+    void leaveServers(const std::set<BackendName>& silent);
+
+private:
+    struct Forwarding;
+    enum class AttemptEnd : std::uint8_t;
+
+    /// One attempt at a server; listed while it lives.
+    struct Attempt : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        explicit Attempt(ServerRecord server)
+            : server(std::move(server))
+        {
+        }
+
+        const ServerRecord server;
+        CallControl control;
+        bool isResumable { false };
+        /// The server stopped sending on all of its streams.
+        bool isServerSilent { false };
+    };
+
+    boost::asio::awaitable<bool> findOrigin(HttpExchange& exchange, Forwarding& forwarding);
+    boost::asio::awaitable<void> forward(HttpExchange& exchange, Forwarding& forwarding);
+    boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
+    boost::asio::awaitable<AttemptEnd> attempt(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt);
+    boost::asio::awaitable<AttemptEnd> passAnswer(
+        HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream);
+    boost::asio::awaitable<AttemptEnd> passEvents(
+        HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream);
+    boost::asio::awaitable<bool> passBytes(
+        HttpExchange& exchange, Forwarding& forwarding, const HttpStream& stream, std::string_view bytes);
+    void recordFirstEvent(Forwarding& forwarding, const ServerRecord& server);
+    bool mayContinue(const Forwarding& forwarding, AttemptEnd end) const;
+    HttpResponse failureResponse(const Forwarding& forwarding);
+    void finish(const HttpExchange& exchange, const Forwarding& forwarding);
+
+    using OpenAttempts = boost::intrusive::list<Attempt, boost::intrusive::constant_time_size<false>>;
+
+    GatewayContext& context;
+    ServerTable& servers;
+    StreamOrigins& origins;
+    OpenAttempts open;
+    Counter& resumes;
+    Counter& takenUp;
+    Counter& originsUnknown;
+    LatencyHistogram& firstEventTime;
+    LatencyHistogram& eventGap;
+};
+
+} // namespace topaztack
--- a/src/wire/sse.cpp
+++ b/src/wire/sse.cpp
@@ -51,9 +51,12 @@
 
 void SseReader::feed(std::string_view piece)
 {
-    if (this->start > compactAbove) {
-        this->buffer.erase(0, this->start);
-        this->start = 0;
+    const auto used = this->hasEvent ? this->start : this->first;
+    if (used > compactAbove) {
+        this->buffer.erase(0, used);
+        this->start -= used;
+        this->first = 0;
+        this->hasEvent = false;
     }
     this->buffer += piece;
 }
@@ -77,14 +80,23 @@
 
 std::optional<SseEvent> SseReader::nextEvent()
 {
+    if (this->hasEvent)
+        this->first = this->start;
+    this->hasEvent = false;
     while (const auto block = this->nextBlock()) {
         auto event = toEvent(*block);
+        this->hasEvent = event.has_value();
         if (event)
             return event;
     }
     return std::nullopt;
 }
 
+std::string_view SseReader::bytes() const
+{
+    return std::string_view(this->buffer).substr(this->first, this->start - this->first);
+}
+
 std::optional<std::string> SseReader::next()
 {
     auto event = this->nextEvent();
--- a/tests/src/policy/unit-request_quota.cpp
+++ b/tests/src/policy/unit-request_quota.cpp
@@ -1,3 +1,4 @@
+#include <topaztack/policy/keepers.hpp>
 #include <topaztack/policy/request_quota.hpp>
 
 #include <topaztack/base/random.hpp>
@@ -33,9 +34,9 @@
     return most;
 }
 
-std::vector<QuotaKeeper> makeVms(std::size_t count, std::size_t dataCentres)
+std::vector<KeeperCandidate> makeVms(std::size_t count, std::size_t dataCentres)
 {
-    std::vector<QuotaKeeper> vms;
+    std::vector<KeeperCandidate> vms;
     for (std::size_t vm = 0; vm < count; ++vm)
         vms.push_back({ VmName("vm-" + std::to_string(vm)), DataCentre("z" + std::to_string(vm % dataCentres)) });
     return vms;
@@ -45,14 +46,14 @@
 struct Deployment {
     double perSecond { 1 };
     double demand { 10 };
-    std::vector<QuotaKeeper> vms;
+    std::vector<KeeperCandidate> vms;
     /// Whether a VM reaches a keeper at a moment.
     std::function<bool(std::size_t vm, std::size_t keeper, Duration at)> reaches
         = [](std::size_t, std::size_t, Duration) { return true; };
 
     std::vector<TimePoint> play(Duration length, std::uint64_t seed) const
     {
-        const auto keepers = rankKeepers(BackendName("i-1"), this->vms);
+        const auto keepers = rankKeepers("i-1", this->vms);
         std::vector<RequestBudget> budgets(keepers.size());
         std::vector<TimePoint> sent;
         Random random { seed };
@@ -96,7 +97,7 @@
         Deployment deployment { .perSecond = perSecond, .demand = 20 * perSecond, .vms = makeVms(30, 3) };
         const auto cutModulus = static_cast<std::size_t>(*rc::gen::inRange(2, 9));
         const auto cutAt = std::chrono::milliseconds(*rc::gen::inRange(0, 15'000));
-        const auto first = rankKeepers(BackendName("i-1"), deployment.vms).front();
+        const auto first = rankKeepers("i-1", deployment.vms).front();
         deployment.reaches = [=](std::size_t vm, std::size_t keeper, Duration at) {
             return keeper != first || at < cutAt || vm % cutModulus != 0;
         };
@@ -109,7 +110,7 @@
 TEST(RequestQuota, WithoutItsFirstKeeperAServerStillGetsAPartOfItsLimit)
 {
     Deployment deployment { .perSecond = 5, .demand = 50, .vms = makeVms(11, 3) };
-    const auto first = rankKeepers(BackendName("i-1"), deployment.vms).front();
+    const auto first = rankKeepers("i-1", deployment.vms).front();
     deployment.reaches = [first](std::size_t, std::size_t keeper, Duration) { return keeper != first; };
     const auto sent = deployment.play(30s, 3);
     CHECK_TRUE(sent.size() >= 25);
@@ -119,7 +120,7 @@
 TEST(RequestQuota, KeepersAreTheSameOnEachVmAndInDifferentDataCentres)
 {
     auto vms = makeVms(11, 3);
-    const auto keepers = rankKeepers(BackendName("i-1"), vms);
+    const auto keepers = rankKeepers("i-1", vms);
     LONGS_EQUAL(3, keepers.size());
     std::set<DataCentre> dataCentres;
     std::vector<VmName> names;
@@ -129,11 +130,11 @@
     }
     LONGS_EQUAL(3, dataCentres.size());
     std::reverse(vms.begin(), vms.end());
-    const auto others = rankKeepers(BackendName("i-1"), vms);
+    const auto others = rankKeepers("i-1", vms);
     for (std::size_t rank = 0; rank < others.size(); ++rank)
         CHECK_TRUE(vms[others[rank]].name == names[rank]);
-    LONGS_EQUAL(1, rankKeepers(BackendName("i-1"), makeVms(1, 1)).size());
-    LONGS_EQUAL(0, rankKeepers(BackendName("i-1"), {}).size());
+    LONGS_EQUAL(1, rankKeepers("i-1", makeVms(1, 1)).size());
+    LONGS_EQUAL(0, rankKeepers("i-1", {}).size());
 }
 
 TEST(RequestQuota, ServersAreSpreadOverTheVms)
@@ -141,7 +142,7 @@
     const auto vms = makeVms(20, 4);
     std::set<std::size_t> first;
     for (int server = 0; server < 60; ++server)
-        first.insert(rankKeepers(BackendName("i-" + std::to_string(server)), vms).front());
+        first.insert(rankKeepers("i-" + std::to_string(server), vms).front());
     CHECK_TRUE(first.size() >= 15);
 }
 
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -18,6 +18,7 @@
 
     constexpr std::chrono::milliseconds slowEventTime { 500 };
     constexpr std::chrono::milliseconds silenceCheckInterval { 10 };
+    constexpr std::chrono::milliseconds dribbleInterval { 100 };
 
     std::string headerOf(const HttpRequest& request, std::string_view name)
     {
@@ -127,6 +128,25 @@
     co_return answerTo(request, 202);
 }
 
+/// Sends bytes that complete no event until the caller closes the connection.
+asio::awaitable<void> WorkerStandin::sendNoEvents(HttpExchange& exchange)
+{
+    static constexpr std::size_t floodPiece = 64 * 1024;
+    const std::string flood(floodPiece, 'x');
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    bool isComment = true;
+    while (!exchange.isCallerGone()) {
+        const auto piece = this->faults.floodsAfter > 0 ? flood : std::string(isComment ? ": still here\n\n" : "d");
+        isComment = false;
+        if (!co_await exchange.writeChunk(piece))
+            co_return;
+        if (this->faults.floodsAfter > 0)
+            continue;
+        timer.expires_after(dribbleInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 asio::awaitable<void> WorkerStandin::generate(HttpExchange& exchange)
 {
     const auto& request = exchange.request();
@@ -149,6 +169,12 @@
     for (int event = first; event <= this->options.events && !exchange.isCallerGone(); ++event) {
         if (this->faults.breakAfter > 0 && made++ == this->faults.breakAfter)
             co_return;
+        const bool isStalled = (this->faults.dribblesAfter > 0 && event - first == this->faults.dribblesAfter)
+            || (this->faults.floodsAfter > 0 && event - first == this->faults.floodsAfter);
+        if (isStalled) {
+            co_await this->sendNoEvents(exchange);
+            co_return;
+        }
         const bool isSlow = !id.empty() && id == this->faults.slowItem;
         timer.expires_after(isSlow ? slowEventTime : this->faults.eventTime.load());
         co_await timer.async_wait(asio::use_awaitable);
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -30,6 +30,10 @@
     std::atomic<double> requestsPerSecond { -1 };
     /// Streams are closed after this many events; 0 for never.
     std::atomic<int> breakAfter { 0 };
+    /// After this many events streams send a comment or a byte each 100 ms, and no event; 0 for never.
+    std::atomic<int> dribblesAfter { 0 };
+    /// After this many events streams send bytes that complete no event, as fast as they are taken; 0 for never.
+    std::atomic<int> floodsAfter { 0 };
     /// Answers carry the id of another request.
     std::atomic<int> foreignAnswers { 0 };
     /// Each generation is answered with this status instead.
@@ -91,6 +95,7 @@
 private:
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
     boost::asio::awaitable<void> generate(HttpExchange& exchange);
+    boost::asio::awaitable<void> sendNoEvents(HttpExchange& exchange);
 
     boost::asio::awaitable<HttpResponse> carryOut(const HttpRequest& request);
     HttpResponse answerTo(const HttpRequest& request, unsigned status) const;
