Items leave a server that sends bytes but no whole event

An item whose engine sent a comment or a byte now and then stayed there until its job's end, and one with bytes without end that make no event took memory without limit. Cause: each piece of the body, whatever it held, extended the time for the next event, and the reader of events had no limit. The limit of 1.5 s was fixed, too, so a sound engine with 2 s between events was left again and again. Fix: the limits of callers' streams (policy/event_stream) hold for items: 1.5 s or eight of the engine's intervals since the last whole event, and 1 MB without one.

--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -18,8 +18,6 @@
     constexpr Duration responseHeadTimeout = 600ms;
     /// Time limit for the body of a refusal.
     constexpr Duration refusalBodyTimeout = 100ms;
-    /// Time limit for the next event; events are usually 50 ms apart. Generations continue while weights are loaded.
-    constexpr Duration eventTimeout = 1500ms;
     /// How long a generation stays at a server before it may be moved to a faster one, and how often this is checked.
     constexpr Duration moveCheckInterval = 300ms;
 
@@ -105,7 +103,7 @@
         auto eventAt = Clock::now();
         auto nextMoveCheckAt = eventAt + moveCheckInterval;
         while (true) {
-            auto piece = co_await stream.read(Clock::now() + eventTimeout);
+            auto piece = co_await stream.read(eventAt + eventTimeLimit(servers.eventInterval(server.name)));
             if (!piece) {
                 logInterruption(attempt, server, "item-broke-off", piece.error().error.message);
                 co_return AttemptOutcome::Interrupted;
@@ -119,6 +117,11 @@
                 stream.cancel();
                 co_return AttemptOutcome::Interrupted;
             }
+            if (reader.sinceLastEvent() > maxEventSize) {
+                stream.cancel();
+                logInterruption(attempt, server, "item-broke-off", "its bytes make no event");
+                co_return AttemptOutcome::Interrupted;
+            }
             const auto now = Clock::now();
             if (count > before && before > 0)
                 servers.recordEventInterval(server.name, (now - eventAt) / (count - before));
--- a/tests/src/gateway/unit-streams.cpp
+++ b/tests/src/gateway/unit-streams.cpp
@@ -211,6 +211,16 @@
     CHECK_FALSE(other.seen().empty());
 }
 
+TEST(Streams, AStalledItemGoesOnElsewhereThoughItsServerSendsBytes)
+{
+    auto& gateway = this->env->startGateway();
+    this->addEngine("i-lm-2");
+    this->waitForServers(gateway, 3);
+    this->env->engine.faults.dribblesAfter = 2;
+    LONGS_EQUAL(202, this->env->submit(gateway, "job", itemIds(6)).status);
+    CHECK_TRUE(this->env->waitForResults(gateway, "job", 6));
+}
+
 // Bytes that are no event, without end, as fast as the connection takes them.
 TEST(Streams, BytesWithoutEndAreCutOff)
 {
@@ -225,6 +235,16 @@
     }
 }
 
+TEST(Streams, AnItemWhoseServerFloodsItWithBytesGoesOnElsewhere)
+{
+    auto& gateway = this->env->startGateway();
+    this->addEngine("i-lm-2");
+    this->waitForServers(gateway, 3);
+    this->env->engine.faults.floodsAfter = 2;
+    LONGS_EQUAL(202, this->env->submit(gateway, "job", itemIds(6)).status);
+    CHECK_TRUE(this->env->waitForResults(gateway, "job", 6));
+}
+
 TEST(Streams, AFullPoolRefusesAtOnce)
 {
     auto& gateway = this->env->startGateway();
