A stream is not sent to a server after its caller left

While the VM that keeps a server's limit was asked, the caller could leave; the request was sent all the same, and ran for nobody until its server answered. Cause: the caller's departure was looked at before the question, not after it. Seen in reading; no run showed it. A stream that the configuration in force doesn't let resume is refused as not run instead of as a bad request, since the caller may know a newer configuration.

--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -121,7 +121,8 @@
     if (!call.lastEvent)
         co_return true;
     if (!forwarding.isResumable()) {
-        forwarding.problem = makeError(ErrorKind::BadRequest, "the route's streams can't be resumed");
+        // This VM's configuration may be older than the caller's.
+        forwarding.problem = makeError(ErrorKind::NotReady, "the route's streams can't be resumed");
         co_return false;
     }
     this->takenUp.add();
@@ -146,7 +147,8 @@
     const auto end = std::min(forwarding.deadline, now + wait);
     while (!exchange.isCallerGone()) {
         auto server = this->servers.acquire(forwarding.requirements);
-        if (server && co_await this->servers.admit(*server))
+        const bool isAdmitted = server && co_await this->servers.admit(*server);
+        if (isAdmitted && !exchange.isCallerGone())
             co_return std::move(server);
         if (server) {
             this->servers.finish(*server, ServerOutcome::Cancelled, forwarding.requirements);
@@ -376,8 +378,6 @@
             id);
     const auto error = forwarding.problem.value_or(makeError(
         ErrorKind::NoBackendServer, "pool `" + forwarding.requirements.pool.value() + "` has no free server"));
-    if (error.kind == ErrorKind::BadRequest)
-        return errorResponse(error, id.value());
     const auto admission = toMilliseconds(this->servers.timeUntilAdmission(forwarding.requirements.pool));
     return notRunResponse(error, id, std::max(refusalRetryAfter, admission));
 }
