--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,13 +6,14 @@
 import time
 
 from ledger import APPLY_S, REVERT_SLACK_S, SETTLE_S, Booking, Job
-from web import Broken, Connection, ask_once
+from web import Broken, Connection, ask_once, stream_once
 
 DEADLINE_MS = 2000
 MARGIN_S = 1.0
 JOB_TIME_S = 8.0
 ITEMS_EACH = 12
 GROUPS = 4
+MODEL = "m"
 
 
 class Callers:
@@ -84,6 +85,32 @@
             self.ledger.violate("configuration in force", f"{vm.name} does not know {route} "
                                 f"{booking.sent_at - added:.2f} s after it was accepted")
 
+    async def stream_for_long(self):
+        while not self.is_over:
+            await self.stream()
+            await asyncio.sleep(self.random.uniform(0.05, 0.3))
+
+    async def stream(self):
+        """One stream, taken up at any VM while it breaks off."""
+        got, first = [], None
+        for attempt in range(4):
+            vm = self.any_vm()
+            request = self.new_id("s")
+            booking = Booking("stream", (vm.name, vm.incarnation), time.monotonic())
+            self.ledger.bookings[request] = booking
+            headers = [("Topaztack-Request-Id", request), ("Topaztack-Deadline-Ms", "2000"), ("Topaztack-Model", MODEL)]
+            if got:
+                headers += [("Last-Event-Id", str(got[-1][0])), ("Resumes", first)]
+            booking.status, events, is_complete = await stream_once(vm.callers, "/s/1", headers, 2.5)
+            self.ledger.counts[f"stream {booking.status}{' again' if got else ''}"] += 1
+            self.ledger.streamed(request, got, events, is_complete)
+            first = first or (request if events else None)
+            got += events
+            if is_complete:
+                return
+            await asyncio.sleep(0.1)
+        self.ledger.counts["stream given up"] += 1
+
     def any_vm(self):
         able = [vm for vm in self.world.vms if vm.takes_callers()]
         return self.random.choice(able or self.world.vms)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -126,6 +126,21 @@
         worker.announces = False
         self.world.start_worker(worker)
 
+    async def name_limits(self, until, generator):
+        """Plain workers name a limit for a while, one after the other."""
+        while time.monotonic() < until:
+            await asyncio.sleep(generator.uniform(0.5, 2.0))
+            free = [worker for worker in self.world.workers if worker.pool == "app" and self.is_free(worker)]
+            if len(free) >= 2:
+                worker = generator.choice(free)
+                process, since = worker.process, time.monotonic()
+                self.ledger.counts["fault worker_limits"] += 1
+                process.send_signal(signal.SIGUSR2)
+                await asyncio.sleep(8.0)
+                if process.poll() is None:
+                    process.send_signal(signal.SIGUSR2)
+                self.ledger.limits.append((worker.name, since, time.monotonic()))
+
     # Troubles of VMs
 
     async def vm_kill(self):
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -2,6 +2,7 @@
 
 import collections
 import pathlib
+import re
 import time
 
 ORDER_LEASE_S = 3.0
@@ -13,6 +14,9 @@
 REFUSALS = {408, 421, 429, 503}
 # A VM or worker counts as undisturbed if nothing unplanned has happened to it, the store or its links for this long.
 STABLE_S = 3.0
+# What workers name as their limit, and the time over which it is judged.
+NAMED_LIMIT = 3
+LIMIT_WINDOW_S = 4.0
 
 
 class Booking:
@@ -58,6 +62,8 @@
         self.lines_read = collections.Counter()
         self.runs = collections.defaultdict(list)
         self.orders = collections.defaultdict(list)
+        # Workers that named a limit, since when and until when.
+        self.limits = []
 
     def violate(self, promise, what):
         self.violations.append(f"{promise}: {what}")
@@ -85,6 +91,41 @@
         if answer.status == 200 and "topaztack-server-stamp" not in answer.headers:
             self.violate("own whole answer", f"{request} got a success without its worker's mark")
 
+    def software(self, worker):
+        """Of two engines one has newer software; a worker keeps the number in its name over restarts."""
+        return "v2" if int(re.search(r"(\d+)[an]*$", worker).group(1)) % 2 else "v1"
+
+    def check_software(self, what, texts):
+        made = {self.software(text.split("@")[2]) for text in texts}
+        if len(made) > 1:
+            self.violate("one software version", f"{what} was made by {sorted(made)}")
+
+    def streamed(self, request, before, events, is_complete):
+        start = before[-1][0] if before else 0
+        if [number for number, _ in events] != list(range(start + 1, start + 1 + len(events))):
+            self.violate("streams", f"{request} went on after {start} with {[number for number, _ in events]}")
+        if any(not data.startswith(f"{request}-{number}@") for number, data in events):
+            self.violate("streams", f"{request} has events of another request: {events}")
+        if is_complete and start + len(events) != self.events:
+            self.violate("streams", f"{request} ended as complete after {start + len(events)} of {self.events} events")
+        self.check_software(request, [data for _, data in before + events])
+
+    def check_limits(self):
+        """What a worker gets while it names a limit, where nothing was disturbed."""
+        for worker, since, until in self.limits:
+            others = {subject for subject, _, _ in self.disturbances if subject.startswith("vm")}
+            if self.is_disturbed({worker, "store", *others}, since, until):
+                continue
+            self.counts["limits checked"] += 1
+            times = sorted(at for runs in self.runs.values() for name, at in runs if name == worker)
+            counted = [at for at in times if since + STABLE_S <= at <= until]
+            allowed = 1.5 * NAMED_LIMIT * LIMIT_WINDOW_S + 5
+            for start in counted:
+                got = sum(start <= at < start + LIMIT_WINDOW_S for at in counted)
+                if got > allowed:
+                    self.violate("limits", f"{worker} named {NAMED_LIMIT} a second and got {got} in {LIMIT_WINDOW_S} s")
+                    break
+
     def took_results(self, job_id, position, page):
         job = self.jobs[job_id]
         if page["total"] != len(job.items):
@@ -112,7 +153,8 @@
         names = [line.partition("@")[0] for line in lines]
         if names != [f"{result['id']}-{event}" for event in range(1, self.events + 1)]:
             self.violate("whole text", f"{result['id']} has {names}")
-        made = {int(line.partition("@")[2] or 0) for line in lines}
+        made = {int(line.split("@")[1]) for line in lines}
+        self.check_software(result["id"], lines)
         if made != set(result["versions"]):
             self.violate("honest labels", f"{result['id']} is labelled {result['versions']}, made by {sorted(made)}")
         if min(made) < job.oldest_version:
--- a/tests/soak/standin.cpp
+++ b/tests/soak/standin.cpp
@@ -11,6 +11,13 @@
 using namespace topaztack;
 using namespace topaztack::test;
 
+namespace {
+
+/// Requests per second; the soak's ledger has the same figure.
+constexpr double namedLimit = 3;
+
+} // namespace
+
 int main(int count, char** arguments)
 {
     CLI::App app("Stand-ins for the fault soak");
@@ -41,6 +48,7 @@
     sigaddset(&ends, SIGTERM);
     sigaddset(&ends, SIGINT);
     sigaddset(&ends, SIGUSR1);
+    sigaddset(&ends, SIGUSR2);
     pthread_sigmask(SIG_BLOCK, &ends, nullptr);
     IoThreads threads(1);
     std::unique_ptr<StoreStandin> storeStandin;
@@ -53,10 +61,15 @@
         workerStandin->faults.eventTime = std::chrono::milliseconds(eventMs);
     threads.start();
     int number = 0;
-    // SIGUSR1 makes a worker announce its departure from then on.
-    while (sigwait(&ends, &number) == 0 && number == SIGUSR1) {
-        if (workerStandin)
-            workerStandin->faults.announcesDeparture = true;
+    // SIGUSR1 makes a worker announce its departure from then on, SIGUSR2 name a limit or none by turns.
+    while (sigwait(&ends, &number) == 0 && (number == SIGUSR1 || number == SIGUSR2)) {
+        if (!workerStandin)
+            continue;
+        auto& faults = workerStandin->faults;
+        if (number == SIGUSR1)
+            faults.announcesDeparture = true;
+        else
+            faults.requestsPerSecond = faults.requestsPerSecond < 0 ? namedLimit : -1;
     }
     threads.stop();
     return 0;
--- a/tests/soak/web.py
+++ b/tests/soak/web.py
@@ -67,6 +67,37 @@
         return Answer(int(head[0].split()[1]), headers, body)
 
 
+async def stream_once(port, path, headers, timeout):
+    """Reads a stream of events on a connection of its own.
+
+    Returns status (0 for no answer), the events as (id, data) and whether the body was complete.
+    """
+    status, text, is_complete = 0, b"", False
+    writer = None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            lines = [f"POST {path} HTTP/1.1", "Host: a.example", "Content-Length: 4", "Connection: close",
+                     *(f"{name}: {value}" for name, value in headers)]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\ntext")
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            status = int(head.split()[1])
+            while status == 200 and (size := int((await reader.readline()).split(b";")[0], 16)):
+                text += await reader.readexactly(size)
+                await reader.readexactly(2)
+            is_complete = status == 200
+    except (OSError, EOFError, TimeoutError, ValueError):
+        pass  # what arrived before counts
+    finally:
+        if writer:
+            writer.close()
+    events = []
+    for block in text.decode().split("\n\n")[:-1]:
+        fields = dict(line.split(": ", 1) for line in block.split("\n") if ": " in line)
+        events.append((int(fields["id"]), fields["data"]))
+    return status, events, is_complete
+
+
 async def ask_once(port, method, path, headers=(), body=b"", timeout=5.0):
     connection = Connection(port)
     try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -158,7 +158,9 @@
 
     def configuration(self):
         self.config_version += 1 + self.random.randrange(3)
-        routes = [self.route("jobs", "/j/", "rollout", "lm"), self.route("safe", "/b/", "safe", "app"),
+        routes = [self.route("jobs", "/j/", "rollout", "lm"),
+                  {**self.route("streams", "/s/", "streaming", "lm"), "resumable": True, "maxAttempts": 3},
+                  self.route("safe", "/b/", "safe", "app"),
                   self.route("once", "/u/", "unsafe", "app"),
                   *(self.route(name, f"/{name}/", "unsafe", "app") for name in self.extra_routes)]
         return {"version": self.config_version, "routes": routes,
@@ -182,7 +184,8 @@
 
     def record(self, worker):
         worker.sequence += 1
-        return {"service": worker.pool, "address": f"127.0.0.1:{worker.link.port}", "zone": "z0", "version": "v1",
+        return {"service": worker.pool, "address": f"127.0.0.1:{worker.link.port}", "zone": "z0",
+                "version": self.ledger.software(worker.name),
                 "slots": 4, "state": worker.state, "coldRemainingMs": 0, "sequence": worker.sequence,
                 "born": worker.born_ms,
                 "models": [{"name": name, "version": worker.version} for name in MODELS] if worker.pool == "lm" else []}
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -95,7 +95,7 @@
 {
     auto data = id + "-" + std::to_string(event);
     if (this->runLog.is_open())
-        data += "@" + std::to_string(this->weightVersion);
+        data += "@" + std::to_string(this->weightVersion) + "@" + this->name;
     return data;
 }
 
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -68,7 +68,7 @@
     /// Time for a request that is no generation.
     std::chrono::milliseconds workTime { 0 };
     /// File that gets a line for each request begun and each order accepted; empty for none. Answers then name their
-    /// request, and each event the weights that made it.
+    /// request, and each event the weights and the worker that made it.
     std::string runLog;
 };
 
