--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,6 +1,5 @@
 #include "forwarder.hpp"
 
-#include "error_responses.hpp"
 #include "service_call.hpp"
 
 #include <topaztack/base/log.hpp>
@@ -12,15 +11,6 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
-namespace {
-
-    /// Retry-After of a request that was refused because no server was free.
-    constexpr std::chrono::milliseconds refusalRetryAfter { 100 };
-    /// Servers that can't be reached don't count as attempts; after this many of them the request fails.
-    constexpr std::uint64_t maxUnreachedServers = 4;
-
-} // namespace
-
 /// State of one request that is being forwarded.
 struct Forwarder::Forwarding {
     const CallerRequest& call;
@@ -104,17 +94,9 @@
 
 HttpResponse Forwarder::failureResponse(const Forwarding& forwarding) const
 {
-    if (!forwarding.mayHaveRun) {
-        this->refused.add();
-        const auto error = forwarding.problem.value_or(makeError(
-            ErrorKind::NoBackendServer, "pool `" + forwarding.requirements.pool.value() + "` has no free server"));
-        const auto admission = toMilliseconds(this->servers.timeUntilAdmission(forwarding.requirements.pool));
-        return notRunResponse(error, forwarding.call.id, std::max(refusalRetryAfter, admission));
-    }
-    this->failed.add();
-    return mayHaveRunResponse(forwarding.problem.value_or(makeError(
-                                  ErrorKind::BackendTimeout, "no backend server answered before the deadline")),
-        forwarding.call.id);
+    (forwarding.mayHaveRun ? this->failed : this->refused).add();
+    return topaztack::failureResponse(
+        this->servers, forwarding.requirements.pool, forwarding.mayHaveRun, forwarding.problem, forwarding.call.id);
 }
 
 asio::awaitable<void> Forwarder::attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server)
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -1,5 +1,7 @@
 #include "service_call.hpp"
 
+#include "error_responses.hpp"
+
 #include <algorithm>
 
 namespace topaztack {
@@ -11,6 +13,8 @@
     /// An attempt is abandoned after this many latency objectives of its route.
     constexpr int latencyObjectivesPerAttempt = 2;
     constexpr std::chrono::milliseconds minAttemptTime { 50 };
+    /// Retry-After of a request that was refused because no server was free.
+    constexpr std::chrono::milliseconds refusalRetryAfter { 100 };
 
     ServiceCallResult failedCall(ServiceCallOutcome outcome, Error problem)
     {
@@ -45,6 +49,18 @@
 
 } // namespace
 
+HttpResponse failureResponse(ServerTable& servers, const PoolName& pool, bool mayHaveRun,
+    const std::optional<Error>& problem, const RequestId& id)
+{
+    if (mayHaveRun)
+        return mayHaveRunResponse(
+            problem.value_or(makeError(ErrorKind::BackendTimeout, "no backend server answered before the deadline")),
+            id);
+    const auto error
+        = problem.value_or(makeError(ErrorKind::NoBackendServer, "pool `" + pool.value() + "` has no free server"));
+    return notRunResponse(error, id, std::max(refusalRetryAfter, toMilliseconds(servers.timeUntilAdmission(pool))));
+}
+
 Duration repeatableAttemptTime(const Route& route)
 {
     return std::max(minAttemptTime, latencyObjectivesPerAttempt * route.latencyObjective);
--- a/src/gateway/service_call.hpp
+++ b/src/gateway/service_call.hpp
@@ -35,6 +35,15 @@
 /// @brief Whether a status reports success.
 inline bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
+/// Servers that can't be reached don't count as attempts; after this many of them the request fails.
+inline constexpr std::uint64_t maxUnreachedServers = 4;
+
+/// @brief The response to a request for which no server's answer can be delivered.
+/// @param mayHaveRun if false, the response says that it did not run, and when to come back.
+/// @param problem of the last attempt; empty if no server was free.
+HttpResponse failureResponse(ServerTable& servers, const PoolName& pool, bool mayHaveRun,
+    const std::optional<Error>& problem, const RequestId& id);
+
 /// @brief Time after which an attempt that may be repeated is abandoned for another server.
 Duration repeatableAttemptTime(const Route& route);
 
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -1,6 +1,5 @@
 #include "stream_forwarder.hpp"
 
-#include "error_responses.hpp"
 #include "service_call.hpp"
 
 #include <topaztack/base/log.hpp>
@@ -17,10 +16,6 @@
 
 namespace {
 
-    /// Retry-After of a stream that was refused because no server was free.
-    constexpr std::chrono::milliseconds refusalRetryAfter { 100 };
-    /// Servers that can't be reached don't count as attempts; after this many of them the stream fails.
-    constexpr std::uint64_t maxUnreachedServers = 4;
     /// How long a stream waits for a server that can go on with it; then the caller may do better at another VM.
     constexpr Duration maxResumeWait = 1s;
     constexpr Duration serverCheckInterval = 50ms;
@@ -110,7 +105,8 @@
     if (isOriginKnown)
         co_await this->forward(exchange, forwarding);
     if (!forwarding.hasBegun && !forwarding.isCallerGone)
-        co_await exchange.respond(this->failureResponse(forwarding));
+        co_await exchange.respond(
+            failureResponse(this->servers, need.pool, forwarding.mayHaveRun, forwarding.problem, call.id));
     this->finish(exchange, forwarding);
 }
 
@@ -221,18 +217,7 @@
     } else {
         const auto answer = this->context.protocol.decodeAnswer(opened.value()->head());
         this->servers.recordAnswer(server, answer, sentAt);
-        if (answer.isOtherServer || answer.saysNotRun) {
-            end = answer.isOtherServer ? AttemptEnd::Replaced : AttemptEnd::Refused;
-            forwarding.problem = makeError(ErrorKind::Overloaded,
-                server.name.value() + " refused with " + std::to_string(opened.value()->head().status));
-        } else if (answer.serverStamp.empty()) {
-            forwarding.problem = makeError(
-                ErrorKind::BackendAnswerMalformed, server.name.value() + " answered without its server stamp");
-        } else if (isEventStream(opened.value()->head())) {
-            end = co_await this->passEvents(exchange, forwarding, attempt, *opened.value());
-        } else {
-            end = co_await this->passAnswer(exchange, forwarding, attempt, *opened.value());
-        }
+        end = co_await this->receive(exchange, forwarding, attempt, *opened.value(), answer);
     }
     exchange.onCallerGone({});
     if (exchange.isCallerGone())
@@ -248,6 +233,26 @@
     co_return end;
 }
 
+/// Takes what a server answers, from its head on.
+asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::receive(HttpExchange& exchange, Forwarding& forwarding,
+    Attempt& attempt, HttpStream& stream, const ServerResponseHead& answer)
+{
+    const auto& server = attempt.server.name.value();
+    if (answer.isOtherServer || answer.saysNotRun) {
+        forwarding.problem
+            = makeError(ErrorKind::Overloaded, server + " refused with " + std::to_string(stream.head().status));
+        co_return answer.isOtherServer ? AttemptEnd::Replaced : AttemptEnd::Refused;
+    }
+    if (answer.serverStamp.empty()) {
+        forwarding.problem
+            = makeError(ErrorKind::BackendAnswerMalformed, server + " answered without its server stamp");
+        co_return AttemptEnd::Broken;
+    }
+    if (isEventStream(stream.head()))
+        co_return co_await this->passEvents(exchange, forwarding, attempt, stream);
+    co_return co_await this->passAnswer(exchange, forwarding, attempt, stream);
+}
+
 /// Passes on an answer that is not a stream, such as the server's own failure, unless another server may be tried.
 asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::passAnswer(
     HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream)
@@ -369,19 +374,6 @@
     }
 }
 
-HttpResponse StreamForwarder::failureResponse(const Forwarding& forwarding)
-{
-    const auto& id = forwarding.call.id;
-    if (forwarding.mayHaveRun)
-        return mayHaveRunResponse(forwarding.problem.value_or(makeError(
-                                      ErrorKind::BackendTimeout, "no backend server answered before the deadline")),
-            id);
-    const auto error = forwarding.problem.value_or(makeError(
-        ErrorKind::NoBackendServer, "pool `" + forwarding.requirements.pool.value() + "` has no free server"));
-    const auto admission = toMilliseconds(this->servers.timeUntilAdmission(forwarding.requirements.pool));
-    return notRunResponse(error, id, std::max(refusalRetryAfter, admission));
-}
-
 void StreamForwarder::finish(const HttpExchange& exchange, const Forwarding& forwarding)
 {
     const bool isCallerGone = forwarding.isCallerGone || exchange.isCallerGone();
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -48,6 +48,8 @@
     boost::asio::awaitable<void> forward(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<AttemptEnd> attempt(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt);
+    boost::asio::awaitable<AttemptEnd> receive(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt,
+        HttpStream& stream, const ServerResponseHead& answer);
     boost::asio::awaitable<AttemptEnd> passAnswer(
         HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream);
     boost::asio::awaitable<AttemptEnd> passEvents(
@@ -56,7 +58,6 @@
         HttpExchange& exchange, Forwarding& forwarding, const HttpStream& stream, std::string_view bytes);
     void recordFirstEvent(Forwarding& forwarding, const ServerRecord& server);
     bool mayContinue(const Forwarding& forwarding, AttemptEnd end) const;
-    HttpResponse failureResponse(const Forwarding& forwarding);
     void finish(const HttpExchange& exchange, const Forwarding& forwarding);
 
     using OpenAttempts = boost::intrusive::list<Attempt, boost::intrusive::constant_time_size<false>>;
