--- a/include/topaztack/wire/http_client.hpp
+++ b/include/topaztack/wire/http_client.hpp
@@ -71,6 +71,9 @@
     /// Where an answer's `Keep-Alive` states the server's own time limit, the connection is kept until this long
     /// before.
     std::chrono::milliseconds keepAliveMargin { 1500 };
+    /// Size of the body of an answer that call() reads whole; a longer one fails. A server in trouble may send bytes
+    /// without end.
+    std::uint64_t maxAnswer { 64ULL * 1024 * 1024 };
     /// Time to establish a connection.
     std::chrono::milliseconds connectTime { 60'000 };
 };
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -24,7 +24,6 @@
 
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::size_t pieceSize = 16 * 1024;
-    constexpr std::uint64_t longestAnswer = 64ULL * 1024 * 1024;
     constexpr std::uint32_t longestAnswerHeader = 64 * 1024;
 
     /// A connection to a backend server and what was read beyond the last answer.
@@ -331,7 +330,7 @@
     auto link = std::move(sent).value();
     http::response_parser<http::string_body> parser;
     parser.header_limit(longestAnswerHeader);
-    parser.body_limit(longestAnswer);
+    parser.body_limit(client->limits.maxAnswer);
     parser.skip(isHead);
     const auto [problem, size] = co_await http::async_read(link->stream, link->buffer, parser, asTuple);
     guard(options.control);
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -10,6 +10,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <functional>
 #include <thread>
 
@@ -122,6 +123,35 @@
     CHECK_TRUE(answer.error().progress == AttemptProgress::Written);
 }
 
+// A server in trouble sends bytes that are no answer, in a head or a body, until its caller closes. Held whole, a few
+// of them were more than the memory of a VM.
+TEST(HttpClient, AnswersWithoutEndAreGivenUpAtTheLimit)
+{
+    static constexpr std::size_t maxAnswer = 1024 * 1024;
+    // What the sockets hold comes on top.
+    static constexpr std::size_t maxTaken = 16 * maxAnswer;
+    for (const std::string start : { "HTTP/1.1 200 OK\r\nX-A: ", "HTTP/1.1 200 OK\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n" }) {
+        std::atomic<std::size_t> taken { 0 };
+        ScriptedServer server("127.0.0.1", { [&](tcp::socket& socket) {
+            ScriptedServer::readHead(socket);
+            asio::write(socket, asio::buffer(start));
+            const std::string piece(64 * 1024, 'x');
+            boost::system::error_code problem;
+            while (!problem && taken < 8 * maxTaken)
+                taken += asio::write(socket, asio::buffer(piece), problem);
+        } });
+        IoThreads threads { 1 };
+        threads.start();
+        HttpClient client { threads.at(0), { .maxAnswer = maxAnswer } };
+        const auto answer = test::runOn(
+            threads.at(0), client.call(server.endpoint(), HttpRequest { "POST", "/x" }, Clock::now() + 20s));
+        CHECK_FALSE(answer.has_value());
+        CHECK_TRUE(answer.error().progress == AttemptProgress::Written);
+        CHECK_TRUE(taken < maxTaken);
+    }
+}
+
 TEST(HttpClient, SpeaksIpv6)
 {
     ScriptedServer server("::1", { ScriptedServer::answerOnce });
