Test of scoring calls after a job's end: calls on their way are let arrive

Its log: three calls were sent at 25.4500 to 25.4514, right after the texts were whole; the job stopped at 25.4519 and the end was answered at 25.4520; the server, which was made to accept at that moment, answered them at 25.4555. The calls were made before the end, which is allowed; the test now lets what is on its way be refused for 100 ms before the server accepts. It still finds any call that is made later.

--- a/tests/src/gateway/unit-scoring.cpp
+++ b/tests/src/gateway/unit-scoring.cpp
@@ -120,6 +120,8 @@
     LONGS_EQUAL(202, this->env->submitScored(gateway, "j1", itemIds(3)).status);
     CHECK_TRUE(waitFor([&] { return this->env->engine.seen().size() == 3; }));
     LONGS_EQUAL(200, this->env->call(gateway.callers, "DELETE", "/-/lots/j1").status);
+    // Calls that were sent before the end may still be on their way.
+    std::this_thread::sleep_for(100ms);
     this->env->booking.faults.isFull = false;
     std::this_thread::sleep_for(1s);
     CHECK_TRUE(this->env->booking.seen().empty());
