Fault soak: a limit is judged at the worker that named it

Its logs: i-app-1 had named the limit, was drained and replaced 2 s later, and the ledger took the new worker's name at the end of the 8 s; i-app-1n got 2 to 3 requests a second in its own time with a limit (13:10:05.5 to 13.6) and 14 a second after it. The name is taken when the limit begins.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -133,13 +133,14 @@
             free = [worker for worker in self.world.workers if worker.pool == "app" and self.is_free(worker)]
             if len(free) >= 2:
                 worker = generator.choice(free)
-                process, since = worker.process, time.monotonic()
+                # The worker may be replaced meanwhile, and then has another name and names no limit.
+                name, process, since = worker.name, worker.process, time.monotonic()
                 self.ledger.counts["fault worker_limits"] += 1
                 process.send_signal(signal.SIGUSR2)
                 await asyncio.sleep(8.0)
                 if process.poll() is None:
                     process.send_signal(signal.SIGUSR2)
-                self.ledger.limits.append((worker.name, since, time.monotonic()))
+                self.ledger.limits.append((name, since, time.monotonic()))
 
     # Troubles of VMs
 
