Events that arrive in small pieces are searched once

A server that sends an unfinished event byte by byte could take seconds of a VM's processor, in which all its callers wait: each piece was searched from the start of the event, up to 1 MB. Seen in reading the change. The reader remembers how far it has searched. Evidence: Sse.TheTimeForAnEventGrowsWithItsSizeAlone fails before (500,000 pieces of a byte take over 1.5 s) and passes; Sse.EventsAndTheirBytesAreTheSameWhereverAStreamIsCut holds before and after.

--- a/include/topaztack/wire/sse.hpp
+++ b/include/topaztack/wire/sse.hpp
@@ -53,6 +53,8 @@
     std::string buffer;
     /// End of the blocks that were read.
     std::size_t start { 0 };
+    /// No block that begins at `start` ends before this place.
+    std::size_t searched { 0 };
     /// Start of what bytes() returns.
     std::size_t first { 0 };
     /// Whether bytes() ends with an event.
--- a/src/wire/sse.cpp
+++ b/src/wire/sse.cpp
@@ -1,5 +1,7 @@
 #include <topaztack/wire/sse.hpp>
 
+#include <algorithm>
+
 namespace topaztack {
 
 namespace {
@@ -55,6 +57,7 @@
     if (used > compactAbove) {
         this->buffer.erase(0, used);
         this->start -= used;
+        this->searched -= std::min(this->searched, used);
         this->first = 0;
         this->hasEvent = false;
     }
@@ -64,18 +67,25 @@
 /// The bytes up to the next blank line; valid until more is fed.
 std::optional<std::string_view> SseReader::nextBlock()
 {
-    const std::string_view rest = std::string_view(this->buffer).substr(this->start);
-    auto end = rest.find("\n\n");
-    std::size_t gap = 2;
-    const auto crlf = rest.find("\r\n\r\n");
-    if (crlf < end) {
-        end = crlf;
-        gap = 4;
+    static constexpr std::string_view blankLine = "\n\n";
+    static constexpr std::string_view blankLineWithReturns = "\r\n\r\n";
+    const std::string_view text = this->buffer;
+    const auto from = std::max(this->start, this->searched);
+    auto end = text.find(blankLine, from);
+    auto gap = blankLine.size();
+    const auto withReturns = text.find(blankLineWithReturns, from);
+    if (withReturns < end) {
+        end = withReturns;
+        gap = blankLineWithReturns.size();
     }
-    if (end == std::string_view::npos)
+    if (end == std::string_view::npos) {
+        // A blank line may be cut between two pieces.
+        this->searched = text.size() - std::min(text.size(), blankLineWithReturns.size() - 1);
         return std::nullopt;
-    this->start += end + gap;
-    return rest.substr(0, end);
+    }
+    const auto block = text.substr(this->start, end - this->start);
+    this->start = end + gap;
+    return block;
 }
 
 std::optional<SseEvent> SseReader::nextEvent()
--- a/tests/src/wire/unit-sse.cpp
+++ b/tests/src/wire/unit-sse.cpp
@@ -1,6 +1,11 @@
 #include <topaztack/wire/sse.hpp>
 
 #include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
 
 using namespace topaztack;
 
@@ -37,3 +42,44 @@
     STRCMP_EQUAL("2", event->id.c_str());
     STRCMP_EQUAL("b", event->data.c_str());
 }
+
+TEST(Sse, EventsAndTheirBytesAreTheSameWhereverAStreamIsCut)
+{
+    rc::check("wherever a stream is cut", [] {
+        const std::string text = ": hello\n\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: between\n\nid: 3\ndata: c\n\n";
+        std::string seen;
+        std::vector<std::string> ids;
+        SseReader reader;
+        std::size_t place = 0;
+        while (place < text.size()) {
+            const auto size = *rc::gen::inRange<std::size_t>(1, 9);
+            reader.feed(std::string_view(text).substr(place, size));
+            place += size;
+            while (const auto event = reader.nextEvent()) {
+                ids.push_back(event->id);
+                seen += reader.bytes();
+            }
+        }
+        RC_ASSERT(seen == text);
+        RC_ASSERT((ids == std::vector<std::string> { "1", "2", "3" }));
+        RC_ASSERT(reader.pending() == 0U);
+    });
+}
+
+// A sender that ends no event and sends it in small pieces: each piece was searched from the start of the event.
+TEST(Sse, TheTimeForAnEventGrowsWithItsSizeAlone)
+{
+    SseReader reader;
+    static constexpr std::size_t pieces = 500'000;
+    // A server has this long for an event.
+    static constexpr std::chrono::milliseconds maxTime { 1500 };
+    const auto startedAt = std::chrono::steady_clock::now();
+    bool hasEvent = false;
+    for (std::size_t count = 0; count < pieces; ++count) {
+        reader.feed("x");
+        hasEvent = hasEvent || reader.nextEvent().has_value();
+    }
+    CHECK_FALSE(hasEvent);
+    CHECK_TRUE(std::chrono::steady_clock::now() - startedAt < maxTime);
+    LONGS_EQUAL(pieces, reader.sinceLastEvent());
+}
