A stream whose caller leaves with the whole answer counts as complete

Operators would see caller-gone for streams that were delivered whole, when the caller closed its connection at once. Cause: the caller's departure was looked at after the end of the answer too. Seen in reading, no run. Server outcomes are mapped by a switch, and a field that nothing read is gone.

--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -7,7 +7,6 @@
 #include <topaztack/wire/sse.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace topaztack {
 
@@ -58,7 +57,6 @@
     /// Number of the last event that the caller has.
     std::optional<std::uint64_t> lastEvent;
     std::uint64_t events { 0 };
-    TimePoint lastEventAt;
     bool hasBegun { false };
     bool mayHaveRun { false };
     bool isCallerGone { false };
@@ -91,7 +89,6 @@
 {
     Forwarding forwarding { .call = call, .route = route };
     forwarding.startedAt = Clock::now();
-    forwarding.lastEventAt = forwarding.startedAt;
     forwarding.deadline = forwarding.startedAt + std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.lastEvent = call.lastEvent;
     auto& need = forwarding.requirements;
@@ -220,19 +217,36 @@
         end = co_await this->receive(exchange, forwarding, attempt, *opened.value(), answer);
     }
     exchange.onCallerGone({});
-    if (exchange.isCallerGone())
+    // A caller may leave as soon as it has the whole answer.
+    if (end != AttemptEnd::Complete && exchange.isCallerGone())
         end = AttemptEnd::CallerGone;
     if (end == AttemptEnd::NotReached)
         ++forwarding.unreached;
     const bool mayHaveRun = end == AttemptEnd::Broken || end == AttemptEnd::Complete || end == AttemptEnd::CallerGone;
     forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
     forwarding.attempts += mayHaveRun ? 1 : 0;
-    static constexpr std::array<ServerOutcome, 6> outcomes { ServerOutcome::Answered, ServerOutcome::Cancelled,
-        ServerOutcome::Failed, ServerOutcome::Refused, ServerOutcome::Replaced, ServerOutcome::Failed };
-    this->servers.finish(server, outcomes.at(static_cast<std::size_t>(end)), forwarding.requirements);
+    this->servers.finish(server, toServerOutcome(end), forwarding.requirements);
     co_return end;
 }
 
+ServerOutcome StreamForwarder::toServerOutcome(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Complete:
+        return ServerOutcome::Answered;
+    case AttemptEnd::CallerGone:
+        return ServerOutcome::Cancelled;
+    case AttemptEnd::Refused:
+        return ServerOutcome::Refused;
+    case AttemptEnd::Replaced:
+        return ServerOutcome::Replaced;
+    case AttemptEnd::NotReached:
+    case AttemptEnd::Broken:
+        break;
+    }
+    return ServerOutcome::Failed;
+}
+
 /// Takes what a server answers, from its head on.
 asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::receive(HttpExchange& exchange, Forwarding& forwarding,
     Attempt& attempt, HttpStream& stream, const ServerResponseHead& answer)
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -56,6 +56,7 @@
         HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt, HttpStream& stream);
     boost::asio::awaitable<bool> passBytes(
         HttpExchange& exchange, Forwarding& forwarding, const HttpStream& stream, std::string_view bytes);
+    static ServerOutcome toServerOutcome(AttemptEnd end);
     void recordFirstEvent(Forwarding& forwarding, const ServerRecord& server);
     bool mayContinue(const Forwarding& forwarding, AttemptEnd end) const;
     void finish(const HttpExchange& exchange, const Forwarding& forwarding);
