--- a/tests/src/gateway/unit-streams.cpp
+++ b/tests/src/gateway/unit-streams.cpp
@@ -1,6 +1,8 @@
 #include "gateway/job_pages.hpp"
 #include "gateway/stream_client.hpp"
 
+#include <topaztack/policy/event_stream.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
@@ -229,9 +231,12 @@
     this->waitForServers(gateway, 3);
     this->env->engine.faults.floodsAfter = 2;
     for (int stream = 0; stream < 4; ++stream) {
+        const auto startedAt = Clock::now();
         const auto received = openStream(gateway, { .id = "s" + std::to_string(stream) });
         CHECK_TRUE(received.isComplete);
         CHECK_TRUE(idsOf(received) == allIds());
+        // It does not take as long as for a server that merely stalls.
+        CHECK_TRUE(Clock::now() - startedAt < eventTimeLimit(0ms));
     }
 }
 
@@ -241,8 +246,10 @@
     this->addEngine("i-lm-2");
     this->waitForServers(gateway, 3);
     this->env->engine.faults.floodsAfter = 2;
+    const auto startedAt = Clock::now();
     LONGS_EQUAL(202, this->env->submit(gateway, "job", itemIds(6)).status);
     CHECK_TRUE(this->env->waitForResults(gateway, "job", 6));
+    CHECK_TRUE(Clock::now() - startedAt < eventTimeLimit(0ms));
 }
 
 TEST(Streams, AFullPoolRefusesAtOnce)
