--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -8,7 +8,6 @@
 
 namespace topaztack {
 
-namespace asio = boost::asio;
 namespace json = boost::json;
 using namespace std::chrono_literals;
 
@@ -29,9 +28,6 @@
     constexpr double maxPreferredSlowness = 1.7;
     /// How long choices reuse what was looked up about a pool's servers: counts of other VMs and idle connections.
     constexpr Duration snapshotLifetime = 50ms;
-    /// Longer than a caller waits for a stream.
-    constexpr Duration softwareRetention = 15s;
-    constexpr Duration softwareRecordInterval = 500ms;
     /// Requests that one VM sends to a server of a plain service beyond its slots; they queue there.
     constexpr std::uint32_t maxQueuedPerServer = 4;
 
@@ -125,17 +121,6 @@
     });
 }
 
-void ServerTable::recordSoftware(TimePoint now)
-{
-    if (now - this->softwareRecordedAt < softwareRecordInterval)
-        return;
-    this->softwareRecordedAt = now;
-    for (const auto& [name, entry] : this->servers.entries)
-        this->softwareSeen[entry.record.pool][entry.record.softwareVersion] = now;
-    for (auto& [pool, seen] : this->softwareSeen)
-        std::erase_if(seen, [now](const auto& each) { return now - each.second >= softwareRetention; });
-}
-
 const ServerRecord* ServerTable::find(const BackendName& name) const
 {
     const auto found = this->servers.entries.find(name);
@@ -311,30 +296,6 @@
     return *member.record;
 }
 
-asio::awaitable<bool> ServerTable::admit(const ServerRecord& server)
-{
-    const auto name = server.name;
-    const auto startedAt = server.startedAt;
-    if (!co_await this->quota.admit(server))
-        co_return false;
-    const auto* current = this->find(name);
-    co_return current && current->startedAt == startedAt && !current->isLeaving;
-}
-
-asio::awaitable<void> ServerTable::charge(const ServerRecord& server) { return this->quota.charge(server); }
-
-Duration ServerTable::timeUntilAdmission(const PoolName& pool)
-{
-    const auto now = Clock::now();
-    std::optional<TimePoint> earliest;
-    for (const auto& member : this->snapshotOf(pool, now).members) {
-        const auto at = this->quota.availableAt(member.record->name);
-        if (at > now && !member.record->isLeaving)
-            earliest = std::min(earliest.value_or(at), at);
-    }
-    return earliest ? *earliest - now : Duration(0);
-}
-
 std::optional<Duration> ServerTable::medianEventInterval(const PoolName& pool)
 {
     const auto seconds = this->snapshotOf(pool, Clock::now()).medianIntervalSeconds;
@@ -356,15 +317,6 @@
     return count;
 }
 
-std::optional<std::string> ServerTable::onlySoftware(const PoolName& pool) const
-{
-    const auto seen = this->softwareSeen.find(pool);
-    const bool isWatched = this->watchedSince && Clock::now() - *this->watchedSince >= softwareRetention;
-    if (!isWatched || seen == this->softwareSeen.end() || seen->second.size() != 1)
-        return std::nullopt;
-    return seen->second.begin()->first;
-}
-
 Duration ServerTable::eventInterval(const BackendName& name) const
 {
     const auto usage = this->usageByServer.find(name);
@@ -372,16 +324,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-bool ServerTable::hasUsableServer(const PoolName& pool, const std::optional<std::string>& softwareVersion)
-{
-    const auto now = Clock::now();
-    const auto& members = this->snapshotOf(pool, now).members;
-    return std::any_of(members.begin(), members.end(), [&softwareVersion, now](const PoolMember& member) {
-        const bool isFitting = !softwareVersion || member.record->softwareVersion == *softwareVersion;
-        return isFitting && !member.record->isLeaving && now >= member.usage->suspectedUntil && !member.usage->isSilent;
-    });
-}
-
 bool ServerTable::isWorthMoving(const ServerRecord& server, const ServerRequirements& requirements,
     const std::function<bool(bool isUrgent)>& mayMove)
 {
