Tests of floods count bytes, not time

Its log: the three items left with "its bytes make no event" after 1.45 s, so the limit of size had decided, but under AddressSanitizer 3 MB took that long; 1.5 s for the whole job was a bound on the machine. The tests now bound what is taken of a stream: 16 MB, sockets included. With the limit of an event at 1 GB both fail.

--- a/tests/src/gateway/unit-streams.cpp
+++ b/tests/src/gateway/unit-streams.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int eventsPerStream = 5;
+/// What is taken of a stream without events; the sockets hold some of it.
+constexpr std::size_t maxFlood = 16 * maxEventSize;
 
 /// The ids of the events, in the order of their arrival.
 std::vector<std::string> idsOf(const ReceivedStream& stream)
@@ -231,13 +233,11 @@
     this->waitForServers(gateway, 3);
     this->env->engine.faults.floodsAfter = 2;
     for (int stream = 0; stream < 4; ++stream) {
-        const auto startedAt = Clock::now();
         const auto received = openStream(gateway, { .id = "s" + std::to_string(stream) });
         CHECK_TRUE(received.isComplete);
         CHECK_TRUE(idsOf(received) == allIds());
-        // It does not take as long as for a server that merely stalls.
-        CHECK_TRUE(Clock::now() - startedAt < eventTimeLimit(0ms));
     }
+    CHECK_TRUE(this->env->engine.faults.mostFlooded < maxFlood);
 }
 
 TEST(Streams, AnItemWhoseServerFloodsItWithBytesGoesOnElsewhere)
@@ -246,10 +246,9 @@
     this->addEngine("i-lm-2");
     this->waitForServers(gateway, 3);
     this->env->engine.faults.floodsAfter = 2;
-    const auto startedAt = Clock::now();
     LONGS_EQUAL(202, this->env->submit(gateway, "job", itemIds(6)).status);
     CHECK_TRUE(this->env->waitForResults(gateway, "job", 6));
-    CHECK_TRUE(Clock::now() - startedAt < eventTimeLimit(0ms));
+    CHECK_TRUE(this->env->engine.faults.mostFlooded < maxFlood);
 }
 
 TEST(Streams, AFullPoolRefusesAtOnce)
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -135,13 +135,17 @@
     const std::string flood(floodPiece, 'x');
     asio::steady_timer timer(co_await asio::this_coro::executor);
     bool isComment = true;
+    std::size_t written = 0;
     while (!exchange.isCallerGone()) {
         const auto piece = this->faults.floodsAfter > 0 ? flood : std::string(isComment ? ": still here\n\n" : "d");
         isComment = false;
         if (!co_await exchange.writeChunk(piece))
             co_return;
-        if (this->faults.floodsAfter > 0)
+        written += piece.size();
+        if (this->faults.floodsAfter > 0) {
+            this->faults.mostFlooded = std::max(this->faults.mostFlooded.load(), written);
             continue;
+        }
         timer.expires_after(dribbleInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -34,6 +34,8 @@
     std::atomic<int> dribblesAfter { 0 };
     /// After this many events streams send bytes that complete no event, as fast as they are taken; 0 for never.
     std::atomic<int> floodsAfter { 0 };
+    /// The most bytes that were taken of one such stream.
+    std::atomic<std::size_t> mostFlooded { 0 };
     /// Answers carry the id of another request.
     std::atomic<int> foreignAnswers { 0 };
     /// Each generation is answered with this status instead.
