Attempts that broke off are logged with the content of their request

On call nothing told whether the same request came again: ids are new with each attempt of a caller, and a connection that broke looked the same whatever was at the server. attempt-broke-off names the server, the VM's other requests there and a digest of the content, which is the same at all VMs.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -34,6 +34,8 @@
     CallerAction action { CallerAction::Route };
     RequestId id;
     std::string host;
+    /// With what the caller identifies itself; empty if with nothing.
+    std::string credential;
     /// Time for which the caller waits for the response; empty if the request doesn't state it.
     std::optional<std::chrono::milliseconds> timeLimit;
     /// Number of the last event that the caller received, if it resumes a stream.
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -84,6 +84,7 @@
 #include <topaztack/samples/version_span.hpp>
 #include <topaztack/samples/weight_rollout.hpp>
 #include <topaztack/wire/base64.hpp>
+#include <topaztack/wire/content_digest.hpp>
 #include <topaztack/wire/http.hpp>
 #include <topaztack/wire/http_client.hpp>
 #include <topaztack/wire/http_router.hpp>
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -119,6 +119,8 @@
     const bool mayHaveRun
         = result.outcome == ServiceCallOutcome::Unknown || result.outcome == ServiceCallOutcome::Answered;
     forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
+    if (result.outcome == ServiceCallOutcome::Unknown && !control.isCancelled())
+        logBrokenAttempt(forwarding.call, exchange.request(), server, this->servers, result.problem);
     if (!result.response) {
         forwarding.problem = std::move(result.problem);
         co_return;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -185,6 +185,12 @@
     return requirements.exactVersion.value() == 0 || *version == requirements.exactVersion;
 }
 
+std::uint32_t ServerTable::outstanding(const BackendName& name) const
+{
+    const auto usage = this->usageByServer.find(name);
+    return usage == this->usageByServer.end() ? 0 : usage->second.outstanding;
+}
+
 std::map<BackendName, std::uint32_t> ServerTable::inFlight(const PoolName& pool) const
 {
     std::map<BackendName, std::uint32_t> counts;
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -96,6 +96,9 @@
     /// @brief Changes the number of tokens that a running generation is expected to take, here and in `requirements`.
     void updateTokenReservation(const BackendName& name, ServerRequirements& requirements, std::uint64_t tokens);
 
+    /// @brief Number of this VM's requests that a server has not completed yet.
+    std::uint32_t outstanding(const BackendName& name) const;
+
     /// @brief Number of this VM's running generations at each engine of a pool, and of its background requests at each
     /// server of any pool.
     std::map<BackendName, std::uint32_t> inFlight(const PoolName& pool) const;
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -2,6 +2,9 @@
 
 #include "error_responses.hpp"
 
+#include <topaztack/base/log.hpp>
+#include <topaztack/wire/content_digest.hpp>
+
 #include <algorithm>
 
 namespace topaztack {
@@ -61,6 +64,20 @@
     return notRunResponse(error, id, std::max(refusalRetryAfter, toMilliseconds(servers.timeUntilAdmission(pool))));
 }
 
+std::string contentOf(const CallerRequest& call, const HttpRequest& request)
+{
+    return contentDigest({ call.host, request.method, request.target, call.credential, request.body });
+}
+
+void logBrokenAttempt(const CallerRequest& call, const HttpRequest& request, const ServerRecord& server,
+    const ServerTable& servers, const std::optional<Error>& problem)
+{
+    logEvent(LogLevel::Info, "attempt-broke-off",
+        { { "id", call.id.value() }, { "content", contentOf(call, request) }, { "server", server.name.value() },
+            { "software", server.softwareVersion }, { "others", std::to_string(servers.outstanding(server.name)) },
+            { "error", problem ? problem->message : "" } });
+}
+
 Duration repeatableAttemptTime(const Route& route)
 {
     return std::max(minAttemptTime, latencyObjectivesPerAttempt * route.latencyObjective);
--- a/src/gateway/service_call.hpp
+++ b/src/gateway/service_call.hpp
@@ -47,6 +47,14 @@
 /// @brief Time after which an attempt that may be repeated is abandoned for another server.
 Duration repeatableAttemptTime(const Route& route);
 
+/// @brief Identifies what a caller asks for, whichever attempt of it this is: the digest of who asks, for what, and
+/// with which body. Ids of attempts and times are no part of it.
+std::string contentOf(const CallerRequest& call, const HttpRequest& request);
+
+/// @brief Logs an attempt that ended without a usable answer though the server may have run it.
+void logBrokenAttempt(const CallerRequest& call, const HttpRequest& request, const ServerRecord& server,
+    const ServerTable& servers, const std::optional<Error>& problem);
+
 /// @brief Sends a request to a server that ServerTable::acquire() chose, and ends the request that was counted there.
 /// @param id the request's id; an answer that carries another one is not accepted.
 /// @param deadline end of the attempt.
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -220,6 +220,8 @@
     // A caller may leave as soon as it has the whole answer.
     if (end != AttemptEnd::Complete && exchange.isCallerGone())
         end = AttemptEnd::CallerGone;
+    if (end == AttemptEnd::Broken)
+        logBrokenAttempt(forwarding.call, exchange.request(), server, this->servers, forwarding.problem);
     if (end == AttemptEnd::NotReached)
         ++forwarding.unreached;
     const bool mayHaveRun = end == AttemptEnd::Broken || end == AttemptEnd::Complete || end == AttemptEnd::CallerGone;
