--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -77,6 +77,9 @@
     /// connection that brings no request for a while is closed. So no caller's request meets a closed connection.
     void stopAccepting();
 
+    /// @brief Closes the listening socket and all connections at once, as the end of the process does.
+    void abort();
+
     /// @brief Requests whose answer isn't complete yet.
     std::size_t inFlight() const;
 
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -62,6 +62,8 @@
 
     asio::awaitable<void> serve();
     void closeIfIdle(TimePoint now);
+    /// Closes the connection whatever it is doing.
+    void abort() { this->stream.tcp().close(); }
     bool belongsTo(const asio::io_context& other) const { return &this->loop == &other; }
 
     const HttpRequest& request() const override { return this->current; }
@@ -371,6 +373,20 @@
 
 } // namespace
 
+void abortHttpConnections(const std::shared_ptr<HttpServer::State>& server)
+{
+    for (std::size_t index = 0; index < server->threads.size(); ++index) {
+        auto& loop = server->threads.at(index);
+        asio::post(loop, [server, &loop] {
+            const std::lock_guard guard(server->lock);
+            for (auto* connection : server->open) {
+                if (connection->belongsTo(loop))
+                    connection->abort();
+            }
+        });
+    }
+}
+
 asio::awaitable<void> closeIdleHttpConnections(std::shared_ptr<HttpServer::State> server)
 {
     asio::steady_timer timer(server->threads.at(IoThreads::here()));
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -44,6 +44,12 @@
     }
 }
 
+void HttpServer::abort()
+{
+    this->state->listener->abort();
+    abortHttpConnections(this->state);
+}
+
 std::size_t HttpServer::inFlight() const { return this->state->inFlight.load(std::memory_order_relaxed); }
 
 bool HttpServer::isAccepting() const { return this->state->listener->isAccepting(); }
--- a/src/wire/http_server_state.hpp
+++ b/src/wire/http_server_state.hpp
@@ -34,6 +34,9 @@
 /// @brief Serves a connection on the calling thread, or closes it if there are too many.
 void startHttpConnection(const std::shared_ptr<HttpServer::State>& server, boost::asio::ip::tcp::socket socket);
 
+/// @brief Closes all connections, each on its own thread, whatever they are doing.
+void abortHttpConnections(const std::shared_ptr<HttpServer::State>& server);
+
 /// @brief Closes the calling thread's connections that have waited for a request for a while, until none is left.
 boost::asio::awaitable<void> closeIdleHttpConnections(std::shared_ptr<HttpServer::State> server);
 
--- a/src/wire/listener.cpp
+++ b/src/wire/listener.cpp
@@ -70,6 +70,15 @@
 
 void Listener::stop() { asio::co_spawn(this->threads.at(0), this->closeAfterQueue(), asio::detached); }
 
+void Listener::abort()
+{
+    asio::post(this->threads.at(0), [self = this->shared_from_this()] {
+        self->isStopping = true;
+        boost::system::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+}
+
 asio::awaitable<void> Listener::closeAfterQueue()
 {
     const auto self = this->shared_from_this();
--- a/src/wire/listener.hpp
+++ b/src/wire/listener.hpp
@@ -37,6 +37,9 @@
     /// handshakes are dropped first, what is queued is accepted, and only then is the socket closed.
     void stop();
 
+    /// @brief Closes the socket at once; connections that wait to be accepted are reset.
+    void abort();
+
     bool isAccepting() const { return !this->isStopping; }
 
     std::uint16_t port() const { return this->boundPort; }
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -19,6 +19,8 @@
     constexpr std::chrono::milliseconds slowEventTime { 500 };
     constexpr std::chrono::milliseconds silenceCheckInterval { 10 };
     constexpr std::chrono::milliseconds dribbleInterval { 100 };
+    /// From the beginning of a request that ends the process until it ends.
+    constexpr std::chrono::milliseconds crashTime { 20 };
 
     std::string headerOf(const HttpRequest& request, std::string_view name)
     {
@@ -41,6 +43,12 @@
         throw std::runtime_error("worker stand-in can't listen");
 }
 
+void WorkerStandin::crash()
+{
+    this->isCrashed = true;
+    this->server.abort();
+}
+
 HttpResponse WorkerStandin::answerTo(const HttpRequest& request, unsigned status) const
 {
     HttpResponse response;
@@ -229,6 +237,13 @@
             headerOf(request, "Last-Event-Id"), Clock::now() });
     }
     this->logRun("run " + headerOf(request, "Topaztack-Request-Id") + " " + headerOf(request, "Last-Event-Id"));
+    if (!this->faults.deadlyBody.empty() && request.body == this->faults.deadlyBody) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, crashTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        this->crash();
+    }
+    if (this->isCrashed)
+        co_return;
     if (this->faults.answersToLose > 0) {
         --this->faults.answersToLose;
         co_return;
@@ -247,6 +262,8 @@
         asio::steady_timer timer(co_await asio::this_coro::executor, workTime);
         co_await timer.async_wait(asio::use_awaitable);
     }
+    if (this->isCrashed)
+        co_return;
     response.body = "served by " + this->name;
     if (this->runLog.is_open())
         response.body = headerOf(request, "Topaztack-Request-Id") + " " + response.body;
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -45,6 +45,8 @@
     /// Plain requests are not answered for this long.
     std::atomic<std::chrono::milliseconds> plainTime { std::chrono::milliseconds(0) };
     std::atomic<std::chrono::milliseconds> eventTime { std::chrono::milliseconds(1) };
+    /// The process ends as soon as it begins to run a request with this body; set before the first request.
+    std::string deadlyBody;
     /// A generation that takes 500 ms an event; set before the first request.
     std::string slowItem;
 };
@@ -78,6 +80,11 @@
 public:
     explicit WorkerStandin(IoThreads& threads, std::string name, WorkerOptions options = {});
 
+    /// @brief Ends the process: requests that run break off, and connections are refused from then on.
+    void crash();
+
+    bool hasCrashed() const { return this->isCrashed; }
+
     Endpoint endpoint() const { return { "127.0.0.1", this->server.port() }; }
 
     /// @brief The record by which the worker is listed in the store.
@@ -109,6 +116,7 @@
     std::ofstream runLog;
     std::atomic<std::uint64_t> weightVersion;
     std::atomic<bool> isLoading { false };
+    std::atomic<bool> isCrashed { false };
     std::atomic<std::uint64_t> orderCount { 0 };
     mutable std::mutex lock;
     std::vector<SeenRequest> requests;
