Requests that crash servers are recognised at all VMs and held

Cause: nothing remembered that servers had ended under a request. A connection that broke counted against the server, and each attempt of the caller began anew at whatever VM it came to. Ruled out: too many attempts within one caller's try; overload after the first loss. Fix: a VM whose request broke off asks whether the server still listens. If not, the end is evidence against the request's content (host, method, target, caller, body). The evidence stands in the store, a row a VM and content, so all VMs have it and it outlives them. One end makes a request suspected: it runs only at a server that no other suspected request of any VM runs at, and only while half of the pool remains. Three ends, two of them so set apart, hold it (306 request-held, at once, with the time until it is run once more); any run that ends well clears it. An end is taken back if the server's record is written on. Streams up to their first event are treated alike. Requests of which nothing is known cost one hash of their target.

--- a/include/topaztack/base/error.hpp
+++ b/include/topaztack/base/error.hpp
@@ -38,6 +38,7 @@
     BackendBroke = 303,
     BackendTimeout = 304,
     BackendAnswerMalformed = 305,
+    RequestHeld = 306,
     // 4xx: the platform's services
     PlatformUnreachable = 401,
     PlatformAmbiguous = 402,
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -56,6 +56,7 @@
 #include <topaztack/policy/claim_batch.hpp>
 #include <topaztack/policy/claim_history.hpp>
 #include <topaztack/policy/class_queue.hpp>
+#include <topaztack/policy/crash_evidence.hpp>
 #include <topaztack/policy/event_stream.hpp>
 #include <topaztack/policy/home.hpp>
 #include <topaztack/policy/job_placement.hpp>
--- a/include/topaztack/wire/http_client.hpp
+++ b/include/topaztack/wire/http_client.hpp
@@ -61,6 +61,14 @@
     std::function<bool(const HttpResponse&)> accepts;
 };
 
+/// @brief Whether something listens at an endpoint.
+enum class ProbeResult : std::uint8_t {
+    Listening,
+    /// Nothing listens there: the process is gone.
+    Refused,
+    Unknown,
+};
+
 /// @brief How long connections are kept.
 struct HttpClientLimits {
     /// Idle connections kept to one endpoint.
@@ -96,6 +104,10 @@
     boost::asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> open(
         Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options = {});
 
+    /// @brief Whether something listens at the endpoint: a kept connection that is still open says so, else a new one
+    /// is made and closed.
+    boost::asio::awaitable<ProbeResult> probe(Endpoint endpoint, TimePoint deadline);
+
     /// @brief Connections to the endpoint that are kept and could be used now.
     std::size_t idleConnections(const Endpoint& endpoint) const;
 
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -48,6 +48,8 @@
             "ask the backend server's owner what became of the request before sending another" },
         KindDescription { ErrorKind::BackendAnswerMalformed, "backend-answer-malformed",
             "check the backend server's version and logs" },
+        KindDescription { ErrorKind::RequestHeld, "request-held",
+            "don't send this request again until the backend server's owner has mended the crash" },
         KindDescription { ErrorKind::PlatformUnreachable, "platform-unreachable",
             "use a ticket (POST /v1/tickets), which needs no platform, or ask again later" },
         KindDescription { ErrorKind::PlatformAmbiguous, "platform-ambiguous",
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -27,6 +27,7 @@
     /// A server's response that is to be delivered to the caller.
     std::optional<HttpResponse> answer;
     std::optional<Error> problem;
+    SuspectPass pass;
 
     bool isRepeatable() const { return this->route.kind == RouteKind::Idempotent; }
     bool mayAttempt() const
@@ -36,9 +37,10 @@
     }
 };
 
-Forwarder::Forwarder(GatewayContext& context, ServerTable& servers)
+Forwarder::Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects)
     : context(context)
     , servers(servers)
+    , suspects(suspects)
     , requests(context.metrics.counter("topaztack_requests_total", "Requests forwarded to pools"))
     , retries(context.metrics.counter("topaztack_request_repeats_total", "Attempts after a request's first one"))
     , refused(context.metrics.counter("topaztack_requests_refused_total", "Requests answered as not run"))
@@ -50,7 +52,7 @@
 asio::awaitable<void> Forwarder::handle(HttpExchange& exchange, const CallerRequest& call, const Route& route)
 {
     this->requests.add();
-    Forwarding forwarding { .call = call, .route = route };
+    Forwarding forwarding { .call = call, .route = route, .pass = SuspectPass(call, exchange.request()) };
     forwarding.startedAt = Clock::now();
     const auto timeLimit = std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.deadline = forwarding.startedAt + timeLimit;
@@ -58,6 +60,7 @@
     if (pool)
         forwarding.requirements.pool = *pool;
     auto response = co_await this->forward(exchange, forwarding);
+    co_await this->suspects.leave(forwarding.pass);
     const auto took = Clock::now() - forwarding.startedAt;
     this->latency.record(took);
     const auto status = response.status;
@@ -73,14 +76,9 @@
 asio::awaitable<HttpResponse> Forwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
 {
     while (forwarding.mayAttempt() && Clock::now() < forwarding.deadline && !exchange.isCallerGone()) {
-        const auto server = this->servers.acquire(forwarding.requirements);
+        const auto server = co_await this->chooseServer(exchange, forwarding);
         if (!server)
             break;
-        const bool isAdmitted = co_await this->servers.admit(*server);
-        if (!isAdmitted || exchange.isCallerGone()) {
-            this->servers.finish(*server, ServerOutcome::Cancelled, forwarding.requirements);
-            continue;
-        }
         if (forwarding.attempts > 0)
             this->retries.add();
         ++forwarding.attempts;
@@ -92,11 +90,31 @@
     co_return this->failureResponse(forwarding);
 }
 
+/// Chooses a server that may take the request now.
+asio::awaitable<std::optional<ServerRecord>> Forwarder::chooseServer(HttpExchange& exchange, Forwarding& forwarding)
+{
+    auto& requirements = forwarding.requirements;
+    while (!exchange.isCallerGone()) {
+        auto entry = co_await this->suspects.enter(
+            forwarding.pass, requirements, forwarding.startedAt + forwarding.route.latencyObjective);
+        if (entry.refusal)
+            forwarding.problem = std::move(entry.refusal);
+        if (!entry.server)
+            break;
+        const bool isAdmitted = co_await this->servers.admit(*entry.server);
+        if (isAdmitted && !exchange.isCallerGone())
+            co_return std::move(entry.server);
+        this->servers.finish(*entry.server, ServerOutcome::Cancelled, requirements);
+        this->suspects.release(forwarding.pass);
+    }
+    co_return std::nullopt;
+}
+
 HttpResponse Forwarder::failureResponse(const Forwarding& forwarding) const
 {
     (forwarding.mayHaveRun ? this->failed : this->refused).add();
-    return topaztack::failureResponse(
-        this->servers, forwarding.requirements.pool, forwarding.mayHaveRun, forwarding.problem, forwarding.call.id);
+    return topaztack::failureResponse(this->servers, forwarding.requirements.pool, forwarding.mayHaveRun,
+        forwarding.problem, forwarding.call.id, forwarding.pass.retryAfter);
 }
 
 asio::awaitable<void> Forwarder::attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server)
@@ -116,11 +134,16 @@
         --forwarding.attempts;
         ++forwarding.unreached;
     }
+    if (result.outcome == ServiceCallOutcome::Answered)
+        this->suspects.recordRun(forwarding.pass);
+    else if (!control.isCancelled() && result.problem->kind == ErrorKind::BackendBroke)
+        co_await this->suspects.recordBreak(forwarding.pass, server);
+    this->suspects.release(forwarding.pass);
     const bool mayHaveRun
         = result.outcome == ServiceCallOutcome::Unknown || result.outcome == ServiceCallOutcome::Answered;
     forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
     if (result.outcome == ServiceCallOutcome::Unknown && !control.isCancelled())
-        logBrokenAttempt(forwarding.call, exchange.request(), server, this->servers, result.problem);
+        logBrokenAttempt(forwarding.call.id, forwarding.pass.content, server, this->servers, result.problem);
     if (!result.response) {
         forwarding.problem = std::move(result.problem);
         co_return;
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "context.hpp"
+#include "crash_records.hpp"
 #include "server_table.hpp"
+#include "suspect_gate.hpp"
 
 #include <topaztack/wire/http_server.hpp>
 
@@ -15,7 +17,7 @@
 
 class Forwarder {
 public:
-    Forwarder(GatewayContext& context, ServerTable& servers);
+    Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects);
 
     boost::asio::awaitable<void> handle(HttpExchange& exchange, const CallerRequest& call, const Route& route);
 
@@ -24,10 +26,12 @@
 
     boost::asio::awaitable<HttpResponse> forward(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<void> attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server);
+    boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
     HttpResponse failureResponse(const Forwarding& forwarding) const;
 
     GatewayContext& context;
     ServerTable& servers;
+    SuspectGate& suspects;
     Counter& requests;
     Counter& retries;
     Counter& refused;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/gateway/gateway.hpp>
 
 #include "context.hpp"
+#include "crash_records.hpp"
 #include "error_responses.hpp"
 #include "forwarder.hpp"
 #include "item_dispatcher.hpp"
@@ -16,6 +17,7 @@
 #include "store_watch.hpp"
 #include "stream_forwarder.hpp"
 #include "stream_origins.hpp"
+#include "suspect_gate.hpp"
 #include "table_follower.hpp"
 #include "weight_loader.hpp"
 
@@ -93,7 +95,9 @@
     GatewayContext context;
     PeerDirectory peers;
     RequestQuota quota;
+    CrashRecords crashes;
     ServerTable servers;
+    SuspectGate suspects;
     StreamOrigins streamOrigins;
     StreamForwarder streams;
     JobStore jobStore;
@@ -118,15 +122,17 @@
     : context(std::move(settings), std::move(identity), protocol)
     , peers(this->context)
     , quota(this->context, this->peers)
-    , servers(this->context, this->quota)
+    , crashes(this->context, [this](const ServerStart& server) { this->servers.markEnded(server); })
+    , servers(this->context, this->quota, this->crashes)
+    , suspects(this->context, this->servers, this->crashes)
     , streamOrigins(this->context, this->peers)
-    , streams(this->context, this->servers, this->streamOrigins)
+    , streams(this->context, this->servers, this->streamOrigins, this->suspects)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , forwarder(this->context, this->servers)
+    , forwarder(this->context, this->servers, this->suspects)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
@@ -177,8 +183,8 @@
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
-        { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() }, { "weights", this->weights.dump() },
-        { "peers", this->peers.dump() } };
+        { "suspects", this->crashes.dump() }, { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() },
+        { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -296,6 +302,7 @@
     while (true) {
         this->servers.expire();
         this->quota.expire();
+        this->crashes.expire();
         this->streamOrigins.expire();
         co_await pauseFor(expiryInterval);
     }
@@ -328,6 +335,7 @@
     parts.lease.start();
     parts.weights.start();
     parts.peers.start();
+    parts.crashes.start();
     parts.storeWatch.start();
     asio::co_spawn(parts.context.loop(), parts.expire(), asio::detached);
     parts.context.threads.start();
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -40,9 +40,10 @@
 
 } // namespace
 
-ServerTable::ServerTable(GatewayContext& context, RequestQuota& quota)
+ServerTable::ServerTable(GatewayContext& context, RequestQuota& quota, CrashRecords& crashes)
     : context(context)
     , quota(quota)
+    , crashes(crashes)
     , changeNotifier(context.loop())
 {
 }
@@ -51,6 +52,7 @@
 {
     // Applied before the comparison, since the known record has been marked.
     applyDeparture(this->servers, record);
+    this->recordSignOfLife(record);
     const auto* known = this->find(record.name);
     if (known && known->startedAt == record.startedAt)
         keepNewerVersions(*known, record);
@@ -111,6 +113,7 @@
     }
     const bool isStoreUnreachable = contact.lostSince.has_value();
     this->recordSoftware(now);
+    this->recordPoolSizes(now);
     this->snapshots.clear();
     for (const auto& name : removeExpiredServers(this->servers, now, isStoreUnreachable))
         logEvent(LogLevel::Info, "server-expired", { { "server", name.value() } });
@@ -164,7 +167,9 @@
 {
     const auto& server = *member.record;
     const auto& usage = *member.usage;
-    if (server.isLeaving || now < this->quota.availableAt(server.name))
+    if (server.isLeaving || usage.endedAt || now < this->quota.availableAt(server.name))
+        return false;
+    if (requirements.reserved.contains(server.name))
         return false;
     if (!usage.refusingUntil.empty()) {
         const auto refusing = usage.refusingUntil.find(requirements.model);
@@ -250,7 +255,7 @@
         load.requestTokens = requirements.tokens;
         load.slowdownAtFullLoad = engineSlowdownWhenFull;
     }
-    load.isSuspected = now < usage.suspectedUntil || usage.isSilent;
+    load.isSuspected = now < usage.suspectedUntil || usage.isSilent || usage.isAtRisk;
     if (snapshot.medianIntervalSeconds > 0 && usage.intervalSeconds > 0)
         load.slowness = usage.intervalSeconds / snapshot.medianIntervalSeconds;
     return load;
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.hpp"
+#include "crash_records.hpp"
 #include "notifier.hpp"
 #include "request_quota.hpp"
 
@@ -36,6 +37,8 @@
     bool isBackground { false };
     /// Whether a caller waits for the generation, so that it may queue at an engine whose slots are taken.
     bool hasCaller { false };
+    /// Servers that are not to be chosen: other suspected requests run there.
+    std::set<BackendName> reserved;
     /// Server that is preferred for its prompt cache while it has room; empty for none.
     BackendName preferred;
 };
@@ -62,7 +65,7 @@
 
 class ServerTable {
 public:
-    ServerTable(GatewayContext& context, RequestQuota& quota);
+    ServerTable(GatewayContext& context, RequestQuota& quota, CrashRecords& crashes);
 
     void applyRows(const std::vector<StoreRow>& rows, bool isFullTable);
 
@@ -77,6 +80,19 @@
     /// many requests per second from all VMs together, and it may have begun to leave while another VM was asked.
     boost::asio::awaitable<bool> admit(const ServerRecord& server);
 
+    /// @brief Whether the server's process ended, asked after a request there broke off. A server that ended gets
+    /// nothing more until its record changes.
+    boost::asio::awaitable<bool> hasEnded(ServerRecord server);
+
+    /// @brief Marks a server that another VM saw end.
+    void markEnded(const ServerStart& server);
+
+    /// @brief Whether a request that may crash its server can be run: enough other servers of the pool can serve.
+    bool canSpareServer(const PoolName& pool);
+
+    /// @brief Marks a server that a suspected request runs at: others avoid it while they can.
+    void setRisk(const BackendName& name, bool isAtRisk);
+
     /// @brief Counts a request that is sent whatever limit the server states.
     boost::asio::awaitable<void> charge(const ServerRecord& server);
 
@@ -176,6 +192,10 @@
         /// When the server last sent anything, or when the first of the outstanding requests was sent.
         TimePoint heardAt;
         bool isSilent { false };
+        /// A suspected request runs there.
+        bool isAtRisk { false };
+        /// When its process was found to be gone; empty if it wasn't.
+        std::optional<TimePoint> endedAt;
     };
 
     /// The generations that another VM last reported.
@@ -207,6 +227,8 @@
 
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
+    void recordSignOfLife(const ServerRecord& server);
+    void recordPoolSizes(TimePoint now);
     void recordSoftware(TimePoint now);
     PoolSnapshot& snapshotOf(const PoolName& pool, TimePoint now);
     bool canServe(const PoolMember& member, const ServerRequirements& requirements, TimePoint now) const;
@@ -216,6 +238,7 @@
 
     GatewayContext& context;
     RequestQuota& quota;
+    CrashRecords& crashes;
     ServerRegistry servers;
     std::map<BackendName, ServerUsage> usageByServer;
     std::map<VmName, PeerLoad> peerLoads;
@@ -229,6 +252,8 @@
     /// When servers of each software version were last listed.
     std::map<PoolName, std::map<std::string, TimePoint>> softwareSeen;
     TimePoint softwareRecordedAt;
+    /// The most servers that each pool had lately, and when it had them.
+    std::map<PoolName, std::pair<std::size_t, TimePoint>> largestPools;
     /// Since when the servers are known without a gap; empty before the first full read.
     std::optional<TimePoint> watchedSince;
 };
--- /dev/null
+++ b/src/gateway/server_table_ends.cpp
@@ -0,0 +1,106 @@
+#include "server_table.hpp"
+
+#include <topaztack/base/log.hpp>
+#include <topaztack/policy/crash_evidence.hpp>
+
+#include <algorithm>
+
+/// @file
+/// Servers whose process ended, and what a pool can do without.
+
+namespace topaztack {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// A process that is gone refuses connections at once; a server behind a partition doesn't answer.
+    constexpr Duration probeTimeout = 150ms;
+    /// What a server wrote before it ended may be read this much later.
+    constexpr Duration recordDelay = 1s;
+    /// A server that crashed is back within this time, and counts as part of its pool until then.
+    constexpr Duration poolSizeRetention = 30s;
+
+} // namespace
+
+asio::awaitable<bool> ServerTable::hasEnded(ServerRecord server)
+{
+    const auto usage = this->usageByServer.find(server.name);
+    const auto* known = this->find(server.name);
+    const bool isCurrent = known && known->startedAt == server.startedAt;
+    if (isCurrent && usage != this->usageByServer.end() && usage->second.endedAt)
+        co_return true;
+    const auto probed = co_await this->context.httpClient.probe(server.endpoint, Clock::now() + probeTimeout);
+    if (probed != ProbeResult::Refused)
+        co_return false;
+    // A server that announced its departure ends without anybody's fault.
+    known = this->find(server.name);
+    if (known && known->isLeaving)
+        co_return false;
+    this->markEnded({ server.name, server.startedAt });
+    co_return true;
+}
+
+void ServerTable::markEnded(const ServerStart& server)
+{
+    const auto* known = this->find(server.name);
+    if (!known || known->startedAt != server.startedAt)
+        return;
+    auto& usage = this->usageByServer[server.name];
+    if (usage.endedAt)
+        return;
+    usage.endedAt = Clock::now();
+    logEvent(LogLevel::Info, "server-ended",
+        { { "server", server.name.value() }, { "pool", known->pool.value() }, { "address", toText(known->endpoint) },
+            { "outstanding", std::to_string(usage.outstanding) } });
+}
+
+/// A record that is written anew shows that the server lives, whatever was concluded from refused connections.
+void ServerTable::recordSignOfLife(const ServerRecord& server)
+{
+    const auto usage = this->usageByServer.find(server.name);
+    const auto* known = this->find(server.name);
+    const bool isSameStart = known && known->startedAt == server.startedAt;
+    if (usage == this->usageByServer.end() || !usage->second.endedAt || !isSameStart
+        || Clock::now() - *usage->second.endedAt < recordDelay)
+        return;
+    usage->second.endedAt.reset();
+    logEvent(LogLevel::Info, "server-alive-again", { { "server", server.name.value() } });
+    this->crashes.withdrawEnd({ server.name, server.startedAt });
+}
+
+void ServerTable::recordPoolSizes(TimePoint now)
+{
+    std::map<PoolName, std::size_t> sizes;
+    for (const auto& [name, entry] : this->servers.entries)
+        ++sizes[entry.record.pool];
+    for (const auto& [pool, size] : sizes) {
+        auto& largest = this->largestPools[pool];
+        if (size >= largest.first || now - largest.second >= poolSizeRetention)
+            largest = { size, now };
+    }
+    std::erase_if(
+        this->largestPools, [now](const auto& each) { return now - each.second.second >= poolSizeRetention; });
+}
+
+bool ServerTable::canSpareServer(const PoolName& pool)
+{
+    const auto now = Clock::now();
+    const auto& members = this->snapshotOf(pool, now).members;
+    const auto usable = std::count_if(members.begin(), members.end(), [now](const PoolMember& member) {
+        return !member.record->isLeaving && !member.usage->endedAt && now >= member.usage->suspectedUntil;
+    });
+    const auto largest = this->largestPools.find(pool);
+    return topaztack::canSpareServer(static_cast<std::size_t>(usable),
+        std::max(members.size(), largest == this->largestPools.end() ? 0 : largest->second.first));
+}
+
+void ServerTable::setRisk(const BackendName& name, bool isAtRisk)
+{
+    const auto usage = this->usageByServer.find(name);
+    if (usage != this->usageByServer.end())
+        usage->second.isAtRisk = isAtRisk;
+}
+
+} // namespace topaztack
--- a/src/gateway/server_table_requirements.cpp
+++ b/src/gateway/server_table_requirements.cpp
@@ -68,7 +68,8 @@
     const auto& members = this->snapshotOf(pool, now).members;
     return std::any_of(members.begin(), members.end(), [&softwareVersion, now](const PoolMember& member) {
         const bool isFitting = !softwareVersion || member.record->softwareVersion == *softwareVersion;
-        return isFitting && !member.record->isLeaving && now >= member.usage->suspectedUntil && !member.usage->isSilent;
+        return isFitting && !member.record->isLeaving && !member.usage->endedAt && now >= member.usage->suspectedUntil
+            && !member.usage->isSilent;
     });
 }
 
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -3,7 +3,6 @@
 #include "error_responses.hpp"
 
 #include <topaztack/base/log.hpp>
-#include <topaztack/wire/content_digest.hpp>
 
 #include <algorithm>
 
@@ -53,7 +52,7 @@
 } // namespace
 
 HttpResponse failureResponse(ServerTable& servers, const PoolName& pool, bool mayHaveRun,
-    const std::optional<Error>& problem, const RequestId& id)
+    const std::optional<Error>& problem, const RequestId& id, std::optional<std::chrono::milliseconds> retryAfter)
 {
     if (mayHaveRun)
         return mayHaveRunResponse(
@@ -61,19 +60,15 @@
             id);
     const auto error
         = problem.value_or(makeError(ErrorKind::NoBackendServer, "pool `" + pool.value() + "` has no free server"));
-    return notRunResponse(error, id, std::max(refusalRetryAfter, toMilliseconds(servers.timeUntilAdmission(pool))));
+    const auto serverFree = std::max(refusalRetryAfter, toMilliseconds(servers.timeUntilAdmission(pool)));
+    return notRunResponse(error, id, retryAfter.value_or(serverFree));
 }
 
-std::string contentOf(const CallerRequest& call, const HttpRequest& request)
-{
-    return contentDigest({ call.host, request.method, request.target, call.credential, request.body });
-}
-
-void logBrokenAttempt(const CallerRequest& call, const HttpRequest& request, const ServerRecord& server,
+void logBrokenAttempt(const RequestId& id, RequestContent& content, const ServerRecord& server,
     const ServerTable& servers, const std::optional<Error>& problem)
 {
     logEvent(LogLevel::Info, "attempt-broke-off",
-        { { "id", call.id.value() }, { "content", contentOf(call, request) }, { "server", server.name.value() },
+        { { "id", id.value() }, { "content", content.digest() }, { "server", server.name.value() },
             { "software", server.softwareVersion }, { "others", std::to_string(servers.outstanding(server.name)) },
             { "error", problem ? problem->message : "" } });
 }
--- a/src/gateway/service_call.hpp
+++ b/src/gateway/service_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.hpp"
+#include "crash_records.hpp"
 #include "server_table.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -41,18 +42,15 @@
 /// @brief The response to a request for which no server's answer can be delivered.
 /// @param mayHaveRun if false, the response says that it did not run, and when to come back.
 /// @param problem of the last attempt; empty if no server was free.
+/// @param retryAfter when the caller should come back, if the problem says so; empty for when a server may be free.
 HttpResponse failureResponse(ServerTable& servers, const PoolName& pool, bool mayHaveRun,
-    const std::optional<Error>& problem, const RequestId& id);
+    const std::optional<Error>& problem, const RequestId& id, std::optional<std::chrono::milliseconds> retryAfter = {});
 
 /// @brief Time after which an attempt that may be repeated is abandoned for another server.
 Duration repeatableAttemptTime(const Route& route);
 
-/// @brief Identifies what a caller asks for, whichever attempt of it this is: the digest of who asks, for what, and
-/// with which body. Ids of attempts and times are no part of it.
-std::string contentOf(const CallerRequest& call, const HttpRequest& request);
-
 /// @brief Logs an attempt that ended without a usable answer though the server may have run it.
-void logBrokenAttempt(const CallerRequest& call, const HttpRequest& request, const ServerRecord& server,
+void logBrokenAttempt(const RequestId& id, RequestContent& content, const ServerRecord& server,
     const ServerTable& servers, const std::optional<Error>& problem);
 
 /// @brief Sends a request to a server that ServerTable::acquire() chose, and ends the request that was counted there.
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -62,6 +62,7 @@
     bool isCallerGone { false };
     bool isComplete { false };
     std::optional<Error> problem;
+    SuspectPass pass;
 
     bool isResumable() const { return this->route.isResumable; }
     bool mayAttempt() const
@@ -71,10 +72,12 @@
     }
 };
 
-StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins)
+StreamForwarder::StreamForwarder(
+    GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SuspectGate& suspects)
     : context(context)
     , servers(servers)
     , origins(origins)
+    , suspects(suspects)
     , resumes(context.metrics.counter(
           "topaztack_streams_resumed_total", "Callers' streams that went on at another server within an answer"))
     , takenUp(context.metrics.counter("topaztack_streams_taken_up_total", "Streams that callers took up again"))
@@ -87,7 +90,7 @@
 
 asio::awaitable<void> StreamForwarder::handle(HttpExchange& exchange, const CallerRequest& call, const Route& route)
 {
-    Forwarding forwarding { .call = call, .route = route };
+    Forwarding forwarding { .call = call, .route = route, .pass = SuspectPass(call, exchange.request()) };
     forwarding.startedAt = Clock::now();
     forwarding.deadline = forwarding.startedAt + std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.lastEvent = call.lastEvent;
@@ -101,9 +104,10 @@
     const bool isOriginKnown = co_await this->findOrigin(exchange, forwarding);
     if (isOriginKnown)
         co_await this->forward(exchange, forwarding);
+    co_await this->suspects.leave(forwarding.pass);
     if (!forwarding.hasBegun && !forwarding.isCallerGone)
-        co_await exchange.respond(
-            failureResponse(this->servers, need.pool, forwarding.mayHaveRun, forwarding.problem, call.id));
+        co_await exchange.respond(failureResponse(
+            this->servers, need.pool, forwarding.mayHaveRun, forwarding.problem, call.id, forwarding.pass.retryAfter));
     this->finish(exchange, forwarding);
 }
 
@@ -132,6 +136,16 @@
     co_return false;
 }
 
+/// A stream that has begun was run by a server that went on, so it is not suspected.
+asio::awaitable<SuspectGate::Entry> StreamForwarder::enter(Forwarding& forwarding, TimePoint waitUntil)
+{
+    if (!forwarding.hasBegun)
+        co_return co_await this->suspects.enter(forwarding.pass, forwarding.requirements, waitUntil);
+    SuspectGate::Entry entry;
+    entry.server = this->servers.acquire(forwarding.requirements);
+    co_return entry;
+}
+
 asio::awaitable<std::optional<ServerRecord>> StreamForwarder::chooseServer(
     HttpExchange& exchange, Forwarding& forwarding)
 {
@@ -139,14 +153,20 @@
     const Duration wait = forwarding.hasBegun ? maxResumeWait : Duration(forwarding.route.latencyObjective) / 4;
     const auto end = std::min(forwarding.deadline, now + wait);
     while (!exchange.isCallerGone()) {
-        auto server = this->servers.acquire(forwarding.requirements);
+        auto entry = co_await this->enter(forwarding, end);
+        auto& server = entry.server;
         const bool isAdmitted = server && co_await this->servers.admit(*server);
         if (isAdmitted && !exchange.isCallerGone())
             co_return std::move(server);
         if (server) {
             this->servers.finish(*server, ServerOutcome::Cancelled, forwarding.requirements);
+            this->suspects.release(forwarding.pass);
             continue;
         }
+        if (entry.refusal) {
+            forwarding.problem = std::move(entry.refusal);
+            break;
+        }
         const auto asked = Clock::now();
         if (asked >= end)
             break;
@@ -189,6 +209,7 @@
 {
     const auto& server = attempt.server;
     const auto sentAt = Clock::now();
+    const auto eventsBefore = forwarding.events;
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - sentAt));
     auto request
         = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft, forwarding.lastEvent);
@@ -220,8 +241,12 @@
     // A caller may leave as soon as it has the whole answer.
     if (end != AttemptEnd::Complete && exchange.isCallerGone())
         end = AttemptEnd::CallerGone;
+    const bool hasBroken = end == AttemptEnd::Broken && forwarding.events == eventsBefore;
+    if (hasBroken && forwarding.problem->kind == ErrorKind::BackendBroke)
+        co_await this->suspects.recordBreak(forwarding.pass, server);
+    this->suspects.release(forwarding.pass);
     if (end == AttemptEnd::Broken)
-        logBrokenAttempt(forwarding.call, exchange.request(), server, this->servers, forwarding.problem);
+        logBrokenAttempt(forwarding.call.id, forwarding.pass.content, server, this->servers, forwarding.problem);
     if (end == AttemptEnd::NotReached)
         ++forwarding.unreached;
     const bool mayHaveRun = end == AttemptEnd::Broken || end == AttemptEnd::Complete || end == AttemptEnd::CallerGone;
@@ -290,6 +315,7 @@
     }
     std::erase_if(response.headers, [](const HttpHeader& header) { return isConnectionHeader(header.name); });
     forwarding.hasBegun = true;
+    this->suspects.recordRun(forwarding.pass);
     const bool isDelivered = co_await exchange.respond(std::move(response));
     co_return isDelivered ? AttemptEnd::Complete : AttemptEnd::CallerGone;
 }
@@ -353,8 +379,11 @@
                 co_return broken(decoded.error().message);
             if (!isNextEvent(forwarding.lastEvent, decoded.value().number))
                 co_return broken("an event is out of order");
-            if (++count == 1)
+            if (++count == 1) {
                 this->recordFirstEvent(forwarding, server);
+                this->suspects.recordRun(forwarding.pass);
+                this->suspects.release(forwarding.pass);
+            }
             // Counted before it is written: what may have reached the caller must not come again.
             forwarding.lastEvent = decoded.value().number;
             ++forwarding.events;
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -3,6 +3,7 @@
 #include "context.hpp"
 #include "server_table.hpp"
 #include "stream_origins.hpp"
+#include "suspect_gate.hpp"
 
 #include <topaztack/wire/http_server.hpp>
 
@@ -19,7 +20,7 @@
 
 class StreamForwarder {
 public:
-    StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins);
+    StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SuspectGate& suspects);
 
     boost::asio::awaitable<void> handle(HttpExchange& exchange, const CallerRequest& call, const Route& route);
 
@@ -46,6 +47,7 @@
 
     boost::asio::awaitable<bool> findOrigin(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<void> forward(HttpExchange& exchange, Forwarding& forwarding);
+    boost::asio::awaitable<SuspectGate::Entry> enter(Forwarding& forwarding, TimePoint waitUntil);
     boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<AttemptEnd> attempt(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt);
     boost::asio::awaitable<AttemptEnd> receive(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt,
@@ -66,6 +68,7 @@
     GatewayContext& context;
     ServerTable& servers;
     StreamOrigins& origins;
+    SuspectGate& suspects;
     OpenAttempts open;
     Counter& resumes;
     Counter& takenUp;
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -345,6 +345,29 @@
     co_return std::move(response);
 }
 
+asio::awaitable<ProbeResult> HttpClient::probe(Endpoint endpoint, TimePoint deadline)
+{
+    const auto client = this->state;
+    const auto kept = client->idle.find(endpoint);
+    if (kept != client->idle.end()) {
+        for (const auto& idle : kept->second) {
+            if (isStillOpen(*idle.link))
+                co_return ProbeResult::Listening;
+        }
+    }
+    ++client->made;
+    boost::system::error_code problem;
+    const tcp::endpoint address(asio::ip::make_address(endpoint.address, problem), endpoint.port);
+    if (problem)
+        co_return ProbeResult::Unknown;
+    beast::tcp_stream stream(client->loop);
+    stream.expires_at(deadline);
+    const auto [connectProblem] = co_await stream.async_connect(address, asTuple);
+    if (!connectProblem)
+        co_return ProbeResult::Listening;
+    co_return connectProblem == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::Unknown;
+}
+
 std::size_t HttpClient::idleConnections(const Endpoint& endpoint) const
 {
     const auto found = this->state->idle.find(endpoint);
--- a/tests/src/gateway/unit-deadly_requests.cpp
+++ b/tests/src/gateway/unit-deadly_requests.cpp
@@ -1,8 +1,10 @@
-#include "gateway/fixture.hpp"
+#include "gateway/stream_client.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <atomic>
+#include <thread>
 
 using namespace topaztack;
 using namespace topaztack::test;
@@ -86,6 +88,20 @@
             deadlyBody);
     }
 
+    /// Lets the request crash servers until no VM sends it any more.
+    void crashUntilHeld()
+    {
+        for (int round = 0; round < 3; ++round) {
+            this->send(*this->env->gateways[0]);
+            this->restartServers();
+        }
+        for (const auto& vm : this->env->gateways)
+            CHECK_TRUE(waitFor([&] {
+                const auto suspects = this->env->state(*vm, "suspects");
+                return !suspects.as_array().empty() && suspects.as_array()[0].at("verdict").as_string() == "held";
+            }));
+    }
+
     /// How often servers began to run the request.
     std::size_t runs() const
     {
@@ -116,3 +132,150 @@
     CHECK_COMPARE(this->ended(), >=, judgedAfterServers);
     CHECK_COMPARE(this->runs(), <=, judgedAfterServers + maxFurtherRuns);
 }
+
+// A held request waited for a server, or was refused like one for which no server was free.
+TEST(DeadlyRequests, AHeldRequestIsRejectedAtOnceAndToldWhy)
+{
+    this->startServers(3);
+    this->startVms(2);
+    this->crashUntilHeld();
+    const auto startedAt = Clock::now();
+    const auto answer = this->send(*this->env->gateways[1]);
+    CHECK_TRUE(Clock::now() - startedAt < 300ms);
+    LONGS_EQUAL(503, answer.status);
+    CHECK_TRUE(answer.body.find("request-held") != std::string::npos);
+    CHECK_TRUE(std::stod(std::string(findHeader(answer.headers, "Retry-After"))) > 60);
+}
+
+// One caller's request was taken for another one's: same path, other body, or same body and another caller.
+TEST(DeadlyRequests, OtherPathsBodiesAndCallersAreServedAsBefore)
+{
+    this->startServers(3);
+    this->startVms(2);
+    this->crashUntilHeld();
+    for (const auto& vm : this->env->gateways) {
+        LONGS_EQUAL(200, this->env->book(*vm, "r1", "/b/1").status);
+        LONGS_EQUAL(200, this->env->book(*vm, "r2", "/b/2").status);
+    }
+    const auto before = this->runs();
+    this->env->call(this->env->gateways[0]->callers, "POST", "/b/1",
+        { { "Topaztack-Request-Id", "r3" }, { "Authorization", "Bearer other" } }, deadlyBody);
+    CHECK_COMPARE(this->runs(), >, before);
+}
+
+// The memory of all VMs was lost at once, and the request crashed three more servers.
+TEST(DeadlyRequests, AHeldRequestStaysHeldWhenAllVmsAreRestarted)
+{
+    this->startServers(3);
+    this->startVms(2);
+    this->crashUntilHeld();
+    this->env->gateways.clear();
+    this->startVms(2);
+    const auto before = this->runs();
+    CHECK_TRUE(waitFor([&] { return !this->env->state(*this->env->gateways[0], "suspects").as_array().empty(); }));
+    LONGS_EQUAL(503, this->send(*this->env->gateways[0]).status);
+    LONGS_EQUAL(before, this->runs());
+}
+
+// A request that may run once goes to one server with each attempt of its caller, each time at another VM.
+TEST(DeadlyRequests, ARequestThatMayRunOnceIsRecognisedOverItsCallersAttempts)
+{
+    this->startServers(3);
+    this->startVms(4);
+    for (std::size_t round = 0; round < 10; ++round) {
+        this->send(*this->env->gateways[round % this->env->gateways.size()], "/u/1");
+        this->restartServers();
+    }
+    CHECK_COMPARE(this->runs(), <=, judgedAfterServers + maxFurtherRuns);
+}
+
+// One request took all servers of its pool within its caller's two attempts.
+TEST(DeadlyRequests, ASuspectedRequestDoesNotTakeTheLastServersOfItsPool)
+{
+    this->startServers(3);
+    this->startVms(2);
+    for (int attempt = 0; attempt < 6; ++attempt) {
+        this->send(*this->env->gateways[static_cast<std::size_t>(attempt) % 2]);
+        // A caller's way back to another VM.
+        std::this_thread::sleep_for(50ms);
+    }
+    LONGS_EQUAL(2, this->ended());
+    for (const auto& vm : this->env->gateways)
+        LONGS_EQUAL(200, this->env->book(*vm, "r" + std::to_string(++this->sent)).status);
+}
+
+// Servers end for other causes too, with many requests on them; none of these pays for it.
+TEST(DeadlyRequests, RequestsOnServersThatEndForAnotherCauseAreServed)
+{
+    this->startServers(4);
+    this->startVms(2);
+    for (auto* server : this->servers)
+        server->faults.plainTime = 100ms;
+    for (int round = 0; round < 3; ++round) {
+        std::vector<std::thread> callers;
+        std::atomic<int> served { 0 };
+        for (int caller = 0; caller < 6; ++caller)
+            callers.emplace_back([this, caller, &served] {
+                const auto& vm = *this->env->gateways[static_cast<std::size_t>(caller) % 2];
+                served += this->env->book(vm, "r" + std::to_string(caller), "/b/same").status == 200 ? 1 : 0;
+            });
+        std::this_thread::sleep_for(50ms);
+        this->servers[0]->crash();
+        for (auto& caller : callers)
+            caller.join();
+        LONGS_EQUAL(6, served.load());
+        this->restartServers();
+        for (auto* server : this->servers)
+            server->faults.plainTime = 100ms;
+    }
+    for (const auto& vm : this->env->gateways)
+        CHECK_TRUE(waitFor([&] { return this->env->state(*vm, "suspects").as_array().empty(); }));
+}
+
+// A lost answer or a reset connection looks the same at first, but the server goes on.
+TEST(DeadlyRequests, LostAnswersAreNoEvidence)
+{
+    this->startServers(3);
+    this->startVms(1);
+    for (int round = 0; round < 5; ++round) {
+        for (auto* server : this->servers)
+            server->faults.answersToLose = 1;
+        this->env->book(*this->env->gateways[0], "r" + std::to_string(round));
+        for (auto* server : this->servers)
+            server->faults.answersToLose = 0;
+    }
+    CHECK_TRUE(this->env->state(*this->env->gateways[0], "suspects").as_array().empty());
+    LONGS_EQUAL(200, this->env->book(*this->env->gateways[0], "r9").status);
+}
+
+// Engines that ended before a stream's first event were taken one after the other, as by plain requests.
+TEST(DeadlyRequests, AStreamThatCrashesEnginesIsHeldToo)
+{
+    std::vector<WorkerStandin*> engines;
+    const auto startEngine = [&](std::uint16_t port) -> WorkerStandin* {
+        WorkerOptions options;
+        options.port = port;
+        auto& engine = this->env->addWorker("i-engine-" + std::to_string(++this->starts), options);
+        engine.faults.deadlyBody = "prompt";
+        this->env->registerServer(engine, "lm");
+        return &engine;
+    };
+    this->env->store.remove("servers", "", this->env->engine.name);
+    for (int engine = 0; engine < 3; ++engine)
+        engines.push_back(startEngine(0));
+    this->startVms(2);
+    unsigned status = 0;
+    for (std::size_t round = 0; round < 6; ++round) {
+        const auto& vm = *this->env->gateways[round % 2];
+        status = openStream(vm, { .id = "s" + std::to_string(round) }).status;
+        for (auto& engine : engines) {
+            if (!engine->hasCrashed())
+                continue;
+            this->env->store.remove("servers", "", engine->name);
+            engine = startEngine(engine->endpoint().port);
+            CHECK_TRUE(waitFor([&] { return this->knows(vm, *engine); }));
+        }
+    }
+    LONGS_EQUAL(503, status);
+    CHECK_COMPARE(this->ended(), <=, judgedAfterServers + maxFurtherRuns);
+}
