Owed work under which servers ended takes further ones slowly

The same class as requests that crash servers, looked for at items and scoring calls: both went at once to one server after another (the tests: 8 of 8 ended within a second). They are owed, so they are not held: from the third end on each waits 1 s, doubled up to 8 s. An item counts only ends before its first event of the attempt.

--- a/include/topaztack/policy/crash_evidence.hpp
+++ b/include/topaztack/policy/crash_evidence.hpp
@@ -71,4 +71,8 @@
 /// whether the request is sound.
 bool canSpareServer(std::size_t usable, std::size_t largest);
 
+/// @brief How long accepted work waits before it runs again after this many servers ended under it. It is owed, so it
+/// is never held.
+Duration pauseAfterEnds(std::size_t ends);
+
 } // namespace topaztack
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -29,6 +29,8 @@
     std::uint64_t attempts { 0 };
     /// Answers that the call failed.
     std::uint64_t failures { 0 };
+    /// Servers that ended while they made the call.
+    std::size_t serverEnds { 0 };
     std::set<BackendName> tried;
 };
 
@@ -43,6 +45,10 @@
     /// Answers of servers that the item failed.
     std::uint64_t failures { 0 };
     std::uint64_t attempts { 0 };
+    /// Servers that ended under it before they made an event.
+    std::size_t serverEnds { 0 };
+    /// It is not started before this time.
+    TimePoint retryAt;
     std::set<BackendName> tried;
     /// The route of the item's own path; nullptr if there is none.
     const Route* route { nullptr };
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -3,6 +3,7 @@
 #include "item_run.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/crash_evidence.hpp>
 #include <topaztack/samples/item_order.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -266,8 +267,9 @@
     if (!this->mayStart())
         return startable;
     this->restartItemsWithoutSoftware();
+    const auto now = Clock::now();
     for (const auto& item : this->items) {
-        if (item->phase == ItemPhase::Waiting && item->route)
+        if (item->phase == ItemPhase::Waiting && item->route && now >= item->retryAt)
             startable.push_back(item.get());
     }
     return startable;
@@ -395,6 +397,7 @@
     CallControl control;
     item.control = &control;
     const auto sentAt = Clock::now();
+    const auto lastEventBefore = item.text.lastEvent;
     need.tried.insert(server.name);
     ItemAttempt attempt { this->job, *item.item, item.text, need, control,
         [this](bool isUrgent) { return this->mayStart() && (isUrgent || this->countWaiting() == 0); },
@@ -413,6 +416,11 @@
             { "end", std::string(attemptOutcomeName(attemptOutcome)) },
             { "took_ms", std::to_string(toMilliseconds(Clock::now() - sentAt).count()) },
             { "last_event", std::to_string(item.text.lastEvent.value_or(0)) } });
+    const bool hasBegun = item.text.lastEvent != lastEventBefore;
+    if (hasBegun)
+        item.serverEnds = 0;
+    else if (attemptOutcome == AttemptOutcome::Interrupted && co_await this->servers.hasEnded(server))
+        item.retryAt = Clock::now() + pauseAfterEnds(++item.serverEnds);
     this->handleAttemptOutcome(item, server, attemptOutcome);
     this->servers.finish(server, toServerOutcome(attemptOutcome), need);
 }
--- a/src/gateway/job_runner_scoring.cpp
+++ b/src/gateway/job_runner_scoring.cpp
@@ -2,6 +2,7 @@
 #include "job_runner.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/policy/crash_evidence.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -117,6 +118,10 @@
     this->scoringTime.record(took);
     this->context.metrics.counter("topaztack_scoring_calls_total", "Scoring calls by outcome", resultLabel(result))
         .add();
+    const bool hasBroken
+        = result.outcome == ServiceCallOutcome::Unknown && result.problem->kind == ErrorKind::BackendBroke;
+    if (hasBroken && co_await this->servers.hasEnded(server))
+        ++item.scoring.serverEnds;
     this->logScoring(item, server, result, took);
     this->handleScoringResult(item, server, result);
 }
@@ -148,7 +153,8 @@
     if (result.outcome == ServiceCallOutcome::Refused)
         return;
     scoring.tried.insert(server.name);
-    scoring.retryAt = Clock::now() + minRetryPause * (1U << std::min(scoring.attempts - 1, maxRetryDoublings));
+    const auto retryPause = minRetryPause * (1U << std::min(scoring.attempts - 1, maxRetryDoublings));
+    scoring.retryAt = Clock::now() + std::max<Duration>(retryPause, pauseAfterEnds(scoring.serverEnds));
     const bool isFailure = result.response && result.response->status == statusServerError;
     scoring.failures += isFailure ? 1 : 0;
     // The routes of the item and of its scoring call may allow different numbers of attempts.
--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -17,6 +17,8 @@
     constexpr Duration minHoldTime = 10min;
     constexpr std::size_t maxHoldDoublings = 5;
     constexpr Duration suspicionRetention = 10min;
+    constexpr Duration minOwedPause = 1s;
+    constexpr std::size_t maxOwedDoublings = 3;
 
     bool isConvicted(const CrashEvidence& evidence)
     {
@@ -83,4 +85,11 @@
     return usable > std::max<std::size_t>(1, largest / 2);
 }
 
+Duration pauseAfterEnds(std::size_t ends)
+{
+    if (ends < minEnds)
+        return Duration(0);
+    return minOwedPause * (1U << std::min(ends - minEnds, maxOwedDoublings));
+}
+
 } // namespace topaztack
--- a/tests/src/gateway/unit-deadly_requests.cpp
+++ b/tests/src/gateway/unit-deadly_requests.cpp
@@ -279,3 +279,48 @@
     LONGS_EQUAL(503, status);
     CHECK_COMPARE(this->ended(), <=, judgedAfterServers + maxFurtherRuns);
 }
+
+// An item is owed whatever ended under it: it goes on, ever slower, and is listed once a server bears it.
+TEST(DeadlyRequests, AnItemUnderWhichEnginesEndedIsListedAndTakesThemSlowly)
+{
+    this->env->store.remove("servers", "", this->env->engine.name);
+    std::vector<WorkerStandin*> engines;
+    for (int engine = 0; engine < 8; ++engine) {
+        auto& added = this->env->addWorker("i-engine-" + std::to_string(engine));
+        added.faults.deadlyBody = "body";
+        this->env->registerServer(added, "lm");
+        engines.push_back(&added);
+    }
+    this->startVms(1);
+    const auto& vm = *this->env->gateways[0];
+    LONGS_EQUAL(202, this->env->submit(vm, "job", { "i1" }).status);
+    CHECK_TRUE(waitFor([this] { return this->ended() >= judgedAfterServers; }));
+    std::this_thread::sleep_for(2500ms);
+    CHECK_COMPARE(this->ended(), <=, judgedAfterServers + 1);
+    auto& sound = this->env->addWorker("i-engine-sound");
+    for (auto* engine : engines)
+        this->env->store.remove("servers", "", engine->name);
+    this->env->registerServer(sound, "lm");
+    CHECK_TRUE(this->env->waitForResults(vm, "job", 1));
+    const auto page = this->env->read(vm, "job");
+    STRCMP_EQUAL("completed", page.at("results").as_array()[0].at("state").as_string().c_str());
+}
+
+// The call that scores a text is owed with its item.
+TEST(DeadlyRequests, AScoringCallUnderWhichServersEndedIsMadeAndTakesThemSlowly)
+{
+    this->startServers(8);
+    for (auto* server : this->servers)
+        server->faults.deadlyBody = "body";
+    this->startVms(1);
+    const auto& vm = *this->env->gateways[0];
+    LONGS_EQUAL(202, this->env->submitScored(vm, "job", { "i1" }).status);
+    CHECK_TRUE(waitFor([this] { return this->ended() >= judgedAfterServers; }));
+    std::this_thread::sleep_for(2500ms);
+    CHECK_COMPARE(this->ended(), <=, judgedAfterServers + 1);
+    auto& sound = this->env->addWorker("i-plain-sound");
+    for (auto* server : this->servers)
+        this->env->store.remove("servers", "", server->name);
+    this->env->registerServer(sound, "app");
+    CHECK_TRUE(this->env->waitForResults(vm, "job", 1));
+}
--- a/tests/src/policy/unit-crash_evidence.cpp
+++ b/tests/src/policy/unit-crash_evidence.cpp
@@ -85,6 +85,14 @@
     CHECK_TRUE(canSpareServer(1, 1));
 }
 
+TEST(CrashEvidence, OwedWorkWaitsLongerWithEachServerButNeverForGood)
+{
+    CHECK_TRUE(pauseAfterEnds(2) == 0s);
+    CHECK_TRUE(pauseAfterEnds(3) == 1s);
+    CHECK_TRUE(pauseAfterEnds(4) == 2s);
+    CHECK_TRUE(pauseAfterEnds(1000) == 8s);
+}
+
 TEST(CrashEvidence, StartsAreReadAsPrinted)
 {
     const ServerStart one { BackendName("i-1@x"), 1700000000123ms };
