VMs that reach no server have their callers' requests carried by others

Cause: a VM had no way to a server but its own. Ruled out: the time spent on connections alone (with connections refused at once the callers fared no better), and readiness (with most VMs, or a zone, cut off there is too little left to go to). Fix: after a request went unanswered a VM connects to three servers of the pool at once. If none takes the connection it asks six VMs whether they do, and passes its callers' requests and streams on to those that say so; the answer comes back unchanged, streams piece by piece. While cut off it tries again every 250 ms, so a healed link is used at once, and so it does for the VMs that carry. If nobody reaches a server the request is rejected at once. A carried request is not passed on again.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -168,6 +168,8 @@
     /// With `lastEvent`, the server goes on after that event of the stream.
     HttpRequest (*encodeServiceRequest)(const HttpRequest& original, const ServerRecord& server,
         std::chrono::milliseconds timeLeft, std::optional<std::uint64_t> lastEvent);
+    /// Builds the request to another VM that is to carry the caller's; `timeLeft` is the time until its deadline.
+    HttpRequest (*encodeCarriedRequest)(const HttpRequest& original, std::chrono::milliseconds timeLeft);
     HttpRequest (*encodeItemRequest)(
         const JobSpec& job, const JobItem& item, const ServerRecord& server, std::optional<std::uint64_t> lastEvent);
     /// `timeLeft` is the time that the server may take.
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -63,6 +63,7 @@
 #include <topaztack/policy/keepers.hpp>
 #include <topaztack/policy/outage_evidence.hpp>
 #include <topaztack/policy/outcome.hpp>
+#include <topaztack/policy/pool_reach.hpp>
 #include <topaztack/policy/pool_scheduler.hpp>
 #include <topaztack/policy/prefix.hpp>
 #include <topaztack/policy/prefix_view.hpp>
--- a/include/topaztack/wire/http_client.hpp
+++ b/include/topaztack/wire/http_client.hpp
@@ -69,6 +69,14 @@
     Unknown,
 };
 
+/// @brief How to find out whether something listens.
+enum class ProbeMode : std::uint8_t {
+    /// A kept connection that is still open is enough.
+    AnyConnection,
+    /// A kept connection may be cut without a sign, so a new one is made.
+    NewConnection,
+};
+
 /// @brief How long connections are kept.
 struct HttpClientLimits {
     /// Idle connections kept to one endpoint.
@@ -104,9 +112,8 @@
     boost::asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> open(
         Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options = {});
 
-    /// @brief Whether something listens at the endpoint: a kept connection that is still open says so, else a new one
-    /// is made and closed.
-    boost::asio::awaitable<ProbeResult> probe(Endpoint endpoint, TimePoint deadline);
+    /// @brief Whether something listens at the endpoint. A connection that is made for this is closed again.
+    boost::asio::awaitable<ProbeResult> probe(Endpoint endpoint, TimePoint deadline, ProbeMode mode);
 
     /// @brief Connections to the endpoint that are kept and could be used now.
     std::size_t idleConnections(const Endpoint& endpoint) const;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -15,6 +15,7 @@
 struct Forwarder::Forwarding {
     const CallerRequest& call;
     const Route& route;
+    CallOrigin origin;
     TimePoint startedAt;
     TimePoint deadline;
     ServerRequirements requirements;
@@ -30,6 +31,10 @@
     SuspectPass pass;
 
     bool isRepeatable() const { return this->route.kind == RouteKind::Idempotent; }
+    CarriedCall carriedCall() const
+    {
+        return { this->call.id, this->requirements.pool, this->deadline, this->isRepeatable() };
+    }
     bool mayAttempt() const
     {
         return this->attempts < this->route.maxAttempts && this->unreached < maxUnreachedServers
@@ -37,10 +42,13 @@
     }
 };
 
-Forwarder::Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects)
+Forwarder::Forwarder(
+    GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier)
     : context(context)
     , servers(servers)
     , suspects(suspects)
+    , reach(reach)
+    , carrier(carrier)
     , requests(context.metrics.counter("topaztack_requests_total", "Requests forwarded to pools"))
     , retries(context.metrics.counter("topaztack_request_repeats_total", "Attempts after a request's first one"))
     , refused(context.metrics.counter("topaztack_requests_refused_total", "Requests answered as not run"))
@@ -49,10 +57,13 @@
 {
 }
 
-asio::awaitable<void> Forwarder::handle(HttpExchange& exchange, const CallerRequest& call, const Route& route)
+asio::awaitable<void> Forwarder::handle(
+    HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin)
 {
     this->requests.add();
-    Forwarding forwarding { .call = call, .route = route, .pass = SuspectPass(call, exchange.request()) };
+    Forwarding forwarding {
+        .call = call, .route = route, .origin = origin, .pass = SuspectPass(call, exchange.request())
+    };
     forwarding.startedAt = Clock::now();
     const auto timeLimit = std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.deadline = forwarding.startedAt + timeLimit;
@@ -75,7 +86,9 @@
 
 asio::awaitable<HttpResponse> Forwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
 {
-    while (forwarding.mayAttempt() && Clock::now() < forwarding.deadline && !exchange.isCallerGone()) {
+    const auto& pool = forwarding.requirements.pool;
+    while (forwarding.mayAttempt() && Clock::now() < forwarding.deadline && !exchange.isCallerGone()
+        && !this->reach.isCutOff(pool)) {
         const auto server = co_await this->chooseServer(exchange, forwarding);
         if (!server)
             break;
@@ -87,6 +100,23 @@
         if (forwarding.answer)
             co_return std::move(*forwarding.answer);
     }
+    const bool mayBeSent = forwarding.isRepeatable() || !forwarding.mayHaveRun;
+    if (this->reach.isCutOff(pool) && mayBeSent && forwarding.origin == CallOrigin::Caller && !exchange.isCallerGone())
+        co_return co_await this->carry(exchange, forwarding);
+    if (this->reach.isCutOff(pool) && !forwarding.problem)
+        forwarding.problem = makeError(ErrorKind::BackendUnreachable, "this VM reaches no server of the pool");
+    co_return this->failureResponse(forwarding);
+}
+
+/// Attempts at servers that this VM doesn't reach are not counted: another VM makes its own.
+asio::awaitable<HttpResponse> Forwarder::carry(HttpExchange& exchange, Forwarding& forwarding)
+{
+    const auto carried = forwarding.carriedCall();
+    auto result = co_await this->carrier.carry(exchange, carried);
+    if (result.answer)
+        co_return std::move(*result.answer);
+    forwarding.mayHaveRun = forwarding.mayHaveRun || result.mayHaveRun;
+    forwarding.problem = std::move(result.problem);
     co_return this->failureResponse(forwarding);
 }
 
@@ -139,6 +169,9 @@
     else if (!control.isCancelled() && result.problem->kind == ErrorKind::BackendBroke)
         co_await this->suspects.recordBreak(forwarding.pass, server);
     this->suspects.release(forwarding.pass);
+    if (!result.response && !control.isCancelled())
+        co_await this->reach.checkAfter(
+            forwarding.requirements.pool, now, result.outcome != ServiceCallOutcome::NotReached);
     const bool mayHaveRun
         = result.outcome == ServiceCallOutcome::Unknown || result.outcome == ServiceCallOutcome::Answered;
     forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "call_carrier.hpp"
 #include "context.hpp"
-#include "crash_records.hpp"
+#include "server_reach.hpp"
 #include "server_table.hpp"
 #include "suspect_gate.hpp"
 
@@ -17,9 +18,11 @@
 
 class Forwarder {
 public:
-    Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects);
+    Forwarder(
+        GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier);
 
-    boost::asio::awaitable<void> handle(HttpExchange& exchange, const CallerRequest& call, const Route& route);
+    boost::asio::awaitable<void> handle(
+        HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
 
 private:
     struct Forwarding;
@@ -27,11 +30,14 @@
     boost::asio::awaitable<HttpResponse> forward(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<void> attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server);
     boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
+    boost::asio::awaitable<HttpResponse> carry(HttpExchange& exchange, Forwarding& forwarding);
     HttpResponse failureResponse(const Forwarding& forwarding) const;
 
     GatewayContext& context;
     ServerTable& servers;
     SuspectGate& suspects;
+    ServerReach& reach;
+    CallCarrier& carrier;
     Counter& requests;
     Counter& retries;
     Counter& refused;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include <topaztack/gateway/gateway.hpp>
 
+#include "call_carrier.hpp"
 #include "context.hpp"
 #include "crash_records.hpp"
 #include "error_responses.hpp"
@@ -13,6 +14,7 @@
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
 #include "request_quota.hpp"
+#include "server_reach.hpp"
 #include "server_table.hpp"
 #include "store_watch.hpp"
 #include "stream_forwarder.hpp"
@@ -88,6 +90,9 @@
     asio::awaitable<void> handle(HttpExchange& exchange);
     asio::awaitable<void> handlePeer(HttpExchange& exchange);
     asio::awaitable<void> handleRoute(HttpExchange& exchange, const CallerRequest& call);
+    asio::awaitable<void> forward(
+        HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
+    asio::awaitable<bool> handleCarried(HttpExchange& exchange);
     asio::awaitable<void> expire();
     asio::awaitable<void> handOver(TimePoint deadline);
     json::value dump() const;
@@ -98,6 +103,8 @@
     CrashRecords crashes;
     ServerTable servers;
     SuspectGate suspects;
+    ServerReach reach;
+    CallCarrier carrier;
     StreamOrigins streamOrigins;
     StreamForwarder streams;
     JobStore jobStore;
@@ -125,14 +132,16 @@
     , crashes(this->context, [this](const ServerStart& server) { this->servers.markEnded(server); })
     , servers(this->context, this->quota, this->crashes)
     , suspects(this->context, this->servers, this->crashes)
+    , reach(this->context, this->servers, this->peers)
+    , carrier(this->context, this->reach)
     , streamOrigins(this->context, this->peers)
-    , streams(this->context, this->servers, this->streamOrigins, this->suspects)
+    , streams(this->context, this->servers, this->streamOrigins, this->suspects, this->reach, this->carrier)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , forwarder(this->context, this->servers, this->suspects)
+    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
@@ -183,8 +192,8 @@
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
-        { "suspects", this->crashes.dump() }, { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() },
-        { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
+        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -265,14 +274,50 @@
 
 asio::awaitable<void> Gateway::Parts::handlePeer(HttpExchange& exchange)
 {
-    if (exchange.request().target == requestQuotaPath)
+    const auto path = targetPath(exchange.request().target);
+    if (path == requestQuotaPath) {
         co_await exchange.respond(this->quota.answer(exchange.request()));
-    else if (exchange.request().target == streamOriginPath)
+        co_return;
+    }
+    if (path == streamOriginPath) {
         co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
-    else
+        co_return;
+    }
+    if (path == serverReachPath) {
+        auto response = co_await this->reach.answer(exchange.request());
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    const bool isForwarded = co_await this->handleCarried(exchange);
+    if (!isForwarded)
         co_await this->jobCalls.handlePeer(exchange);
 }
 
+/// Forwards a request that another VM passed on since it reaches no server.
+/// @return false if it is no such request.
+asio::awaitable<bool> Gateway::Parts::handleCarried(HttpExchange& exchange)
+{
+    const auto decoded = this->context.protocol.decodeCall(exchange.request());
+    if (!decoded || decoded.value().action != CallerAction::Route)
+        co_return false;
+    const auto table = this->context.routes;
+    const auto& call = decoded.value();
+    const auto* route = table ? matchRoute(*table, call.host, targetPath(exchange.request().target)) : nullptr;
+    if (!route || route->kind == RouteKind::Batch)
+        co_return false;
+    co_await this->forward(exchange, call, *route, CallOrigin::Peer);
+    co_return true;
+}
+
+asio::awaitable<void> Gateway::Parts::forward(
+    HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin)
+{
+    if (route.kind == RouteKind::Streaming)
+        co_await this->streams.handle(exchange, call, route, origin);
+    else
+        co_await this->forwarder.handle(exchange, call, route, origin);
+}
+
 asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, const CallerRequest& call)
 {
     // Keeps the table alive for the whole request: a newer configuration may replace it meanwhile.
@@ -291,10 +336,8 @@
     }
     if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
         co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call, route));
-    else if (route->kind == RouteKind::Streaming)
-        co_await this->streams.handle(exchange, call, *route);
     else
-        co_await this->forwarder.handle(exchange, call, *route);
+        co_await this->forward(exchange, call, *route, CallOrigin::Caller);
 }
 
 asio::awaitable<void> Gateway::Parts::expire()
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -90,6 +90,12 @@
     /// @brief Whether a request that may crash its server can be run: enough other servers of the pool can serve.
     bool canSpareServer(const PoolName& pool);
 
+    /// @brief Addresses of some servers of the pool, chosen at random, that neither leave nor have ended.
+    std::vector<Endpoint> someEndpoints(const PoolName& pool, std::size_t maxCount);
+
+    /// @brief Whether any server of the pool sent this VM something after a time.
+    bool hasAnsweredSince(const PoolName& pool, TimePoint time);
+
     /// @brief Marks a server that a suspected request runs at: others avoid it while they can.
     void setRisk(const BackendName& name, bool isAtRisk);
 
@@ -191,6 +197,8 @@
         std::map<ModelName, TimePoint> refusingUntil;
         /// When the server last sent anything, or when the first of the outstanding requests was sent.
         TimePoint heardAt;
+        /// When the server last sent anything.
+        TimePoint answeredAt;
         bool isSilent { false };
         /// A suspected request runs there.
         bool isAtRisk { false };
--- a/src/gateway/server_table_ends.cpp
+++ b/src/gateway/server_table_ends.cpp
@@ -31,7 +31,8 @@
     const bool isCurrent = known && known->startedAt == server.startedAt;
     if (isCurrent && usage != this->usageByServer.end() && usage->second.endedAt)
         co_return true;
-    const auto probed = co_await this->context.httpClient.probe(server.endpoint, Clock::now() + probeTimeout);
+    const auto probed = co_await this->context.httpClient.probe(
+        server.endpoint, Clock::now() + probeTimeout, ProbeMode::AnyConnection);
     if (probed != ProbeResult::Refused)
         co_return false;
     // A server that announced its departure ends without anybody's fault.
@@ -96,6 +97,26 @@
         std::max(members.size(), largest == this->largestPools.end() ? 0 : largest->second.first));
 }
 
+std::vector<Endpoint> ServerTable::someEndpoints(const PoolName& pool, std::size_t maxCount)
+{
+    std::vector<Endpoint> endpoints;
+    for (const auto& member : this->snapshotOf(pool, Clock::now()).members) {
+        if (!member.record->isLeaving && !member.usage->endedAt)
+            endpoints.push_back(member.record->endpoint);
+    }
+    for (std::size_t index = 0; index < std::min(maxCount, endpoints.size()); ++index)
+        std::swap(endpoints[index], endpoints[index + this->context.random.below(endpoints.size() - index)]);
+    endpoints.resize(std::min(maxCount, endpoints.size()));
+    return endpoints;
+}
+
+bool ServerTable::hasAnsweredSince(const PoolName& pool, TimePoint time)
+{
+    const auto& members = this->snapshotOf(pool, Clock::now()).members;
+    return std::any_of(
+        members.begin(), members.end(), [time](const PoolMember& member) { return member.usage->answeredAt > time; });
+}
+
 void ServerTable::setRisk(const BackendName& name, bool isAtRisk)
 {
     const auto usage = this->usageByServer.find(name);
--- a/src/gateway/server_table_silence.cpp
+++ b/src/gateway/server_table_silence.cpp
@@ -12,6 +12,7 @@
 {
     auto& usage = this->usageByServer[name];
     usage.heardAt = Clock::now();
+    usage.answeredAt = usage.heardAt;
     usage.isSilent = false;
 }
 
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -48,6 +48,7 @@
 struct StreamForwarder::Forwarding {
     const CallerRequest& call;
     const Route& route;
+    CallOrigin origin;
     TimePoint startedAt;
     TimePoint deadline;
     ServerRequirements requirements;
@@ -65,6 +66,10 @@
     SuspectPass pass;
 
     bool isResumable() const { return this->route.isResumable; }
+    CarriedCall carriedCall() const
+    {
+        return { this->call.id, this->requirements.pool, this->deadline, this->isResumable() };
+    }
     bool mayAttempt() const
     {
         return this->attempts < this->route.maxAttempts && this->unreached < maxUnreachedServers
@@ -72,12 +77,14 @@
     }
 };
 
-StreamForwarder::StreamForwarder(
-    GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SuspectGate& suspects)
+StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins,
+    SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier)
     : context(context)
     , servers(servers)
     , origins(origins)
     , suspects(suspects)
+    , reach(reach)
+    , carrier(carrier)
     , resumes(context.metrics.counter(
           "topaztack_streams_resumed_total", "Callers' streams that went on at another server within an answer"))
     , takenUp(context.metrics.counter("topaztack_streams_taken_up_total", "Streams that callers took up again"))
@@ -88,9 +95,12 @@
 {
 }
 
-asio::awaitable<void> StreamForwarder::handle(HttpExchange& exchange, const CallerRequest& call, const Route& route)
+asio::awaitable<void> StreamForwarder::handle(
+    HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin)
 {
-    Forwarding forwarding { .call = call, .route = route, .pass = SuspectPass(call, exchange.request()) };
+    Forwarding forwarding {
+        .call = call, .route = route, .origin = origin, .pass = SuspectPass(call, exchange.request())
+    };
     forwarding.startedAt = Clock::now();
     forwarding.deadline = forwarding.startedAt + std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.lastEvent = call.lastEvent;
@@ -101,9 +111,7 @@
     need.model = call.model;
     need.tokens = std::min(call.promptTokens, maxTokens) + std::min(call.expectedTokens, maxTokens);
     need.hasCaller = true;
-    const bool isOriginKnown = co_await this->findOrigin(exchange, forwarding);
-    if (isOriginKnown)
-        co_await this->forward(exchange, forwarding);
+    co_await this->answer(exchange, forwarding);
     co_await this->suspects.leave(forwarding.pass);
     if (!forwarding.hasBegun && !forwarding.isCallerGone)
         co_await exchange.respond(failureResponse(
@@ -111,6 +119,39 @@
     this->finish(exchange, forwarding);
 }
 
+/// A stream that reaches no server from here is carried by another VM, which finds out itself who began it.
+asio::awaitable<void> StreamForwarder::answer(HttpExchange& exchange, Forwarding& forwarding)
+{
+    if (!this->mayBeCarried(forwarding)) {
+        const bool isOriginKnown = co_await this->findOrigin(exchange, forwarding);
+        if (isOriginKnown)
+            co_await this->forward(exchange, forwarding);
+    }
+    if (this->mayBeCarried(forwarding) && !exchange.isCallerGone())
+        co_await this->carry(exchange, forwarding);
+}
+
+bool StreamForwarder::mayBeCarried(const Forwarding& forwarding) const
+{
+    const bool mayBeSent = forwarding.isResumable() || !forwarding.mayHaveRun;
+    return forwarding.origin == CallOrigin::Caller && !forwarding.hasBegun && mayBeSent
+        && Clock::now() < forwarding.deadline && this->reach.isCutOff(forwarding.requirements.pool);
+}
+
+asio::awaitable<void> StreamForwarder::carry(HttpExchange& exchange, Forwarding& forwarding)
+{
+    const auto carried = forwarding.carriedCall();
+    auto result = co_await this->carrier.carryStream(exchange, carried);
+    forwarding.mayHaveRun = forwarding.mayHaveRun || result.mayHaveRun;
+    forwarding.hasBegun = result.hasBegun;
+    forwarding.isComplete = result.isComplete;
+    forwarding.problem = std::move(result.problem);
+    if (!result.answer)
+        co_return;
+    forwarding.hasBegun = true;
+    forwarding.isComplete = co_await exchange.respond(std::move(*result.answer));
+}
+
 /// For a stream that the caller takes up: finds the software version that began it.
 asio::awaitable<bool> StreamForwarder::findOrigin(HttpExchange& exchange, Forwarding& forwarding)
 {
@@ -183,7 +224,7 @@
 asio::awaitable<void> StreamForwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
 {
     AttemptEnd end = AttemptEnd::Refused;
-    while (this->mayContinue(forwarding, end)) {
+    while (this->mayContinue(forwarding, end) && !this->reach.isCutOff(forwarding.requirements.pool)) {
         auto server = co_await this->chooseServer(exchange, forwarding);
         if (!server)
             break;
@@ -253,6 +294,8 @@
     forwarding.mayHaveRun = forwarding.mayHaveRun || mayHaveRun;
     forwarding.attempts += mayHaveRun ? 1 : 0;
     this->servers.finish(server, toServerOutcome(end), forwarding.requirements);
+    if (end == AttemptEnd::NotReached || hasBroken)
+        co_await this->reach.checkAfter(forwarding.requirements.pool, sentAt, end != AttemptEnd::NotReached);
     co_return end;
 }
 
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "call_carrier.hpp"
 #include "context.hpp"
+#include "server_reach.hpp"
 #include "server_table.hpp"
 #include "stream_origins.hpp"
 #include "suspect_gate.hpp"
@@ -20,9 +22,11 @@
 
 class StreamForwarder {
 public:
-    StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SuspectGate& suspects);
+    StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SuspectGate& suspects,
+        ServerReach& reach, CallCarrier& carrier);
 
-    boost::asio::awaitable<void> handle(HttpExchange& exchange, const CallerRequest& call, const Route& route);
+    boost::asio::awaitable<void> handle(
+        HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
 
     /// @brief Ends the attempts of streams that may be resumed at servers that stopped sending.
     void leaveServers(const std::set<BackendName>& silent);
@@ -45,6 +49,9 @@
         bool isServerSilent { false };
     };
 
+    boost::asio::awaitable<void> answer(HttpExchange& exchange, Forwarding& forwarding);
+    bool mayBeCarried(const Forwarding& forwarding) const;
+    boost::asio::awaitable<void> carry(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<bool> findOrigin(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<void> forward(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<SuspectGate::Entry> enter(Forwarding& forwarding, TimePoint waitUntil);
@@ -69,6 +76,8 @@
     ServerTable& servers;
     StreamOrigins& origins;
     SuspectGate& suspects;
+    ServerReach& reach;
+    CallCarrier& carrier;
     OpenAttempts open;
     Counter& resumes;
     Counter& takenUp;
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -345,11 +345,11 @@
     co_return std::move(response);
 }
 
-asio::awaitable<ProbeResult> HttpClient::probe(Endpoint endpoint, TimePoint deadline)
+asio::awaitable<ProbeResult> HttpClient::probe(Endpoint endpoint, TimePoint deadline, ProbeMode mode)
 {
     const auto client = this->state;
     const auto kept = client->idle.find(endpoint);
-    if (kept != client->idle.end()) {
+    if (mode == ProbeMode::AnyConnection && kept != client->idle.end()) {
         for (const auto& idle : kept->second) {
             if (isStillOpen(*idle.link))
                 co_return ProbeResult::Listening;
--- a/tests/src/gateway/unit-cut_off.cpp
+++ b/tests/src/gateway/unit-cut_off.cpp
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <array>
+#include <thread>
 
 using namespace topaztack;
 using namespace topaztack::test;
@@ -16,6 +18,34 @@
 
 } // namespace
 
+/// An address at which connections hang: nobody answers the handshake, as behind a partition.
+class SilentAddress {
+public:
+    SilentAddress()
+        : acceptor(this->loop, boost::asio::ip::tcp::v4())
+    {
+        this->acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+        this->acceptor.listen(0);
+        // Linux takes one connection more than the queue holds, and drops the handshakes of others.
+        for (auto& socket : this->queued) {
+            socket.open(boost::asio::ip::tcp::v4());
+            socket.non_blocking(true);
+            const auto address = this->acceptor.local_endpoint();
+            // Asio would wait for the handshake.
+            static_cast<void>(
+                ::connect(socket.native_handle(), address.data(), static_cast<socklen_t>(address.size())));
+        }
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+
+private:
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::array<boost::asio::ip::tcp::socket, 2> queued { boost::asio::ip::tcp::socket(this->loop),
+        boost::asio::ip::tcp::socket(this->loop) };
+};
+
 /// A VM whose links to all backend servers are gone, beside one that reaches them. The VM that is cut off has a view of
 /// the store of its own, in which the servers have addresses that can't be reached.
 TEST_GROUP(CutOff)
@@ -71,3 +101,97 @@
     LONGS_EQUAL(2, this->env->booking.seen().size());
     STRCMP_EQUAL("nine o clock", this->env->booking.seen().at(0).body.c_str());
 }
+
+// Each request waited for four connections that nobody answered, and its caller's deadline passed.
+TEST(CutOff, ConnectionsThatHangAreNotWaitedForByEachRequest)
+{
+    const SilentAddress silent;
+    this->startVms(silent.endpoint());
+    auto startedAt = Clock::now();
+    LONGS_EQUAL(200, this->env->book(*this->cut, "r1").status);
+    CHECK_TRUE(Clock::now() - startedAt < firstTryLimit);
+    for (int request = 0; request < 5; ++request) {
+        startedAt = Clock::now();
+        LONGS_EQUAL(200, this->env->book(*this->cut, "r" + std::to_string(request)).status);
+        CHECK_TRUE(Clock::now() - startedAt < laterTryLimit);
+    }
+}
+
+TEST(CutOff, StreamsArePassedOnEventByEventAndTakenUp)
+{
+    this->startVms(freeEndpoint());
+    this->env->engine.faults.eventTime = 60ms;
+    const auto whole = openStream(*this->cut, { .id = "s1" });
+    LONGS_EQUAL(200, whole.status);
+    CHECK_TRUE(whole.isComplete);
+    LONGS_EQUAL(5, whole.events.size());
+    CHECK_TRUE(whole.arrivals.back() - whole.arrivals.front() > 150ms);
+    const auto begun = openStream(*this->cut, { .id = "s2", .leaveAfter = 2 });
+    const auto rest = openStream(*this->cut, { .id = "s3", .lastEvent = "2", .resumes = "s2" });
+    CHECK_TRUE(rest.isComplete);
+    LONGS_EQUAL(3, rest.events.size());
+    STRCMP_EQUAL("3", rest.events.front().id.c_str());
+}
+
+// A stream that its carrier can't end must not look complete.
+TEST(CutOff, AStreamThatBreaksAtItsCarrierDoesNotLookComplete)
+{
+    this->startVms(freeEndpoint());
+    this->env->engine.faults.breakAfter = 2;
+    const auto broken = openStream(*this->cut, { .id = "s1", .path = "/o/1" });
+    CHECK_FALSE(broken.isComplete);
+    LONGS_EQUAL(2, broken.events.size());
+}
+
+// A caller that leaves leaves no work behind at the server.
+TEST(CutOff, AStreamWhoseCallerLeavesEndsAtItsServer)
+{
+    this->startVms(freeEndpoint());
+    this->env->engine.faults.eventTime = 50ms;
+    openStream(*this->cut, { .id = "s1", .leaveAfter = 1 });
+    CHECK_TRUE(waitFor(
+        [this] {
+            const auto servers = this->env->state(*this->sound, "servers").as_array();
+            return std::all_of(servers.begin(), servers.end(),
+                [](const auto& server) { return server.at("outstanding").template to_number<int>() == 0; });
+        },
+        500ms));
+}
+
+// Requests were passed to and fro between VMs, or waited, when the servers were gone for all of them.
+TEST(CutOff, RequestsAreRejectedAtOnceWhenNoVmReachesAServer)
+{
+    this->startVms(freeEndpoint());
+    this->env->booking.crash();
+    std::this_thread::sleep_for(50ms);
+    LONGS_EQUAL(503, this->env->book(*this->cut, "r1").status);
+    for (int request = 0; request < 5; ++request) {
+        const auto startedAt = Clock::now();
+        const auto answer = this->env->book(*this->cut, "r" + std::to_string(request));
+        LONGS_EQUAL(503, answer.status);
+        CHECK_FALSE(findHeader(answer.headers, "Retry-After").empty());
+        CHECK_TRUE(Clock::now() - startedAt < laterTryLimit + 250ms);
+    }
+}
+
+// "Not run" is said only of what no VM sent to a server.
+TEST(CutOff, ARequestWhoseAnswerIsLostAtTheCarrierIsNotSaidNotToHaveRun)
+{
+    this->startVms(freeEndpoint());
+    this->env->booking.faults.answersToLose = 10;
+    LONGS_EQUAL(502, this->env->book(*this->cut, "r1", "/u/1").status);
+    LONGS_EQUAL(1, this->env->booking.seen().size());
+}
+
+TEST(CutOff, ALinkThatHealsIsUsedAtOnce)
+{
+    const auto address = freeEndpoint();
+    this->startVms(address);
+    LONGS_EQUAL(200, this->env->book(*this->cut, "r1").status);
+    WorkerOptions options;
+    options.port = address.port;
+    this->env->addWorker("i-app", options);
+    std::this_thread::sleep_for(500ms);
+    LONGS_EQUAL(200, this->env->book(*this->cut, "r2").status);
+    LONGS_EQUAL(1, this->env->workers.back()->seen().size());
+}
