A VM whose links are gone takes no request for the cause of a server's end

A VM cut off with resets saw its requests break off and the servers refuse connections, recorded that as ends of the servers, and told the other VMs, which then avoided sound servers for up to 2 s. An end now counts only if another server takes a connection. The test failed before with 502: the server was taken for ended, so the pool did not count as cut off either.

--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -235,6 +235,8 @@
 
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
+    boost::asio::awaitable<bool> reachesAnotherServer(BackendName except);
+    void keepRandom(std::vector<Endpoint>& endpoints, std::size_t maxCount);
     void recordSignOfLife(const ServerRecord& server);
     void recordPoolSizes(TimePoint now);
     void recordSoftware(TimePoint now);
--- a/src/gateway/server_table_ends.cpp
+++ b/src/gateway/server_table_ends.cpp
@@ -17,6 +17,8 @@
 
     /// A process that is gone refuses connections at once; a server behind a partition doesn't answer.
     constexpr Duration probeTimeout = 150ms;
+    /// A server that crashed may have taken another one with it.
+    constexpr std::size_t maxOthersProbed = 3;
     /// What a server wrote before it ended may be read this much later.
     constexpr Duration recordDelay = 1s;
     /// A server that crashed is back within this time, and counts as part of its pool until then.
@@ -35,6 +37,9 @@
         server.endpoint, Clock::now() + probeTimeout, ProbeMode::AnyConnection);
     if (probed != ProbeResult::Refused)
         co_return false;
+    const bool isLinkSound = co_await this->reachesAnotherServer(server.name);
+    if (!isLinkSound)
+        co_return false;
     // A server that announced its departure ends without anybody's fault.
     known = this->find(server.name);
     if (known && known->isLeaving)
@@ -43,6 +48,27 @@
     co_return true;
 }
 
+/// Whether any other server takes a connection: a VM whose links are gone may see all of them refused. True if there is
+/// no other server.
+asio::awaitable<bool> ServerTable::reachesAnotherServer(BackendName except)
+{
+    std::vector<Endpoint> others;
+    for (const auto& [name, entry] : this->servers.entries) {
+        const auto usage = this->usageByServer.find(name);
+        const bool isKnownEnded = usage != this->usageByServer.end() && usage->second.endedAt;
+        if (name != except && !entry.record.isLeaving && !isKnownEnded)
+            others.push_back(entry.record.endpoint);
+    }
+    this->keepRandom(others, maxOthersProbed);
+    for (const auto& other : others) {
+        const auto probed
+            = co_await this->context.httpClient.probe(other, Clock::now() + probeTimeout, ProbeMode::NewConnection);
+        if (probed == ProbeResult::Listening)
+            co_return true;
+    }
+    co_return others.empty();
+}
+
 void ServerTable::markEnded(const ServerStart& server)
 {
     const auto* known = this->find(server.name);
@@ -104,12 +130,19 @@
         if (!member.record->isLeaving && !member.usage->endedAt)
             endpoints.push_back(member.record->endpoint);
     }
-    for (std::size_t index = 0; index < std::min(maxCount, endpoints.size()); ++index)
-        std::swap(endpoints[index], endpoints[index + this->context.random.below(endpoints.size() - index)]);
-    endpoints.resize(std::min(maxCount, endpoints.size()));
+    this->keepRandom(endpoints, maxCount);
     return endpoints;
 }
 
+/// Drops all but some endpoints, chosen at random.
+void ServerTable::keepRandom(std::vector<Endpoint>& endpoints, std::size_t maxCount)
+{
+    const auto count = std::min(maxCount, endpoints.size());
+    for (std::size_t index = 0; index < count; ++index)
+        std::swap(endpoints[index], endpoints[index + this->context.random.below(endpoints.size() - index)]);
+    endpoints.resize(count);
+}
+
 bool ServerTable::hasAnsweredSince(const PoolName& pool, TimePoint time)
 {
     const auto& members = this->snapshotOf(pool, Clock::now()).members;
--- a/tests/src/gateway/unit-cut_off.cpp
+++ b/tests/src/gateway/unit-cut_off.cpp
@@ -195,3 +195,20 @@
     LONGS_EQUAL(200, this->env->book(*this->cut, "r2").status);
     LONGS_EQUAL(1, this->env->workers.back()->seen().size());
 }
+
+// A VM that lost its links took the servers for ended, and the requests on them for the cause; the other VMs believed
+// it.
+TEST(CutOff, AVmThatReachesNoServerDoesNotTakeRequestsForTheCause)
+{
+    auto& reset = this->env->addWorker("i-app");
+    reset.faults.deadlyBody = "nine o clock";
+    this->startVms(freeEndpoint());
+    this->cutView->put("servers", "", "i-app", recordAt(reset, "app", reset.endpoint()));
+    CHECK_TRUE(waitFor([&] {
+        const auto known = boost::json::serialize(this->env->state(*this->cut, "servers"));
+        return known.find(toText(reset.endpoint())) != std::string::npos;
+    }));
+    LONGS_EQUAL(200, this->env->book(*this->cut, "r1").status);
+    CHECK_TRUE(reset.hasCrashed());
+    CHECK_TRUE(this->env->state(*this->cut, "suspects").as_array().empty());
+}
