--- a/src/gateway/crash_records.cpp
+++ b/src/gateway/crash_records.cpp
@@ -34,6 +34,8 @@
     /// When many servers end at once no single request is the cause, and the store is needed for other things.
     constexpr std::uint32_t maxReservationsPerInterval = 20;
     constexpr Duration reservationInterval = 1s;
+    constexpr std::uint32_t maxFirstEndsPerInterval = 5;
+    constexpr Duration firstEndInterval = 1s;
 
     FollowOptions followOptions()
     {
@@ -176,8 +178,7 @@
     logEvent(LogLevel::Info, "request-suspected",
         { { "content", content.digest() }, { "server", server.name.value() }, { "alone", wasAlone ? "1" : "0" },
             { "ends", std::to_string(evidence.ends.size()) }, { "verdict", std::string(verdictName(verdict)) } });
-    // A request that is retried here may still prove to be sound, and then other VMs need not hear of it.
-    if (evidence.ends.size() > 1)
+    if (evidence.ends.size() > 1 || this->mayTellOfFirstEnd(now))
         this->queueOwnRow(content);
 }
 
@@ -189,26 +190,46 @@
     this->cleared.add();
     logEvent(LogLevel::Info, "request-cleared",
         { { "content", content.digest() }, { "ends", std::to_string(combine(*record).ends.size()) } });
-    for (const auto& [vm, seen] : record->seenBy)
-        this->unwritten.insert(rowKey(content.digest(), vm));
+    this->queueRemoval(content.digest(), *record);
     this->drop(content.digest());
     this->unwrittenNotifier.notify();
 }
 
-/// @return false if this VM has seen nothing of the request.
+void CrashRecords::queueRemoval(const std::string& digest, const Record& record)
+{
+    for (const auto& [vm, seen] : record.seenBy) {
+        if (vm != this->context.identity.name || record.isPublished)
+            this->unwritten.insert(rowKey(digest, vm));
+    }
+}
+
+/// Every VM hears of each row. When many servers end at once, most of the requests that stood there are told of only if
+/// a second server ends under them.
+bool CrashRecords::mayTellOfFirstEnd(TimePoint now)
+{
+    if (now - this->firstEndsCountedAt >= firstEndInterval) {
+        this->firstEndsCountedAt = now;
+        this->recentFirstEnds = 0;
+    }
+    return ++this->recentFirstEnds <= maxFirstEndsPerInterval;
+}
+
+/// @return false if this VM has nothing to tell of the request.
 bool CrashRecords::queueOwnRow(RequestContent& content)
 {
-    const auto* record = this->find(content);
+    auto* record = this->find(content);
     if (!record || !record->seenBy.contains(this->context.identity.name))
         return false;
+    record->isPublished = true;
     this->unwritten.insert(rowKey(content.digest(), this->context.identity.name));
     this->unwrittenNotifier.notify();
     return true;
 }
 
-asio::awaitable<void> CrashRecords::publish(RequestContent& content)
+asio::awaitable<void> CrashRecords::waitUntilTold(RequestContent& content)
 {
-    if (!this->queueOwnRow(content))
+    const auto* record = this->find(content);
+    if (!record || !record->isPublished)
         co_return;
     const auto key = rowKey(content.digest(), this->context.identity.name);
     const auto end = Clock::now() + publishTimeLimit;
@@ -294,7 +315,9 @@
             if (isRecent)
                 this->onEnd(server);
         }
-        this->records[digest].seenBy[vm] = std::move(evidence);
+        auto& record = this->records[digest];
+        record.isPublished = record.isPublished || vm == this->context.identity.name;
+        record.seenBy[vm] = std::move(evidence);
     } catch (const std::exception& malformed) {
         logEvent(
             LogLevel::Warning, "crash-record-refused", { { "key", row.place.key }, { "error", malformed.what() } });
@@ -415,8 +438,7 @@
         if (!isOutdated(combine(record), now))
             continue;
         outdated.push_back(digest);
-        for (const auto& [vm, seen] : record.seenBy)
-            this->unwritten.insert(rowKey(digest, vm));
+        this->queueRemoval(digest, record);
     }
     for (const auto& digest : outdated)
         this->drop(digest);
--- a/src/gateway/crash_records.hpp
+++ b/src/gateway/crash_records.hpp
@@ -68,9 +68,9 @@
     /// @brief Records that a server ran the request and went on: it doesn't crash servers.
     void recordRun(RequestContent& content);
 
-    /// @brief Tells the other VMs what this one has seen of a request that it is done with. Returns once the store has
-    /// it, so that the caller, told of the failure, meets VMs that know of it; or after a time limit.
-    boost::asio::awaitable<void> publish(RequestContent& content);
+    /// @brief Waits until the store has what this VM tells the others of the request, so that its caller, told of the
+    /// failure, meets VMs that know of it; or until a time limit.
+    boost::asio::awaitable<void> waitUntilTold(RequestContent& content);
 
     /// @brief Takes back that a server ended.
     void withdrawEnd(const ServerStart& start);
@@ -87,16 +87,20 @@
 private:
     struct Record {
         std::uint64_t target { 0 };
+        /// Whether the store has, or may have, a row of this VM.
+        bool isPublished { false };
         /// What each VM saw.
         std::map<VmName, CrashEvidence> seenBy;
     };
 
     Record* find(RequestContent& content);
     bool queueOwnRow(RequestContent& content);
+    bool mayTellOfFirstEnd(TimePoint now);
     static CrashEvidence combine(const Record& record);
     void applyRows(const std::vector<StoreRow>& rows, bool isFullTable);
     void applyRow(const StoreRow& row);
     void drop(const std::string& digest);
+    void queueRemoval(const std::string& digest, const Record& record);
     const CrashEvidence* findEvidence(const std::string& key) const;
     std::size_t countEnds(const std::string& key) const;
     StoreWrite makeWrite(const std::string& key) const;
@@ -114,6 +118,9 @@
     std::set<std::string> unwritten;
     Notifier unwrittenNotifier;
     Notifier writtenNotifier;
+    /// First ends told to other VMs since `firstEndsCountedAt`.
+    std::uint32_t recentFirstEnds { 0 };
+    TimePoint firstEndsCountedAt;
     /// Reservations asked for since `reservationsCountedAt`.
     std::uint32_t recentReservations { 0 };
     TimePoint reservationsCountedAt;
--- a/src/gateway/suspect_gate.cpp
+++ b/src/gateway/suspect_gate.cpp
@@ -108,7 +108,7 @@
 asio::awaitable<void> SuspectGate::leave(SuspectPass& pass)
 {
     this->release(pass);
-    co_await this->crashes.publish(pass.content);
+    co_await this->crashes.waitUntilTold(pass.content);
 }
 
 } // namespace topaztack
