A VM that stops ends what it carries for others and takes nothing more

Streams that a VM carried for one that reaches no server were cut when it was stopped on purpose: the wait for callers left out requests from other VMs, and it still said that it carries. The test failed before (the stream was cut). Malformed rows of crash records: tested, nothing found.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -305,6 +305,11 @@
     const auto* route = table ? matchRoute(*table, call.host, targetPath(exchange.request().target)) : nullptr;
     if (!route || route->kind == RouteKind::Batch)
         co_return false;
+    if (this->context.isDraining) {
+        const auto error = makeError(ErrorKind::ShuttingDown, "this VM is leaving");
+        co_await exchange.respond(notRunResponse(error, call.id, notReadyRetryAfter));
+        co_return true;
+    }
     co_await this->forward(exchange, call, *route, CallOrigin::Peer);
     co_return true;
 }
@@ -402,7 +407,7 @@
     parts.callerServer.stopAccepting();
     const auto isServing = [&parts] {
         return parts.callerServer.isAccepting() || parts.callerServer.openConnections() > 0
-            || parts.callerServer.inFlight() > 0;
+            || parts.callerServer.inFlight() > 0 || parts.peerServer.inFlight() > 0;
     };
     while (isServing() && Clock::now() < end)
         std::this_thread::sleep_for(shutdownCheckInterval);
--- a/src/gateway/server_reach.cpp
+++ b/src/gateway/server_reach.cpp
@@ -181,8 +181,8 @@
     const PoolName pool(queryParameter(request.target, "pool"));
     HttpResponse response;
     response.headers.push_back({ "Content-Type", "text/plain" });
-    // A pool that this VM doesn't know has no servers, and can't be reached from here.
-    if (this->servers.someEndpoints(pool, 1).empty()) {
+    // A VM that leaves carries nothing more, nor does one that knows no server of the pool.
+    if (this->context.isDraining || this->servers.someEndpoints(pool, 1).empty()) {
         response.body = std::string(cutOffBody);
         co_return response;
     }
--- a/tests/src/gateway/unit-cut_off.cpp
+++ b/tests/src/gateway/unit-cut_off.cpp
@@ -212,3 +212,20 @@
     CHECK_TRUE(reset.hasCrashed());
     CHECK_TRUE(this->env->state(*this->cut, "suspects").as_array().empty());
 }
+
+// A VM that was stopped on purpose cut the streams that it carried for others.
+TEST(CutOff, AVmThatStopsEndsWhatItCarriesAndTakesNothingMore)
+{
+    this->startVms(freeEndpoint());
+    this->env->engine.faults.eventTime = 800ms;
+    ReceivedStream stream;
+    std::thread caller([&] { stream = openStream(*this->cut, { .id = "s1" }); });
+    CHECK_TRUE(waitFor([this] { return !this->env->engine.seen().empty(); }));
+    std::thread stop([this] { this->sound->gateway->shutDown(); });
+    std::this_thread::sleep_for(300ms);
+    LONGS_EQUAL(503, this->env->book(*this->cut, "r1").status);
+    caller.join();
+    stop.join();
+    CHECK_TRUE(stream.isComplete);
+    LONGS_EQUAL(5, stream.events.size());
+}
--- a/tests/src/gateway/unit-deadly_requests.cpp
+++ b/tests/src/gateway/unit-deadly_requests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <thread>
 
 using namespace topaztack;
@@ -324,3 +325,21 @@
     this->env->registerServer(sound, "app");
     CHECK_TRUE(this->env->waitForResults(vm, "job", 1));
 }
+
+// Rows of another writer, or of another release, must not take a VM down.
+TEST(DeadlyRequests, MalformedRowsAreIgnored)
+{
+    this->startServers(3);
+    this->startVms(1);
+    const auto& vm = *this->env->gateways[0];
+    const std::map<std::string, std::string> rows { { "no-slash", "{}" }, { "a/vm", "" }, { "b/vm", "[]" },
+        { "c/vm", R"({"target":"x","ends":[],"last_ms":0})" },
+        { "d/vm", R"({"target":"99999999999999999999999","ends":[],"last_ms":0})" },
+        { "e/vm", R"({"target":"1","ends":[{"server":5,"alone":true}],"last_ms":1e300})" },
+        { "f/vm", R"({"target":"1","ends":[{"server":"@","alone":true}],"last_ms":-5})" }, { "/", "{}" } };
+    for (const auto& [key, value] : rows)
+        this->env->store.put("crash-records", "", key, value);
+    this->crashUntilHeld();
+    LONGS_EQUAL(503, this->send(vm).status);
+    LONGS_EQUAL(200, this->env->book(vm, "r1").status);
+}
