Nodes hold requests that crash servers, each VM by itself

A VM counts a server that refuses connections after an attempt broke off, by caller, method, target and body, and holds the request after five, since it doesn't know what other VMs run there. Not done: telling other VMs, and completions.

--- a/include/topaztack/node/service_relay.hpp
+++ b/include/topaztack/node/service_relay.hpp
@@ -3,6 +3,7 @@
 #include <topaztack/node/backend_table.hpp>
 #include <topaztack/node/caller_limits.hpp>
 #include <topaztack/node/claim_desk.hpp>
+#include <topaztack/node/crash_memory.hpp>
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/request_path.hpp>
 #include <topaztack/node/retry_desk.hpp>
@@ -21,7 +22,7 @@
 class ServiceRelay {
 public:
     ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets, ClaimDesk& claims,
-        Forwarder& forwarder, RetryDesk& retries, CallerLimits& callerLimits);
+        Forwarder& forwarder, RetryDesk& retries, CallerLimits& callerLimits, CrashMemory& crashes);
 
     void addRoutes(HttpRouter& callers);
 
@@ -56,6 +57,7 @@
     Forwarder& forwarder;
     RetryDesk& retries;
     CallerLimits& callerLimits;
+    CrashMemory& crashes;
     std::atomic<std::size_t> forwardedCount { 0 };
 };
 
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -34,6 +34,7 @@
 #include <topaztack/node/config_desk.hpp>
 #include <topaztack/node/config_keeper.hpp>
 #include <topaztack/node/context.hpp>
+#include <topaztack/node/crash_memory.hpp>
 #include <topaztack/node/forwarder.hpp>
 #include <topaztack/node/generation_attempt.hpp>
 #include <topaztack/node/lease_keeper.hpp>
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,6 +77,7 @@
     TicketDesk tickets;
     RetryDesk retries;
     CallerLimits inHand;
+    CrashMemory crashes;
     Forwarder forwarder;
     ClaimDesk claims;
     ServiceRelay services;
@@ -106,9 +107,11 @@
     , tickets(this->context)
     , retries(this->context)
     , inHand(this->context)
+    , crashes(this->context)
     , forwarder(this->context, callerOf(this->context))
     , claims(this->context, this->tickets, callerOf(this->context))
-    , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries, this->inHand)
+    , services(this->context, this->backends, this->tickets, this->claims, this->forwarder, this->retries, this->inHand,
+          this->crashes)
     , completions(this->context, this->backends, this->retries, this->inHand)
     , ledgers(this->context)
     , weights(this->context, this->leases)
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -88,7 +88,7 @@
 } // namespace
 
 ServiceRelay::ServiceRelay(NodeContext& context, BackendTable& backends, TicketDesk& tickets, ClaimDesk& claims,
-    Forwarder& forwarder, RetryDesk& retries, CallerLimits& callerLimits)
+    Forwarder& forwarder, RetryDesk& retries, CallerLimits& callerLimits, CrashMemory& crashes)
     : context(context)
     , backends(backends)
     , tickets(tickets)
@@ -96,6 +96,7 @@
     , forwarder(forwarder)
     , retries(retries)
     , callerLimits(callerLimits)
+    , crashes(crashes)
 {
 }
 
@@ -221,6 +222,13 @@
     std::vector<BackendName> failedAt;
     this->retries.earn();
     while (true) {
+        if (this->crashes.isHeld(call)) {
+            machine.process(RequestEvent::GivenUp);
+            co_return finalAnswer(errorWithOutcome(makeError(ErrorKind::RequestHeld,
+                                                       "the request crashed the backend servers that ran it"),
+                                      call.id, machine.outcome()),
+                machine.outcome());
+        }
         auto chosen = co_await this->backends.acquire(slotFor(call, poolName, failedAt));
         if (!chosen) {
             machine.process(RequestEvent::GivenUp);
@@ -252,6 +260,7 @@
     noteAnswer(chosen.hold, answered);
     if (answered && !saysNotRun(pool, answered.value())) {
         machine.process(RequestEvent::Answered);
+        this->crashes.recordRun(call);
         attempt.response = std::move(answered).value();
         attempt.response.headers = endToEndHeaders(attempt.response.headers);
         attempt.response = withOutcome(std::move(attempt.response), Outcome::Ran);
@@ -268,6 +277,8 @@
     attempt.wasFree = failure.progress == AttemptProgress::NothingWritten;
     machine.process(attempt.wasFree ? RequestEvent::NothingWritten : RequestEvent::ResponseLost);
     attempt.response = errorWithOutcome(failure.error, call.id, machine.outcome());
+    if (failure.error.kind == ErrorKind::BackendBroke)
+        co_await this->crashes.recordBreak(call, chosen.backend.name, chosen.backend.endpoint);
     logEvent(LogLevel::Warning, "attempt-failed",
         { { "request", call.id.value() }, { "backend", chosen.backend.name.value() },
             { "error", failure.error.message }, { "may_repeat", machine.mayAttempt() ? "yes" : "no" } });
