--- a/src/gateway/call_carrier.cpp
+++ b/src/gateway/call_carrier.cpp
@@ -64,71 +64,97 @@
         const bool mayTry = call.isRepeatable || !result.mayHaveRun;
         if (!mayTry || exchange.isCallerGone() || Clock::now() >= call.deadline)
             break;
-        co_await this->sendTo(peers[index], exchange, call, mode, result);
+        const bool hasAnswered = co_await this->sendTo(peers[index], exchange, call, mode, result);
         if (result.answer || result.hasBegun)
             break;
-        this->reach.dropCarrier(call.pool, peers[index].vm.name);
+        if (!hasAnswered)
+            this->reach.dropCarrier(call.pool, peers[index].vm.name);
     }
     (result.answer || result.isComplete ? this->carried : this->notCarried).add();
     co_return result;
 }
 
 /// Sends a request to one VM and takes its answer.
-asio::awaitable<void> CallCarrier::sendTo(
+/// @return whether the VM answered.
+asio::awaitable<bool> CallCarrier::sendTo(
     const PeerRecord& peer, HttpExchange& exchange, const CarriedCall& call, Mode mode, CarryResult& result)
 {
     const auto timeLeft = std::max(1ms, toMilliseconds(call.deadline - Clock::now()));
+    auto request = this->context.protocol.encodeCarriedRequest(exchange.request(), timeLeft);
     CallControl control;
-    CallOptions options;
-    options.control = &control;
     exchange.onCallerGone([&control] { control.cancel(); });
-    auto opened = co_await this->context.httpClient.open(peer.endpoint,
-        this->context.protocol.encodeCarriedRequest(exchange.request(), timeLeft), call.deadline, std::move(options));
-    std::string outcome = "passed-on";
-    if (!opened) {
-        result.mayHaveRun = result.mayHaveRun || opened.error().progress != AttemptProgress::NothingWritten;
-        result.problem = std::move(opened.error().error);
-        outcome = "not-answered";
-    } else if (!this->context.protocol.decodeAnswer(opened.value()->head()).serverStamp.empty()) {
-        // A server answered, and the VM passes its answer on.
-        result.mayHaveRun = true;
-        if (mode == Mode::Streamed && opened.value()->head().status == statusOk)
-            co_await passStream(exchange, call, *opened.value(), result);
-        else
-            co_await readWhole(call, *opened.value(), result);
-    } else {
-        const bool isNotRun = saysNotRun(opened.value()->head());
-        result.mayHaveRun = result.mayHaveRun || !isNotRun;
-        outcome = "refused-with-" + std::to_string(opened.value()->head().status);
-        result.problem = makeError(ErrorKind::NoBackendServer, peer.vm.name.value() + ": " + outcome);
-    }
+    std::optional<CallFailure> failure;
+    if (mode == Mode::Whole)
+        failure = co_await this->callWhole(peer, std::move(request), call, control, result);
+    else
+        failure = co_await this->callStreamed(peer, exchange, std::move(request), call, control, result);
     exchange.onCallerGone({});
+    if (failure) {
+        result.mayHaveRun = result.mayHaveRun || failure->progress != AttemptProgress::NothingWritten;
+        result.problem = failure->error;
+    }
+    const bool isPassedOn = result.answer || result.isComplete;
     logEvent(LogLevel::Info, "request-carried",
         { { "id", call.id.value() }, { "vm", peer.vm.name.value() }, { "pool", call.pool.value() },
-            { "outcome", outcome }, { "complete", result.answer || result.isComplete ? "1" : "0" },
-            { "error", result.answer || result.isComplete ? "" : result.problem->message } });
+            { "passed_on", isPassedOn ? "1" : "0" }, { "error", isPassedOn ? "" : result.problem->message } });
+    co_return !failure.has_value();
 }
 
-/// Reads an answer that is delivered in one piece.
-asio::awaitable<void> CallCarrier::readWhole(const CarriedCall& call, HttpStream& stream, CarryResult& result)
+/// Takes an answer if a server gave it; otherwise the VM's own word on the request.
+void CallCarrier::takeAnswer(const PeerRecord& peer, HttpResponse response, CarryResult& result) const
 {
+    if (!this->context.protocol.decodeAnswer(response).serverStamp.empty()) {
+        eraseConnectionHeaders(response);
+        result.mayHaveRun = true;
+        result.answer = std::move(response);
+        return;
+    }
+    result.mayHaveRun = result.mayHaveRun || !saysNotRun(response);
+    result.problem
+        = makeError(ErrorKind::NoBackendServer, peer.vm.name.value() + " answered " + std::to_string(response.status));
+}
+
+asio::awaitable<std::optional<CallFailure>> CallCarrier::callWhole(
+    const PeerRecord& peer, HttpRequest request, const CarriedCall& call, CallControl& control, CarryResult& result)
+{
+    CallOptions options;
+    options.control = &control;
+    auto answered
+        = co_await this->context.httpClient.call(peer.endpoint, std::move(request), call.deadline, std::move(options));
+    if (!answered)
+        co_return std::move(answered).error();
+    this->takeAnswer(peer, std::move(answered).value(), result);
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<CallFailure>> CallCarrier::callStreamed(const PeerRecord& peer, HttpExchange& exchange,
+    HttpRequest request, const CarriedCall& call, CallControl& control, CarryResult& result)
+{
+    CallOptions options;
+    options.control = &control;
+    auto opened
+        = co_await this->context.httpClient.open(peer.endpoint, std::move(request), call.deadline, std::move(options));
+    if (!opened)
+        co_return std::move(opened).error();
+    auto& stream = *opened.value();
+    const bool isServers = !this->context.protocol.decodeAnswer(stream.head()).serverStamp.empty();
+    if (isServers && stream.head().status == statusOk) {
+        result.mayHaveRun = true;
+        co_await passStream(exchange, call, stream, result);
+        co_return std::nullopt;
+    }
+    // A failure is short.
     auto response = stream.head();
-    while (true) {
-        const auto piece = co_await stream.read(call.deadline);
-        if (!piece) {
-            result.problem = piece.error().error;
-            co_return;
-        }
-        if (response.body.size() > maxPlainAnswer) {
-            result.problem = makeError(ErrorKind::BackendAnswerMalformed, "the answer is too large to be carried");
-            co_return;
-        }
+    while (response.body.size() <= maxPlainAnswer) {
+        auto piece = co_await stream.read(call.deadline);
+        if (!piece)
+            co_return std::move(piece).error();
         if (piece.value().empty())
             break;
         response.body += piece.value();
     }
-    eraseConnectionHeaders(response);
-    result.answer = std::move(response);
+    this->takeAnswer(peer, std::move(response), result);
+    co_return std::nullopt;
 }
 
 asio::awaitable<void> CallCarrier::passStream(
--- a/src/gateway/call_carrier.hpp
+++ b/src/gateway/call_carrier.hpp
@@ -57,9 +57,13 @@
     };
 
     boost::asio::awaitable<CarryResult> tryCarriers(HttpExchange& exchange, CarriedCall call, Mode mode);
-    boost::asio::awaitable<void> sendTo(
+    boost::asio::awaitable<bool> sendTo(
         const PeerRecord& peer, HttpExchange& exchange, const CarriedCall& call, Mode mode, CarryResult& result);
-    static boost::asio::awaitable<void> readWhole(const CarriedCall& call, HttpStream& stream, CarryResult& result);
+    void takeAnswer(const PeerRecord& peer, HttpResponse response, CarryResult& result) const;
+    boost::asio::awaitable<std::optional<CallFailure>> callWhole(const PeerRecord& peer, HttpRequest request,
+        const CarriedCall& call, CallControl& control, CarryResult& result);
+    boost::asio::awaitable<std::optional<CallFailure>> callStreamed(const PeerRecord& peer, HttpExchange& exchange,
+        HttpRequest request, const CarriedCall& call, CallControl& control, CarryResult& result);
     static boost::asio::awaitable<void> passStream(
         HttpExchange& exchange, const CarriedCall& call, HttpStream& stream, CarryResult& result);
 
--- a/src/gateway/crash_records.cpp
+++ b/src/gateway/crash_records.cpp
@@ -214,16 +214,14 @@
     return ++this->recentFirstEnds <= maxFirstEndsPerInterval;
 }
 
-/// @return false if this VM has nothing to tell of the request.
-bool CrashRecords::queueOwnRow(RequestContent& content)
+void CrashRecords::queueOwnRow(RequestContent& content)
 {
     auto* record = this->find(content);
-    if (!record || !record->seenBy.contains(this->context.identity.name))
-        return false;
+    if (!record)
+        return;
     record->isPublished = true;
     this->unwritten.insert(rowKey(content.digest(), this->context.identity.name));
     this->unwrittenNotifier.notify();
-    return true;
 }
 
 asio::awaitable<void> CrashRecords::waitUntilTold(RequestContent& content)
@@ -406,13 +404,14 @@
     co_return Reservation::Taken;
 }
 
-asio::awaitable<bool> CrashRecords::removeAbandoned(StoreRow row)
+asio::awaitable<void> CrashRecords::removeAbandoned(StoreRow row)
 {
     StoreTransaction transaction;
     transaction.conditions.push_back({ row.place, row.version });
     transaction.writes.push_back({ row.place, std::nullopt });
     const auto removed = co_await this->context.store.commit(std::move(transaction));
-    co_return removed&& removed.value().isCommitted;
+    logEvent(LogLevel::Info, "crash-reservation-abandoned",
+        { { "key", row.place.key }, { "error", removed ? "" : removed.error().message } });
 }
 
 asio::awaitable<void> CrashRecords::removeReservation(ServerStart server)
--- a/src/gateway/crash_records.hpp
+++ b/src/gateway/crash_records.hpp
@@ -94,7 +94,7 @@
     };
 
     Record* find(RequestContent& content);
-    bool queueOwnRow(RequestContent& content);
+    void queueOwnRow(RequestContent& content);
     bool mayTellOfFirstEnd(TimePoint now);
     static CrashEvidence combine(const Record& record);
     void applyRows(const std::vector<StoreRow>& rows, bool isFullTable);
@@ -106,7 +106,7 @@
     StoreWrite makeWrite(const std::string& key) const;
     boost::asio::awaitable<void> writeRows();
     boost::asio::awaitable<void> removeReservation(ServerStart server);
-    boost::asio::awaitable<bool> removeAbandoned(StoreRow row);
+    boost::asio::awaitable<void> removeAbandoned(StoreRow row);
 
     GatewayContext& context;
     const std::function<void(const ServerStart&)> onEnd;
--- a/src/gateway/server_reach.cpp
+++ b/src/gateway/server_reach.cpp
@@ -25,6 +25,10 @@
     constexpr std::size_t maxPeersAsked = 6;
     /// A VM that is asked may itself try connections.
     constexpr Duration answerTimeout = 250ms;
+    /// VMs that carry are asked again after this time, since they may be cut off in turn.
+    constexpr Duration carrierRefreshInterval = 2s;
+    /// A VM that a server answered within this time need not try a connection.
+    constexpr Duration recentAnswer = 500ms;
     constexpr std::string_view reachedBody = "reached\n";
     constexpr std::string_view cutOffBody = "cut-off\n";
 
@@ -42,6 +46,8 @@
     const std::size_t tried;
     std::size_t pending;
     std::size_t succeeded { 0 };
+    /// Of VMs that are asked: those that reach the pool.
+    std::vector<PeerRecord> carriers;
     Notifier changed;
 };
 
@@ -106,6 +112,7 @@
             { { "pool", pool.value() }, { "servers_tried", std::to_string(probes->tried) } });
     if (isChanged && state.reach.isCutOff) {
         this->cuts.add();
+        this->startAsking(pool);
         asio::co_spawn(this->context.loop(), this->watch(pool), asio::detached);
     }
     state.isChecking = false;
@@ -117,18 +124,26 @@
 {
     auto& state = this->stateOf(pool);
     while (state.reach.isCutOff) {
-        if (state.carriers.empty() && !state.isAsking)
-            asio::co_spawn(this->context.loop(), this->askPeers(pool), asio::detached);
+        const bool isDue = state.carriers.empty() || Clock::now() - state.askedAt >= carrierRefreshInterval;
+        if (isDue && !state.isAsking)
+            this->startAsking(pool);
         co_await pauseFor(recheckInterval);
         co_await this->check(pool);
     }
     state.carriers.clear();
 }
 
-asio::awaitable<void> ServerReach::askPeers(PoolName pool)
+void ServerReach::startAsking(const PoolName& pool)
 {
     auto& state = this->stateOf(pool);
     state.isAsking = true;
+    state.askedAt = Clock::now();
+    asio::co_spawn(this->context.loop(), this->askPeers(pool), asio::detached);
+}
+
+asio::awaitable<void> ServerReach::askPeers(PoolName pool)
+{
+    auto& state = this->stateOf(pool);
     const auto asked = this->peers.candidates(maxPeersAsked);
     const auto answers = std::make_shared<Probes>(this->context.loop(), asked.size());
     for (const auto& peer : asked)
@@ -138,6 +153,7 @@
     logEvent(LogLevel::Info, "carriers-found",
         { { "pool", pool.value() }, { "asked", std::to_string(answers->tried) },
             { "reached", std::to_string(answers->succeeded) } });
+    state.carriers = answers->carriers;
     state.isAsking = false;
     state.changed.notify();
 }
@@ -153,7 +169,10 @@
     if (answered && answered.value().body == reachedBody) {
         auto& state = this->stateOf(pool);
         ++answers->succeeded;
-        state.carriers.push_back(peer);
+        answers->carriers.push_back(peer);
+        // Requests that wait need not wait for the others.
+        if (state.carriers.empty())
+            state.carriers.push_back(peer);
         state.changed.notify();
     }
     answers->changed.notify();
@@ -186,7 +205,8 @@
         response.body = std::string(cutOffBody);
         co_return response;
     }
-    if (!this->isCutOff(pool))
+    const bool isKnownReached = this->servers.hasAnsweredSince(pool, Clock::now() - recentAnswer);
+    if (!this->isCutOff(pool) && !isKnownReached)
         co_await this->check(pool);
     response.body = std::string(this->isCutOff(pool) ? cutOffBody : reachedBody);
     co_return response;
--- a/src/gateway/server_reach.hpp
+++ b/src/gateway/server_reach.hpp
@@ -35,7 +35,7 @@
     /// being asked.
     boost::asio::awaitable<std::vector<PeerRecord>> carriers(PoolName pool);
 
-    /// @brief Drops a VM that could not carry a request.
+    /// @brief Drops a VM that did not answer a request that it was to carry.
     void dropCarrier(const PoolName& pool, const VmName& vm);
 
     /// @brief Answers another VM.
@@ -53,6 +53,7 @@
         PoolReach reach;
         bool isChecking { false };
         bool isAsking { false };
+        TimePoint askedAt;
         std::vector<PeerRecord> carriers;
         Notifier changed;
     };
@@ -62,6 +63,7 @@
     boost::asio::awaitable<void> check(PoolName pool);
     boost::asio::awaitable<void> probe(Endpoint server, std::shared_ptr<Probes> probes);
     boost::asio::awaitable<void> watch(PoolName pool);
+    void startAsking(const PoolName& pool);
     boost::asio::awaitable<void> askPeers(PoolName pool);
     boost::asio::awaitable<void> askPeer(PeerRecord peer, PoolName pool, std::shared_ptr<Probes> answers);
 
--- a/src/gateway/suspect_gate.cpp
+++ b/src/gateway/suspect_gate.cpp
@@ -41,6 +41,7 @@
     SuspectPass& pass, ServerRequirements& requirements, TimePoint waitUntil)
 {
     pass.retryAfter.reset();
+    requirements.reserved.clear();
     const auto verdict = this->crashes.verdict(pass.content);
     if (verdict == CrashVerdict::Held) {
         this->heldRefusals.add();
@@ -58,7 +59,6 @@
 asio::awaitable<SuspectGate::Entry> SuspectGate::enterAlone(
     SuspectPass& pass, ServerRequirements& requirements, TimePoint waitUntil)
 {
-    requirements.reserved.clear();
     while (true) {
         if (!this->servers.canSpareServer(requirements.pool)) {
             this->suspectRefusals.add();
