Types and settings for workspaces, duties and orders for servers

Nothing uses the new fields yet, so deployments are served as before. Durations in settings may have decimals, as the platform's bounds do. Result: unit tests of base, control and platform pass.

--- a/include/topaztack/base/ids.hpp
+++ b/include/topaztack/base/ids.hpp
@@ -50,6 +50,7 @@
 using ItemId = StrongId<struct ItemIdTag, std::string>;
 using ModelName = StrongId<struct ModelNameTag, std::string>;
 using RouteName = StrongId<struct RouteNameTag, std::string>;
+using WorkspaceName = StrongId<struct WorkspaceNameTag, std::string>;
 using LeaseName = StrongId<struct LeaseNameTag, std::string>;
 
 /// Drawn at random when a VM's process starts; tells a process from its successor at the same address.
--- a/include/topaztack/base/ini.hpp
+++ b/include/topaztack/base/ini.hpp
@@ -112,7 +112,7 @@
 std::string readName(std::string_view text, std::string& value);
 std::string readEndpoint(std::string_view text, Endpoint& value);
 std::string readEndpoints(std::string_view text, std::vector<Endpoint>& value);
-/// Whole number with a unit: `us`, `ms`, `s`, `min`, `h`.
+/// Number with a unit: `us`, `ms`, `s`, `min`, `h`. Decimals are rounded to microseconds.
 std::string readDuration(std::string_view text, std::chrono::microseconds least, std::chrono::microseconds most,
     std::chrono::microseconds& value);
 /// Whole number with an optional unit: `B`, `KiB`, `MiB`.
--- a/include/topaztack/control/route_table.hpp
+++ b/include/topaztack/control/route_table.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -59,6 +60,8 @@
     bool isSingleVersion { false };
     /// Whether an interrupted stream can be resumed.
     bool isResumable { false };
+    /// Whether callers need no key, though the configuration has workspaces.
+    bool isPublic { false };
 };
 
 /// @brief Capacity and models of a pool's engines.
@@ -68,6 +71,18 @@
     std::vector<ModelName> models;
 };
 
+/// @brief How many servers of a pool may be ordered in each data centre, and what they cost.
+struct PoolScalingLimits {
+    std::uint64_t min { 0 };
+    std::uint64_t max { 0 };
+    /// Time until an ordered server serves.
+    std::chrono::milliseconds bootTime { 0 };
+    /// Price of a server that may be reclaimed, as a fraction of the price of another one; empty if there are none.
+    std::optional<double> reclaimablePrice;
+    /// Price of a second of a server.
+    std::map<DataCentre, double> prices;
+};
+
 /// @brief Configuration of one pool.
 struct PoolRecord {
     PoolName name;
@@ -75,6 +90,8 @@
     std::uint64_t maxConnections { 0 };
     /// Present if the pool's backend servers are model engines.
     std::optional<EngineCapacity> engines;
+    /// Present if servers of the pool are ordered from the platform.
+    std::optional<PoolScalingLimits> scaling;
 };
 
 /// @brief Limits on the size of a caller's requests and on the time it takes to send them.
@@ -85,12 +102,22 @@
     std::chrono::milliseconds idleTime { 0 };
 };
 
+/// @brief Callers that share keys, a rank and their jobs.
+struct Workspace {
+    WorkspaceName name;
+    /// Goes before the priority of a route; empty for the route's.
+    std::optional<std::uint64_t> rank;
+};
+
 /// @brief One version of the routing configuration. Immutable.
 struct RouteTable : boost::intrusive_ref_counter<RouteTable> {
     ConfigVersion version;
     std::vector<Route> routes;
     std::vector<PoolRecord> pools;
     CallerBounds callers;
+    /// Whether callers identify their workspace, except on public routes.
+    bool hasWorkspaces { false };
+    std::vector<Workspace> workspaces;
 };
 
 using RouteTablePtr = boost::intrusive_ptr<const RouteTable>;
@@ -104,6 +131,10 @@
 /// @return nullptr if all weights are zero.
 const PoolName* choosePool(const Route& route, std::uint64_t draw);
 
+/// @brief The rank of a workspace's requests on a route; 0 is the most urgent.
+/// @param workspace empty for none.
+std::uint64_t rankOf(const RouteTable& table, const Route& route, const WorkspaceName& workspace);
+
 /// @brief The pool with that name, or nullptr.
 const PoolRecord* findPool(const RouteTable& table, const PoolName& name);
 
--- a/include/topaztack/control/settings.hpp
+++ b/include/topaztack/control/settings.hpp
@@ -36,6 +36,8 @@
     /// Maximum size of an object in the store.
     std::uint64_t objectBytes { 0 };
     /// Fraction of each core that this process may use, and the number of cores.
+    /// Whether the load of a server that started or recovered is raised only as fast as its answers allow.
+    bool hasServerPace { false };
     double coreShare { 1 };
     std::uint64_t cores { 1 };
 
@@ -43,7 +45,27 @@
     double processor() const { return this->coreShare * static_cast<double>(this->cores); }
 };
 
-/// @brief `[vm NAME]`, `[platform]`, `[gateway]`, `[tls]` and `[peer NAME]` of one settings file.
+/// @brief `[duties]`: calls to the platform that one VM at a time makes.
+struct DutySettings {
+    /// Whether the use of each workspace is reported.
+    bool reportsUsage { false };
+    /// Whether servers are ordered from the platform.
+    bool ordersServers { false };
+    Endpoint address;
+    /// Calls per second that the platform takes from all VMs together.
+    double callsPerSecond { 0 };
+    /// Length of a window of a report of use, and the time after its end at which the report is due.
+    std::chrono::microseconds window { 0 };
+    std::chrono::microseconds reportDue { 0 };
+    /// Fraction by which a count may be off.
+    double tolerance { 0 };
+    /// Minimum time between the calls of two VMs.
+    std::chrono::microseconds silence { 0 };
+    /// Time after a suspension of this VM in which it makes no call.
+    std::chrono::microseconds thawTime { 0 };
+};
+
+/// @brief `[vm NAME]`, `[platform]`, `[gateway]`, `[duties]`, `[tls]` and `[peer NAME]` of one settings file.
 struct VmSettings {
     VmName name;
     DataCentre dataCentre;
@@ -68,6 +90,7 @@
     /// Whether there is a [gateway] section: configuration, backend servers and jobs are kept in the platform's store.
     bool isGateway { false };
     GatewaySettings gateway;
+    DutySettings duties;
 };
 
 /// @brief Parses and validates a VM's settings.
@@ -81,6 +104,7 @@
 const std::vector<KeyRule<VmSettings>>& tlsRules();
 const std::vector<KeyRule<PeerSettings>>& peerRules();
 const std::vector<KeyRule<GatewaySettings>>& gatewayRules();
+const std::vector<KeyRule<DutySettings>>& dutyRules();
 /// @}
 
 } // namespace topaztack
--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,11 @@
     std::string host;
     /// With what the caller identifies itself; empty if with nothing.
     std::string credential;
+    /// The key with which the caller identifies its workspace; empty if it sent none. It is passed on to nobody.
+    std::string apiKey;
+    /// The workspace of the caller; empty if the configuration has no workspaces, or the route is public and no known
+    /// key was sent.
+    WorkspaceName workspace;
     /// Time for which the caller waits for the response; empty if the request doesn't state it.
     std::optional<std::chrono::milliseconds> timeLimit;
     /// Number of the last event that the caller received, if it resumes a stream.
@@ -54,6 +60,15 @@
     std::chrono::milliseconds wait { 0 };
 };
 
+/// @brief How a caller is identified to backend servers and other VMs.
+struct CallerIdentity {
+    /// Whether the configuration has workspaces. If not, requests are passed on with the headers that identify the
+    /// caller; otherwise these are replaced by the workspace's name.
+    bool hasWorkspaces { false };
+    /// Empty if the caller has none.
+    WorkspaceName workspace;
+};
+
 /// @brief One page of a job's results.
 struct ResultPage {
     std::uint64_t total { 0 };
@@ -143,6 +158,36 @@
     WeightVersion version;
 };
 
+/// @brief The requests of each workspace that servers began in one window.
+struct UsageReport {
+    std::uint64_t window { 0 };
+    std::map<WorkspaceName, std::uint64_t> counts;
+
+    bool operator==(const UsageReport&) const = default;
+};
+
+/// @brief An order for servers of a pool in a data centre.
+struct ServerOrder {
+    PoolName pool;
+    DataCentre dataCentre;
+    std::uint64_t count { 0 };
+    /// Whether the servers may be reclaimed by the platform.
+    bool isReclaimable { false };
+};
+
+/// @brief How the platform answered a call that one VM at a time makes.
+enum class DutyResponse : std::uint8_t {
+    Accepted,
+    /// None of the servers that were ordered are to be had there now.
+    Unavailable,
+    /// Too many calls; the call had no effect.
+    Limited,
+    /// The call is malformed.
+    Refused,
+    /// No usable response: the call may have taken effect.
+    Unknown,
+};
+
 /// @brief Tables and keys of the store that a gateway follows.
 struct StoreLayout {
     /// Holds the configuration and the published versions.
@@ -167,9 +212,10 @@
     /// Builds the request to a backend server from the caller's; `timeLeft` is the time until the caller's deadline.
     /// With `lastEvent`, the server goes on after that event of the stream.
     HttpRequest (*encodeServiceRequest)(const HttpRequest& original, const ServerRecord& server,
-        std::chrono::milliseconds timeLeft, std::optional<std::uint64_t> lastEvent);
+        std::chrono::milliseconds timeLeft, std::optional<std::uint64_t> lastEvent, const CallerIdentity& identity);
     /// Builds the request to another VM that is to carry the caller's; `timeLeft` is the time until its deadline.
-    HttpRequest (*encodeCarriedRequest)(const HttpRequest& original, std::chrono::milliseconds timeLeft);
+    HttpRequest (*encodeCarriedRequest)(
+        const HttpRequest& original, std::chrono::milliseconds timeLeft, const CallerIdentity& identity);
     HttpRequest (*encodeItemRequest)(
         const JobSpec& job, const JobItem& item, const ServerRecord& server, std::optional<std::uint64_t> lastEvent);
     /// `timeLeft` is the time that the server may take.
@@ -181,6 +227,10 @@
     OrderResponse (*decodeOrder)(const HttpResponse&);
     HttpRequest (*encodeReportQuery)(const ServerRecord& server);
     Result<EngineReport> (*decodeReport)(const HttpResponse&);
+    /// The holder of a duty and its fencing number go with each call.
+    HttpRequest (*encodeUsageReport)(const UsageReport& report, const VmName& holder, FencingNumber fencingNumber);
+    HttpRequest (*encodeServerOrder)(const ServerOrder& order, const VmName& holder, FencingNumber fencingNumber);
+    DutyResponse (*decodeDutyAnswer)(const HttpResponse&);
 
     Result<boost::intrusive_ptr<RouteTable>> (*decodeConfiguration)(std::string_view bytes);
     Result<ServerRecord> (*decodeServer)(std::string_view name, std::string_view bytes);
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -80,6 +80,8 @@
 /// @brief A job as submitted.
 struct JobSpec {
     JobId id;
+    /// Empty if the job has none.
+    WorkspaceName workspace;
     std::string host;
     std::string path;
     StepNumber step;
--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
+#include <type_traits>
 
 namespace topaztack {
 
@@ -40,10 +42,15 @@
         Unit { "MiB", 1024 * 1024 },
     };
 
-    template <typename Units> bool readWithUnit(std::string_view text, const Units& units, std::uint64_t& value)
+    /// Below the largest number that converts to an integer without loss of its sign.
+    constexpr double maxScaledNumber = 9e18;
+
+    /// @tparam Number type in which the number before the unit is read.
+    template <typename Number, typename Units>
+    bool readWithUnit(std::string_view text, const Units& units, std::uint64_t& value)
     {
         const char* end = text.data() + text.size();
-        std::uint64_t number = 0;
+        Number number = 0;
         const auto [stop, problem] = std::from_chars(text.data(), end, number);
         if (problem != std::errc {})
             return false;
@@ -51,7 +58,14 @@
         for (const auto& unit : units) {
             if (unit.name != name)
                 continue;
-            return !__builtin_mul_overflow(number, unit.factor, &value);
+            if constexpr (std::is_floating_point_v<Number>) {
+                const auto product = number * static_cast<Number>(unit.factor);
+                const bool isInRange = product >= 0 && product < maxScaledNumber;
+                value = isInRange ? static_cast<std::uint64_t>(std::llround(product)) : 0;
+                return isInRange;
+            } else {
+                return !__builtin_mul_overflow(number, unit.factor, &value);
+            }
         }
         return false;
     }
@@ -247,8 +261,8 @@
     std::chrono::microseconds& value)
 {
     std::uint64_t microseconds = 0;
-    if (!readWithUnit(text, timeUnits, microseconds))
-        return quoted(text) + " is not a whole number with a unit (us, ms, s, min, h)";
+    if (!readWithUnit<double>(text, timeUnits, microseconds))
+        return quoted(text) + " is not a number with a unit (us, ms, s, min, h)";
     if (microseconds < static_cast<std::uint64_t>(least.count())
         || microseconds > static_cast<std::uint64_t>(most.count()))
         return quoted(text) + " is out of range";
@@ -259,7 +273,7 @@
 std::string readSize(std::string_view text, std::uint64_t least, std::uint64_t most, std::uint64_t& value)
 {
     std::uint64_t bytes = 0;
-    if (!readWithUnit(text, sizeUnits, bytes))
+    if (!readWithUnit<std::uint64_t>(text, sizeUnits, bytes))
         return quoted(text) + " is not a whole number with a unit (B, KiB, MiB)";
     if (bytes < least || bytes > most)
         return quoted(text) + " is out of range";
--- a/src/control/route_table.cpp
+++ b/src/control/route_table.cpp
@@ -50,4 +50,13 @@
     return found == table.pools.end() ? nullptr : &*found;
 }
 
+std::uint64_t rankOf(const RouteTable& table, const Route& route, const WorkspaceName& workspace)
+{
+    if (workspace.value().empty())
+        return route.priority;
+    const auto found = std::find_if(table.workspaces.begin(), table.workspaces.end(),
+        [&workspace](const Workspace& each) { return each.name == workspace; });
+    return found == table.workspaces.end() ? route.priority : found->rank.value_or(route.priority);
+}
+
 } // namespace topaztack
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -123,6 +123,8 @@
             [](GatewaySettings& gateway, std::string_view text) {
                 return readSize(text, 1024, 1024UL * 1024 * 1024, gateway.objectBytes);
             } },
+        { "server_pace", "no", "whether the load of servers that started or recovered follows their answers, yes or no",
+            [](GatewaySettings& gateway, std::string_view text) { return readBool(text, gateway.hasServerPace); } },
         { "core_share", "1", "fraction of each core that this process may use, 0.001..64",
             [](GatewaySettings& gateway, std::string_view text) {
                 return readFraction(text, 0.001, 64, gateway.coreShare);
@@ -133,6 +135,33 @@
     return rules;
 }
 
+const std::vector<KeyRule<DutySettings>>& dutyRules()
+{
+    static const std::vector<KeyRule<DutySettings>> rules {
+        { "address", requiredKey, "IP:PORT of the platform's API",
+            [](DutySettings& duties, std::string_view text) { return readEndpoint(text, duties.address); } },
+        { "usage", "no", "whether the use of each workspace is reported, yes or no",
+            [](DutySettings& duties, std::string_view text) { return readBool(text, duties.reportsUsage); } },
+        { "autoscale", "no", "whether servers are ordered from the platform, yes or no",
+            [](DutySettings& duties, std::string_view text) { return readBool(text, duties.ordersServers); } },
+        { "rate", "50", "calls per second that the platform takes from all VMs together, 0.01..100000",
+            [](DutySettings& duties, std::string_view text) {
+                return readFraction(text, 0.01, 100000, duties.callsPerSecond);
+            } },
+        { "window", "5s", "length of a window of a report of use, 1s..1h",
+            [](DutySettings& duties, std::string_view text) { return readDuration(text, 1s, 1h, duties.window); } },
+        { "report_due", "10s", "time after the end of a window at which its report is due, 1s..1h",
+            [](DutySettings& duties, std::string_view text) { return readDuration(text, 1s, 1h, duties.reportDue); } },
+        { "tolerance", "0.05", "fraction by which a count of a report may be off, 0..1",
+            [](DutySettings& duties, std::string_view text) { return readFraction(text, 0, 1, duties.tolerance); } },
+        { "silence", "3s", "minimum time between the calls of two VMs, 0s..1min",
+            [](DutySettings& duties, std::string_view text) { return readDuration(text, 0s, 1min, duties.silence); } },
+        { "thaw_time", "300ms", "time after a suspension in which a VM makes no call, 0s..1min",
+            [](DutySettings& duties, std::string_view text) { return readDuration(text, 0s, 1min, duties.thawTime); } },
+    };
+    return rules;
+}
+
 VmSettings parseVmSettings(std::string_view text, std::string_view fileName, std::vector<IniProblem>& problems)
 {
     const auto file = parseIni(text, fileName, problems);
@@ -151,6 +180,8 @@
         } else if (section.kind == "gateway" && section.name.empty() && !settings.isGateway) {
             bindSection(section, fileName, gatewayRules(), settings.gateway, problems);
             settings.isGateway = true;
+        } else if (section.kind == "duties" && section.name.empty()) {
+            bindSection(section, fileName, dutyRules(), settings.duties, problems);
         } else if (section.kind == "tls" && section.name.empty()) {
             tls = section;
         } else if (section.kind == "peer" && !section.name.empty()) {
@@ -160,7 +191,7 @@
             settings.peerList.push_back(std::move(peer));
         } else {
             problems.push_back({ std::string(fileName), section.line, section.kind, "unknown section",
-                "use one [vm NAME], [platform], [gateway], [tls] and [peer NAME]" });
+                "use one [vm NAME], [platform], [gateway], [duties], [tls] and [peer NAME]" });
         }
     }
     bindSection(tls, fileName, tlsRules(), settings, problems);
--- a/src/control/settings_page.cpp
+++ b/src/control/settings_page.cpp
@@ -34,6 +34,8 @@
     printSection("[gateway]",
         "Makes this VM a gateway: its configuration, backend servers and jobs are kept in the platform's store.",
         gatewayRules(), page);
+    printSection(
+        "[duties]", "Calls to the platform's API that one VM at a time makes. Only in gateways.", dutyRules(), page);
     printSection("[tls]",
         "Certificate and key of this VM for its connections to other VMs; reloaded when the files change. Callers' and "
         "operators' ports use plain HTTP.",
--- a/src/gateway/call_carrier.cpp
+++ b/src/gateway/call_carrier.cpp
@@ -80,7 +80,7 @@
     const PeerRecord& peer, HttpExchange& exchange, const CarriedCall& call, Mode mode, CarryResult& result)
 {
     const auto timeLeft = std::max(1ms, toMilliseconds(call.deadline - Clock::now()));
-    auto request = this->context.protocol.encodeCarriedRequest(exchange.request(), timeLeft);
+    auto request = this->context.protocol.encodeCarriedRequest(exchange.request(), timeLeft, call.identity);
     CallControl control;
     exchange.onCallerGone([&control] { control.cancel(); });
     std::optional<CallFailure> failure;
--- a/src/gateway/call_carrier.hpp
+++ b/src/gateway/call_carrier.hpp
@@ -22,6 +22,7 @@
 /// @brief A request that is to be carried.
 struct CarriedCall {
     RequestId id;
+    CallerIdentity identity;
     PoolName pool;
     TimePoint deadline;
     /// Whether it may be sent to another VM after one that may have run it.
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -19,6 +19,7 @@
     TimePoint startedAt;
     TimePoint deadline;
     ServerRequirements requirements;
+    CallerIdentity identity;
     /// Servers to which the request was sent.
     std::uint64_t attempts { 0 };
     /// Servers that could not be reached: no byte of the request was written to them.
@@ -33,7 +34,7 @@
     bool isRepeatable() const { return this->route.kind == RouteKind::Idempotent; }
     CarriedCall carriedCall() const
     {
-        return { this->call.id, this->requirements.pool, this->deadline, this->isRepeatable() };
+        return { this->call.id, this->identity, this->requirements.pool, this->deadline, this->isRepeatable() };
     }
     bool mayAttempt() const
     {
@@ -154,7 +155,8 @@
     if (forwarding.isRepeatable() && forwarding.attempts < forwarding.route.maxAttempts)
         end = std::min<TimePoint>(end, now + repeatableAttemptTime(forwarding.route));
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - now));
-    auto request = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft, std::nullopt);
+    auto request = this->context.protocol.encodeServiceRequest(
+        exchange.request(), server, timeLeft, std::nullopt, forwarding.identity);
     CallControl control;
     exchange.onCallerGone([&control] { control.cancel(); });
     auto result = co_await callService(this->context, this->servers, std::move(request), forwarding.call.id, server,
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -52,6 +52,7 @@
     TimePoint startedAt;
     TimePoint deadline;
     ServerRequirements requirements;
+    CallerIdentity identity;
     /// Servers to which the stream was sent and that may have run it.
     std::uint64_t attempts { 0 };
     std::uint64_t unreached { 0 };
@@ -68,7 +69,7 @@
     bool isResumable() const { return this->route.isResumable; }
     CarriedCall carriedCall() const
     {
-        return { this->call.id, this->requirements.pool, this->deadline, this->isResumable() };
+        return { this->call.id, this->identity, this->requirements.pool, this->deadline, this->isResumable() };
     }
     bool mayAttempt() const
     {
@@ -252,8 +253,8 @@
     const auto sentAt = Clock::now();
     const auto eventsBefore = forwarding.events;
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - sentAt));
-    auto request
-        = this->context.protocol.encodeServiceRequest(exchange.request(), server, timeLeft, forwarding.lastEvent);
+    auto request = this->context.protocol.encodeServiceRequest(
+        exchange.request(), server, timeLeft, forwarding.lastEvent, forwarding.identity);
     CallOptions options;
     options.control = &attempt.control;
     options.accepts = [this, &forwarding](const HttpResponse& response) {
--- a/tests/src/base/unit-ini.cpp
+++ b/tests/src/base/unit-ini.cpp
@@ -43,6 +43,10 @@
     std::chrono::microseconds time { 0 };
     STRCMP_EQUAL("", readDuration("250ms", 1ms, 1s, time).c_str());
     CHECK_TRUE(time == 250ms);
+    STRCMP_EQUAL("", readDuration("2.5s", 1ms, 3s, time).c_str());
+    CHECK_TRUE(time == 2500ms);
+    CHECK_FALSE(readDuration("-1s", 0ms, 3s, time).empty());
+    CHECK_FALSE(readDuration("nans", 0ms, 3s, time).empty());
     CHECK_FALSE(readDuration("250", 1ms, 1s, time).empty());
     CHECK_FALSE(readDuration("2s", 1ms, 1s, time).empty());
     CHECK_FALSE(readDuration("99999999999999999999h", 1ms, 1s, time).empty());
--- a/tests/src/platform/unit-workers.cpp
+++ b/tests/src/platform/unit-workers.cpp
@@ -45,7 +45,7 @@
     original.body = "bytes";
     original.headers = { { "Host", "a.example" }, { "Topaztack-Request-Id", "r1" }, { "X-Own", "1" },
         { "Connection", "close" }, { "Topaztack-Deadline-Ms", "800" }, { "Topaztack-Expect-Instance", "i-9" } };
-    const auto request = encodeServiceRequest(original, someServer(), 640ms, std::nullopt);
+    const auto request = encodeServiceRequest(original, someServer(), 640ms, std::nullopt, {});
     STRCMP_EQUAL("PUT", request.method.c_str());
     STRCMP_EQUAL("/x/1?y=2", request.target.c_str());
     STRCMP_EQUAL("bytes", request.body.c_str());
