Answers of the store state its steady clock

Cause: the age of what the store keeps, and the time that VMs agree on, need a clock that all VMs share. Change: StoreRows and StoreCommit carry nowMs as storeTime. Nothing uses it yet.

--- a/include/topaztack/wire/store_client.hpp
+++ b/include/topaztack/wire/store_client.hpp
@@ -57,6 +57,8 @@
     bool isCommitted { false };
     /// The version that the written rows have now.
     RowVersion version;
+    /// The store's steady clock at the answer; 0 if it doesn't state it.
+    std::chrono::milliseconds storeTime { 0 };
     /// The rows of the conditions as they are, if a condition did not hold.
     std::vector<StoreRow> conflicts;
 };
@@ -73,6 +75,8 @@
 struct StoreRows {
     std::vector<StoreRow> rows;
     RowVersion version;
+    /// The store's steady clock at the answer; 0 if it doesn't state it.
+    std::chrono::milliseconds storeTime { 0 };
     /// More rows follow the last one.
     bool hasMore { false };
     /// The changes asked for are no longer kept: the table is to be read again.
--- a/src/wire/store_client.cpp
+++ b/src/wire/store_client.cpp
@@ -121,6 +121,7 @@
         // The first page's version: changes between two pages are asked for again by a feed.
         if (all.rows.empty())
             all.version = page.value().version;
+        all.storeTime = page.value().storeTime;
         for (auto& row : rows)
             all.rows.push_back(std::move(row));
         if (!page.value().hasMore || all.rows.empty())
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -19,6 +19,9 @@
 
     constexpr auto feedCheckInterval = 5ms;
 
+    /// The store's steady clock, in milliseconds.
+    std::int64_t steadyTime() { return toMilliseconds(Clock::now().time_since_epoch()).count(); }
+
     HttpResponse plain(unsigned status, std::string body = "{}") { return jsonResponse(status, std::move(body)); }
 
     std::string textOf(const json::object& object, const char* field)
@@ -91,7 +94,7 @@
         list.push_back(std::move(entry));
     }
     return json::serialize(
-        json::object { { "rows", std::move(list) }, { "morePages", false }, { "ver", this->version }, { "nowMs", 1 } });
+        json::object { { "rows", std::move(list) }, { "morePages", false }, { "ver", this->version }, { "nowMs", steadyTime() } });
 }
 
 HttpResponse StoreStandin::commit(const std::string& body)
@@ -123,7 +126,7 @@
         this->rows[{ textOf(object, "table"), textOf(object, "part"), textOf(object, "key") }]
             = { this->version, "", true };
     }
-    return plain(200, json::serialize(json::object { { "ver", this->version }, { "nowMs", 1 } }));
+    return plain(200, json::serialize(json::object { { "ver", this->version }, { "nowMs", steadyTime() } }));
 }
 
 HttpResponse StoreStandin::range(const std::string& target) const
