Stand-in for workers: a crash closes the listener before the connections

Traced: the worker's connection closed before its listener, so a VM that probed it at once could still connect, and the end was not counted (the log lacks server-ended for two of six). Ruled out: ports that other tests take over; the product's probe (it asks what the process does).

--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -241,6 +242,8 @@
         asio::steady_timer timer(co_await asio::this_coro::executor, crashTime);
         co_await timer.async_wait(asio::use_awaitable);
         this->crash();
+        // The listener is closed by the event loop. A caller that saw its connection end first could still connect.
+        co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
     }
     if (this->isCrashed)
         co_return;
