Gateways admit callers by the key of their workspace

Requests carried keys that were forwarded to servers, no server was told the workspace, and jobs had no owner. One component, CallerAccess, admits callers on every way in and takes over what another VM found out; servers and other VMs get the workspace's name in place of the key. Jobs store their workspace in their head and do not exist for other workspaces. A configuration without tenants changes nothing.

--- a/include/topaztack/base/error.hpp
+++ b/include/topaztack/base/error.hpp
@@ -26,6 +26,7 @@
     BadSettings = 108,
     BadFrame = 109,
     SlowCaller = 110,
+    CallerNotIdentified = 111,
     // 2xx: limits
     Overloaded = 201,
     CallerLimit = 202,
--- a/include/topaztack/control/route_table.hpp
+++ b/include/topaztack/control/route_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <topaztack/base/ids.hpp>
+#include <topaztack/control/workspace_keys.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -118,6 +119,7 @@
     /// Whether callers identify their workspace, except on public routes.
     bool hasWorkspaces { false };
     std::vector<Workspace> workspaces;
+    WorkspaceKeys keys;
 };
 
 using RouteTablePtr = boost::intrusive_ptr<const RouteTable>;
--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/control/route_table.hpp>
 #include <topaztack/control/server_registry.hpp>
+#include <topaztack/control/workspace_keys.hpp>
 #include <topaztack/samples/job.hpp>
 #include <topaztack/wire/http.hpp>
 #include <topaztack/wire/sse.hpp>
@@ -42,6 +43,9 @@
     /// The workspace of the caller; empty if the configuration has no workspaces, or the route is public and no known
     /// key was sent.
     WorkspaceName workspace;
+    /// Whether the VM that the caller called has workspaces in its configuration.
+    bool hasWorkspaces { false };
+    AccessVerdict access { AccessVerdict::Admitted };
     /// Time for which the caller waits for the response; empty if the request doesn't state it.
     std::optional<std::chrono::milliseconds> timeLimit;
     /// Number of the last event that the caller received, if it resumes a stream.
@@ -69,6 +73,8 @@
     WorkspaceName workspace;
 };
 
+inline CallerIdentity identityOf(const CallerRequest& call) { return { call.hasWorkspaces, call.workspace }; }
+
 /// @brief One page of a job's results.
 struct ResultPage {
     std::uint64_t total { 0 };
@@ -206,6 +212,8 @@
 
     /// Fails with BadRequest if a field is malformed.
     Result<CallerRequest> (*decodeCall)(const HttpRequest&);
+    /// How the VM that passed a request on identified its caller; only for requests on the port between VMs.
+    CallerIdentity (*decodeIdentity)(const HttpRequest&);
     Result<JobSpec> (*decodeSubmission)(const StoredSubmission&);
     HttpResponse (*encodeResults)(const ResultPage&);
 
@@ -216,6 +224,8 @@
     /// Builds the request to another VM that is to carry the caller's; `timeLeft` is the time until its deadline.
     HttpRequest (*encodeCarriedRequest)(
         const HttpRequest& original, std::chrono::milliseconds timeLeft, const CallerIdentity& identity);
+    /// Builds the request to another VM that is to answer a caller's call about a job.
+    HttpRequest (*encodeRelayedCall)(const HttpRequest& original, const CallerIdentity& identity);
     HttpRequest (*encodeItemRequest)(
         const JobSpec& job, const JobItem& item, const ServerRecord& server, std::optional<std::uint64_t> lastEvent);
     /// `timeLeft` is the time that the server may take.
--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -101,6 +101,8 @@
     std::string host;
     std::string path;
     std::string body;
+    /// Empty if the job has none.
+    WorkspaceName workspace {};
 };
 
 enum class ItemState : std::uint8_t {
@@ -146,6 +148,8 @@
     std::string host;
     std::string path;
     ModelName model;
+    /// Whose keys may use the job; empty if it has none or an earlier version accepted it.
+    WorkspaceName workspace;
     /// Generations that the owner has in flight at each engine, for other VMs that use the same engines.
     std::map<BackendName, std::uint32_t> inFlight;
 
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -25,6 +25,7 @@
 #include <topaztack/control/settings_page.hpp>
 #include <topaztack/control/swim.hpp>
 #include <topaztack/control/weight_view.hpp>
+#include <topaztack/control/workspace_keys.hpp>
 #include <topaztack/gateway/gateway.hpp>
 #include <topaztack/gateway/protocol.hpp>
 #include <topaztack/node/backend_table.hpp>
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -31,6 +31,8 @@
         KindDescription { ErrorKind::BadFrame, "bad-frame", "check that both VMs run the same version of topaztack" },
         KindDescription {
             ErrorKind::SlowCaller, "slow-caller", "send the request faster, or raise [limits] caller_idle" },
+        KindDescription { ErrorKind::CallerNotIdentified, "caller-not-identified",
+            "send a key of your workspace as `Authorization: Bearer KEY`" },
         KindDescription { ErrorKind::Overloaded, "overloaded", "ask again after the time in Retry-After" },
         KindDescription {
             ErrorKind::CallerLimit, "caller-limit", "send fewer requests at once, or raise [limits] caller_in_flight" },
--- a/src/gateway/crash_records.cpp
+++ b/src/gateway/crash_records.cpp
@@ -102,9 +102,12 @@
 
 const std::string& RequestContent::digest()
 {
-    if (this->madeDigest.empty())
+    if (this->madeDigest.empty()) {
+        // The digest is told to other VMs and stored, so nothing in it may come from a key.
+        const auto& caller = this->call.hasWorkspaces ? this->call.workspace.value() : this->call.credential;
         this->madeDigest = contentDigest(
-            { this->call.host, this->request.method, this->request.target, this->call.credential, this->request.body });
+            { this->call.host, this->request.method, this->request.target, caller, this->request.body });
+    }
     return this->madeDigest;
 }
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -65,6 +65,7 @@
     Forwarding forwarding {
         .call = call, .route = route, .origin = origin, .pass = SuspectPass(call, exchange.request())
     };
+    forwarding.identity = identityOf(call);
     forwarding.startedAt = Clock::now();
     const auto timeLimit = std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.deadline = forwarding.startedAt + timeLimit;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/gateway/gateway.hpp>
 
 #include "call_carrier.hpp"
+#include "caller_access.hpp"
 #include "context.hpp"
 #include "crash_records.hpp"
 #include "error_responses.hpp"
@@ -49,9 +50,7 @@
     /// response.
     constexpr std::chrono::milliseconds serversFeedPause { 200 };
     constexpr Duration expiryInterval = 100ms;
-    constexpr std::chrono::milliseconds notReadyRetryAfter { 300 };
-    /// A configuration that was confirmed longer ago than this may lack a route that callers already use.
-    constexpr Duration maxConfigurationAge = 1500ms;
+    constexpr unsigned statusUnauthorised = 401;
     /// The load balancer takes a VM out of service after two failed readiness checks, one second apart.
     constexpr Duration balancerRemovalTime = 2500ms;
     /// Reserved from the time that the platform gives a process to stop.
@@ -85,11 +84,11 @@
     void applyOperatorRows(const std::vector<StoreRow>& rows);
     void applyConfiguration(const StoreRow& row);
     void applyPublishedVersion(const StoreRow& row);
-    bool isConfigurationStale() const;
     HttpServerLimits callerLimits() const;
     asio::awaitable<void> handle(HttpExchange& exchange);
     asio::awaitable<void> handlePeer(HttpExchange& exchange);
-    asio::awaitable<void> handleRoute(HttpExchange& exchange, const CallerRequest& call);
+    asio::awaitable<void> handleRoute(HttpExchange& exchange, CallerRequest call);
+    asio::awaitable<void> handleJobCall(HttpExchange& exchange, CallerRequest call);
     asio::awaitable<void> forward(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
     asio::awaitable<bool> handleCarried(HttpExchange& exchange);
@@ -98,6 +97,7 @@
     json::value dump() const;
 
     GatewayContext context;
+    CallerAccess access;
     PeerDirectory peers;
     RequestQuota quota;
     CrashRecords crashes;
@@ -127,6 +127,7 @@
 
 Gateway::Parts::Parts(VmSettings settings, VmIdentity identity, const GatewayProtocol& protocol)
     : context(std::move(settings), std::move(identity), protocol)
+    , access(this->context, [this] { return this->operatorRows.answeredAt(); })
     , peers(this->context)
     , quota(this->context, this->peers)
     , crashes(this->context, [this](const ServerStart& server) { this->servers.markEnded(server); })
@@ -145,7 +146,7 @@
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
-    , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch)
+    , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch, this->access)
     , operatorRows(this->context, followOptions(protocol.storeLayout.operatorTable, configurationFeedWait, 0ms),
           [this](const std::vector<StoreRow>& rows, bool) { this->applyOperatorRows(rows); })
     , serverRows(this->context, followOptions(protocol.storeLayout.serversTable, serversFeedWait, serversFeedPause),
@@ -237,6 +238,14 @@
     logEvent(LogLevel::Info, "configuration-taken",
         { { "version", std::to_string(newVersion) }, { "before", std::to_string(known) },
             { "routes", std::to_string(decoded.value()->routes.size()) } });
+    for (const auto& key : decoded.value()->keys.unusable) {
+        std::string workspaces;
+        for (const auto& name : key.workspaces)
+            workspaces += (workspaces.empty() ? "" : ",") + name.value();
+        logEvent(LogLevel::Warning, "workspace-key-unusable",
+            { { "configuration", std::to_string(newVersion) }, { "workspaces", workspaces },
+                { "reason", key.reason } });
+    }
     this->context.routes = std::move(decoded).value();
     this->servers.changed().notify();
 }
@@ -256,11 +265,6 @@
         { { "model", decoded.value().model.value() }, { "version", std::to_string(known.value()) } });
 }
 
-bool Gateway::Parts::isConfigurationStale() const
-{
-    return Clock::now() - this->operatorRows.answeredAt() > maxConfigurationAge;
-}
-
 asio::awaitable<void> Gateway::Parts::handle(HttpExchange& exchange)
 {
     const auto call = this->context.protocol.decodeCall(exchange.request());
@@ -269,7 +273,18 @@
     else if (call.value().action == CallerAction::Route)
         co_await this->handleRoute(exchange, call.value());
     else
-        co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call.value(), nullptr));
+        co_await this->handleJobCall(exchange, call.value());
+}
+
+asio::awaitable<void> Gateway::Parts::handleJobCall(HttpExchange& exchange, CallerRequest call)
+{
+    auto response = this->access.admit(call, nullptr);
+    if (!response)
+        response = co_await this->jobCalls.answer(exchange.request(), call, nullptr);
+    const bool lacksKey = response->status == statusUnauthorised && call.access != AccessVerdict::Admitted;
+    if (lacksKey)
+        response = this->access.refuse(call);
+    co_await exchange.respond(std::move(*response));
 }
 
 asio::awaitable<void> Gateway::Parts::handlePeer(HttpExchange& exchange)
@@ -301,10 +316,15 @@
     if (!decoded || decoded.value().action != CallerAction::Route)
         co_return false;
     const auto table = this->context.routes;
-    const auto& call = decoded.value();
+    auto call = decoded.value();
     const auto* route = table ? matchRoute(*table, call.host, targetPath(exchange.request().target)) : nullptr;
     if (!route || route->kind == RouteKind::Batch)
         co_return false;
+    auto refusal = this->access.admitFromPeer(exchange.request(), call);
+    if (refusal) {
+        co_await exchange.respond(std::move(*refusal));
+        co_return true;
+    }
     if (this->context.isDraining) {
         const auto error = makeError(ErrorKind::ShuttingDown, "this VM is leaving");
         co_await exchange.respond(notRunResponse(error, call.id, notReadyRetryAfter));
@@ -323,12 +343,12 @@
         co_await this->forwarder.handle(exchange, call, route, origin);
 }
 
-asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, const CallerRequest& call)
+asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, CallerRequest call)
 {
     // Keeps the table alive for the whole request: a newer configuration may replace it meanwhile.
     const auto table = this->context.routes;
     const auto* route = table ? matchRoute(*table, call.host, targetPath(exchange.request().target)) : nullptr;
-    if (!route && table && !this->isConfigurationStale()) {
+    if (!route && table && !this->access.isConfigurationStale()) {
         co_await exchange.respond(errorResponse(
             makeError(ErrorKind::UnknownPath, "no route for this host and path", "use a route of the configuration"),
             call.id.value()));
@@ -339,6 +359,11 @@
             notRunResponse(makeError(ErrorKind::NotReady, "no configuration of late"), call.id, notReadyRetryAfter));
         co_return;
     }
+    auto refusal = this->access.admit(call, route);
+    if (refusal) {
+        co_await exchange.respond(std::move(*refusal));
+        co_return;
+    }
     if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
         co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call, route));
     else
--- a/src/gateway/job_calls.cpp
+++ b/src/gateway/job_calls.cpp
@@ -6,11 +6,13 @@
 
 namespace asio = boost::asio;
 
-JobCalls::JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay, const StoreWatch& storeWatch)
+JobCalls::JobCalls(
+    GatewayContext& context, JobService& service, PeerRelay& relay, const StoreWatch& storeWatch, CallerAccess& access)
     : context(context)
     , service(service)
     , relay(relay)
     , storeWatch(storeWatch)
+    , access(access)
 {
 }
 
@@ -60,12 +62,17 @@
         co_await exchange.respond(errorResponse(decoded.error()));
         co_return;
     }
-    const auto& call = decoded.value();
+    auto call = decoded.value();
     // Keeps the route alive for the whole call: a newer configuration may replace the table meanwhile.
     const auto table = this->context.routes;
     const auto* route = table && call.action == CallerAction::Route
         ? matchRoute(*table, call.host, targetPath(exchange.request().target))
         : nullptr;
+    auto refusal = this->access.admitFromPeer(exchange.request(), call);
+    if (refusal) {
+        co_await exchange.respond(std::move(*refusal));
+        co_return;
+    }
     const bool isForJobs = call.action != CallerAction::Route || (route && route->kind == RouteKind::Batch);
     if (isForJobs && !this->isStoreAway()) {
         co_await exchange.respond(co_await this->answerLocally(exchange.request(), call, route));
--- a/src/gateway/job_calls.hpp
+++ b/src/gateway/job_calls.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller_access.hpp"
 #include "context.hpp"
 #include "job_service.hpp"
 #include "peer_relay.hpp"
@@ -16,7 +17,8 @@
 
 class JobCalls {
 public:
-    JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay, const StoreWatch& storeWatch);
+    JobCalls(GatewayContext& context, JobService& service, PeerRelay& relay, const StoreWatch& storeWatch,
+        CallerAccess& access);
 
     /// @brief Answers a caller. While the store doesn't answer this VM, the call is passed on to other VMs at once.
     /// @param route the route of a submission; nullptr for other calls.
@@ -34,6 +36,7 @@
     JobService& service;
     PeerRelay& relay;
     const StoreWatch& storeWatch;
+    CallerAccess& access;
 };
 
 } // namespace topaztack
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -120,7 +120,7 @@
 }
 
 /// Adds texts of this trainer's other jobs on this VM for items that are submitted again, and the groups of its earlier
-/// steps that come again. Texts that the previous owner saved take precedence.
+/// steps that come again. Jobs of other workspaces share nothing. Texts that the previous owner saved take precedence.
 void JobOwner::addEarlierWork(InitialJobState& initial) const
 {
     const auto& job = initial.job;
@@ -131,7 +131,7 @@
         others.push_back(runner);
     std::set<GroupId> earlierGroups;
     for (const auto& runner : others) {
-        if (runner->spec().model != job.model)
+        if (runner->spec().model != job.model || runner->spec().workspace != job.workspace)
             continue;
         const bool isEarlier = runner->spec().step < job.step;
         for (const auto& item : runner->spec().items) {
@@ -249,7 +249,7 @@
     Result<std::vector<ItemResult>> listed = std::vector<ItemResult> {};
     if (submission && head.head.listed > 0)
         listed = co_await this->store.readAllResults(id, 0);
-    const auto texts = co_await this->store.readTexts(id, head.head.textObjects);
+    const auto texts = co_await this->store.readTexts(id, head.head.workspace, head.head.textObjects);
     if (!texts)
         logEvent(LogLevel::Warning, "texts-not-read", { { "job", id.value() }, { "error", texts.error().message } });
     this->jobs[id].isBeingClaimed = false;
--- a/src/gateway/job_runner_texts.cpp
+++ b/src/gateway/job_runner_texts.cpp
@@ -28,7 +28,7 @@
     if (texts.empty())
         co_return;
     const auto number = this->nextTextObject++;
-    const auto put = co_await this->store.putTexts(this->job.id, number, toText(texts));
+    const auto put = co_await this->store.putTexts(this->job.id, this->job.workspace, number, toText(texts));
     const bool isSaved = put && put.value();
     if (isSaved)
         this->textObjects = std::max(this->textObjects, number + 1);
@@ -44,7 +44,8 @@
 asio::awaitable<void> JobRunner::removeTexts(std::uint64_t end)
 {
     while (this->removedTextObjects < end) {
-        const auto removed = co_await this->store.removeTexts(this->job.id, this->removedTextObjects);
+        const auto removed
+            = co_await this->store.removeTexts(this->job.id, this->job.workspace, this->removedTextObjects);
         if (!removed) {
             logEvent(LogLevel::Info, "texts-not-removed",
                 { { "job", this->job.id.value() }, { "error", removed.error().message } });
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -1,5 +1,6 @@
 #include "job_service.hpp"
 
+#include "caller_access.hpp"
 #include "error_responses.hpp"
 
 #include <topaztack/base/log.hpp>
@@ -14,6 +15,7 @@
 namespace {
 
     constexpr unsigned statusAccepted = 202;
+    constexpr unsigned statusConflict = 409;
     /// How long a write whose answer was lost is repeated to find out whether it took effect.
     constexpr Duration maxResolveTime = 5s;
     constexpr Duration retryInterval = 100ms;
@@ -29,8 +31,11 @@
         return response;
     }
 
+    /// A caller without a key is told the same whether there is such a job or not.
     HttpResponse noSuchJob(const CallerRequest& call)
     {
+        if (call.hasWorkspaces && call.workspace.value().empty())
+            return notIdentifiedResponse(call.id, "the call needs a key");
         return errorResponse(
             makeError(ErrorKind::UnknownPath, "no job `" + call.job.value() + "`", "submit the job first"),
             call.id.value());
@@ -47,6 +52,51 @@
 {
 }
 
+JobOrigin JobService::originOf(const JobHead& head) const
+{
+    const auto& table = this->context.routes;
+    const auto* route = table ? matchRoute(*table, head.host, head.path) : nullptr;
+    return { head.workspace, head.configuration, route };
+}
+
+JobOrigin JobService::originOf(const JobSpec& job) const
+{
+    const auto& table = this->context.routes;
+    const auto* route = table ? matchRoute(*table, job.host, job.path) : nullptr;
+    const auto* seen = this->owner.lastSeenHead(job.id);
+    return { job.workspace, seen ? seen->head.configuration : ConfigVersion(), route };
+}
+
+std::optional<HttpResponse> JobService::refuse(const CallerRequest& call, const JobOrigin& job) const
+{
+    const auto present = this->context.routes ? this->context.routes->version : ConfigVersion();
+    switch (decideJobAccess(job, { call.hasWorkspaces, call.workspace }, present)) {
+    case JobAccess::Admitted:
+        break;
+    case JobAccess::OtherWorkspace:
+        return noSuchJob(call);
+    case JobAccess::NotIdentified:
+        return notIdentifiedResponse(call.id, "the call needs a key");
+    case JobAccess::ConfigurationTooOld:
+        return notRunResponse(makeError(ErrorKind::NotReady, "the job was accepted under a newer configuration"),
+            call.id, notReadyRetryAfter);
+    }
+    return std::nullopt;
+}
+
+/// The response to a submission with the id of another workspace's job; nothing if the job is the caller's.
+std::optional<HttpResponse> JobService::refuseId(const CallerRequest& call, const JobHead& head) const
+{
+    auto refusal = this->refuse(call, this->originOf(head));
+    if (!refusal || refusal->status == statusNotRun)
+        return refusal;
+    logEvent(LogLevel::Info, "job-id-taken", { { "job", call.id.value() }, { "workspace", call.workspace.value() } });
+    auto response = errorResponse(
+        makeError(ErrorKind::KeyReused, "the id is taken", "choose another id for the job"), call.id.value());
+    response.status = statusConflict;
+    return response;
+}
+
 HttpResponse JobService::unavailable(std::string_view callName, const Error& error, const RequestId& id) const
 {
     logEvent(LogLevel::Info, "job-call-refused",
@@ -61,6 +111,7 @@
     submission.host = call.host;
     submission.path = std::string(targetPath(request.target));
     submission.body = request.body;
+    submission.workspace = call.workspace;
     auto job = this->context.protocol.decodeSubmission(submission);
     if (!job || submission.id.value().empty()) {
         const auto error = job ? makeError(ErrorKind::BadRequest, "the job has no id") : job.error();
@@ -73,7 +124,7 @@
                 { "items", std::to_string(job.value().items.size()) } });
     const auto timeLimit = std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     const auto deadline = Clock::now() + std::min<Duration>(maxResolveTime, timeLimit);
-    auto response = co_await this->accept(std::move(submission), std::move(job).value(), deadline);
+    auto response = co_await this->accept(std::move(submission), std::move(job).value(), call, deadline);
     (response.status == statusAccepted ? this->accepted : this->refused).add();
     logEvent(
         LogLevel::Info, "job-answered", { { "job", call.id.value() }, { "status", std::to_string(response.status) } });
@@ -82,9 +133,14 @@
 
 /// A job is accepted once the store has all of it. If it is unknown whether the head was written, it is written again;
 /// the expected version lets at most one of the writes take effect.
-asio::awaitable<HttpResponse> JobService::accept(StoredSubmission submission, JobSpec job, TimePoint deadline)
+asio::awaitable<HttpResponse> JobService::accept(
+    StoredSubmission submission, JobSpec job, CallerRequest call, TimePoint deadline)
 {
     const RequestId id(job.id.value());
+    const auto* seen = this->owner.lastSeenHead(job.id);
+    auto refusal = seen ? this->refuseId(call, seen->head) : std::nullopt;
+    if (refusal)
+        co_return std::move(*refusal);
     const auto stored = co_await this->store.putSubmission(submission);
     if (!stored)
         co_return this->unavailable("submit", stored.error(), id);
@@ -98,6 +154,7 @@
     head.host = submission.host;
     head.path = submission.path;
     head.model = job.model;
+    head.workspace = job.workspace;
     const auto jobId = job.id;
     bool mayHaveTakenEffect = false;
     while (true) {
@@ -110,6 +167,11 @@
         }
         if (write.outcome == JobWriteOutcome::Conflict && write.current) {
             this->owner.observeHead(jobId, *write.current);
+            refusal = this->refuseId(call, write.current->head);
+            if (refusal && refusal->status == statusConflict)
+                co_await this->store.dropSubmission(submission);
+            if (refusal)
+                co_return std::move(*refusal);
             co_return emptyResponse(statusAccepted);
         }
         mayHaveTakenEffect = mayHaveTakenEffect || write.outcome == JobWriteOutcome::Unknown;
@@ -159,6 +221,9 @@
         co_return this->unavailable("read", head.error(), call.id);
     if (!head.value())
         co_return noSuchJob(call);
+    auto refusal = this->refuse(call, this->originOf(head.value()->head));
+    if (refusal)
+        co_return std::move(*refusal);
     auto results = co_await this->waitForResults(call);
     if (!results)
         co_return this->unavailable("read", results.error(), call.id);
@@ -181,7 +246,10 @@
     if (runner)
         co_return std::shared_ptr<const JobSpec>(runner, &runner->spec());
     for (const auto& spec : this->cachedSpecs) {
-        if (spec->id == id)
+        const auto* seen = this->owner.lastSeenHead(id);
+        // After a job was removed, another workspace's may have its id.
+        const bool isCurrent = !seen || seen->head.workspace == spec->workspace;
+        if (spec->id == id && isCurrent)
             co_return spec;
     }
     auto head = co_await this->findHead(id);
@@ -209,6 +277,9 @@
         co_return this->unavailable("body", spec.error(), call.id);
     if (!spec.value())
         co_return noSuchJob(call);
+    auto refusal = this->refuse(call, this->originOf(*spec.value()));
+    if (refusal)
+        co_return std::move(*refusal);
     const auto& items = spec.value()->items;
     const auto found = std::find_if(items.begin(), items.end(), [&](const auto& item) { return item.id == call.item; });
     if (found == items.end())
@@ -232,6 +303,9 @@
         if (head) {
             auto current = *head.value();
             this->owner.observeHead(call.job, current);
+            auto refusal = this->refuse(call, this->originOf(current.head));
+            if (refusal)
+                co_return std::move(*refusal);
             if (current.head.isEnded)
                 co_return emptyResponse(200);
             auto newHead = current.head;
--- a/src/gateway/job_service.hpp
+++ b/src/gateway/job_service.hpp
@@ -30,8 +30,14 @@
 private:
     using HeadLookup = Result<std::optional<StoredHead>>;
 
+    /// @return the refusal; nothing if the caller may use the job.
+    std::optional<HttpResponse> refuse(const CallerRequest& call, const JobOrigin& job) const;
+    JobOrigin originOf(const JobHead& head) const;
+    JobOrigin originOf(const JobSpec& job) const;
     boost::asio::awaitable<HeadLookup> findHead(JobId id);
-    boost::asio::awaitable<HttpResponse> accept(StoredSubmission submission, JobSpec job, TimePoint deadline);
+    boost::asio::awaitable<HttpResponse> accept(
+        StoredSubmission submission, JobSpec job, CallerRequest call, TimePoint deadline);
+    std::optional<HttpResponse> refuseId(const CallerRequest& call, const JobHead& head) const;
     boost::asio::awaitable<Result<std::vector<ItemResult>>> waitForResults(const CallerRequest& call);
     boost::asio::awaitable<Result<std::shared_ptr<const JobSpec>>> findSpec(JobId id);
     HttpResponse unavailable(std::string_view callName, const Error& error, const RequestId& id) const;
--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/base/log.hpp>
 #include <topaztack/base/random.hpp>
+#include <topaztack/wire/content_digest.hpp>
 
 namespace topaztack {
 
@@ -36,14 +37,24 @@
         return range;
     }
 
-    ObjectKey submissionKey(const JobId& id, std::uint64_t index)
+    /// Objects are written before the head decides whose job it is, and are never replaced. Each workspace has its own,
+    /// so that none can give its text to another one's job.
+    std::string objectPrefix(const JobId& id, const WorkspaceName& workspace)
     {
-        return ObjectKey("job-" + id.value() + "-" + std::to_string(index));
+        const auto owner = workspace.value().empty()
+            ? std::string()
+            : "workspace-" + contentDigest({ "workspace", workspace.value() }) + "-";
+        return owner + "job-" + id.value() + "-";
     }
 
-    ObjectKey textsKey(const JobId& id, std::uint64_t number)
+    ObjectKey submissionKey(const JobId& id, const WorkspaceName& workspace, std::uint64_t index)
     {
-        return ObjectKey("job-" + id.value() + "-texts-" + std::to_string(number));
+        return ObjectKey(objectPrefix(id, workspace) + std::to_string(index));
+    }
+
+    ObjectKey textsKey(const JobId& id, const WorkspaceName& workspace, std::uint64_t number)
+    {
+        return ObjectKey(objectPrefix(id, workspace) + "texts-" + std::to_string(number));
     }
 
     StoreTransaction headTransaction(const JobId& id, RowVersion condition, const JobHead& head)
@@ -124,22 +135,34 @@
 {
     const auto maxObjectBytes = this->context.settings.gateway.objectBytes;
     for (std::uint64_t index = 0; index < this->countSubmissionObjects(submission.body.size()); ++index) {
-        auto stored = co_await this->context.store.putObject(
-            submissionKey(submission.id, index), submission.body.substr(index * maxObjectBytes, maxObjectBytes));
+        auto stored = co_await this->context.store.putObject(submissionKey(submission.id, submission.workspace, index),
+            submission.body.substr(index * maxObjectBytes, maxObjectBytes));
         if (!stored)
             co_return std::move(stored).error();
     }
     co_return boost::outcome_v2::success();
 }
 
+asio::awaitable<void> JobStore::dropSubmission(const StoredSubmission& submission)
+{
+    for (std::uint64_t index = 0; index < this->countSubmissionObjects(submission.body.size()); ++index) {
+        const auto dropped
+            = co_await this->context.store.dropObject(submissionKey(submission.id, submission.workspace, index));
+        if (!dropped)
+            logEvent(LogLevel::Info, "submission-not-removed",
+                { { "job", submission.id.value() }, { "error", dropped.error().message } });
+    }
+}
+
 asio::awaitable<Result<StoredSubmission>> JobStore::readSubmission(JobId id, JobHead head)
 {
     StoredSubmission submission;
     submission.id = id;
     submission.host = head.host;
     submission.path = head.path;
+    submission.workspace = head.workspace;
     for (std::uint64_t index = 0; index < head.objects; ++index) {
-        auto piece = co_await this->context.store.getObject(submissionKey(id, index));
+        auto piece = co_await this->context.store.getObject(submissionKey(id, head.workspace, index));
         if (!piece)
             co_return std::move(piece).error();
         submission.body += piece.value();
@@ -147,21 +170,23 @@
     co_return std::move(submission);
 }
 
-asio::awaitable<Result<bool>> JobStore::putTexts(JobId id, std::uint64_t number, std::string texts)
+asio::awaitable<Result<bool>> JobStore::putTexts(
+    JobId id, WorkspaceName workspace, std::uint64_t number, std::string texts)
 {
-    co_return co_await this->context.store.putObject(textsKey(id, number), std::move(texts));
+    co_return co_await this->context.store.putObject(textsKey(id, workspace, number), std::move(texts));
 }
 
-asio::awaitable<Result<void>> JobStore::removeTexts(JobId id, std::uint64_t number)
+asio::awaitable<Result<void>> JobStore::removeTexts(JobId id, WorkspaceName workspace, std::uint64_t number)
 {
-    co_return co_await this->context.store.dropObject(textsKey(id, number));
+    co_return co_await this->context.store.dropObject(textsKey(id, workspace, number));
 }
 
-asio::awaitable<Result<std::map<ItemId, ItemProgress>>> JobStore::readTexts(JobId id, std::uint64_t objects)
+asio::awaitable<Result<std::map<ItemId, ItemProgress>>> JobStore::readTexts(
+    JobId id, WorkspaceName workspace, std::uint64_t objects)
 {
     if (objects == 0)
         co_return std::map<ItemId, ItemProgress> {};
-    const auto bytes = co_await this->context.store.getObject(textsKey(id, objects - 1));
+    const auto bytes = co_await this->context.store.getObject(textsKey(id, workspace, objects - 1));
     if (!bytes)
         co_return bytes.error();
     co_return parseItemProgress(bytes.value());
@@ -236,12 +261,12 @@
             co_return removed.error();
     }
     for (std::uint64_t index = 0; index < head.head.objects; ++index) {
-        const auto dropped = co_await this->context.store.dropObject(submissionKey(id, index));
+        const auto dropped = co_await this->context.store.dropObject(submissionKey(id, head.head.workspace, index));
         if (!dropped)
             co_return dropped.error();
     }
     for (std::uint64_t number = 0; number < head.head.textObjects + maxUnreferencedTextObjects; ++number) {
-        const auto dropped = co_await this->context.store.dropObject(textsKey(id, number));
+        const auto dropped = co_await this->context.store.dropObject(textsKey(id, head.head.workspace, number));
         if (!dropped)
             co_return dropped.error();
     }
--- a/src/gateway/job_store.hpp
+++ b/src/gateway/job_store.hpp
@@ -46,6 +46,9 @@
     /// @brief Stores a submission's body. Idempotent.
     boost::asio::awaitable<Result<void>> putSubmission(const StoredSubmission& submission);
 
+    /// @brief Removes the objects of a submission whose job another workspace has.
+    boost::asio::awaitable<void> dropSubmission(const StoredSubmission& submission);
+
     /// @brief The number of objects that a body of `size` bytes takes.
     std::uint64_t countSubmissionObjects(std::size_t size) const;
 
@@ -53,14 +56,16 @@
 
     /// @brief Stores the texts of unfinished items as the job's text object `number`.
     /// @return false if that object exists already.
-    boost::asio::awaitable<Result<bool>> putTexts(JobId id, std::uint64_t number, std::string texts);
+    boost::asio::awaitable<Result<bool>> putTexts(
+        JobId id, WorkspaceName workspace, std::uint64_t number, std::string texts);
 
     /// @brief Removes the job's text object `number`.
-    boost::asio::awaitable<Result<void>> removeTexts(JobId id, std::uint64_t number);
+    boost::asio::awaitable<Result<void>> removeTexts(JobId id, WorkspaceName workspace, std::uint64_t number);
 
     /// @brief Reads the newest text object of a job.
     /// @param objects one more than its number; 0 for none, which gives an empty map.
-    boost::asio::awaitable<Result<std::map<ItemId, ItemProgress>>> readTexts(JobId id, std::uint64_t objects);
+    boost::asio::awaitable<Result<std::map<ItemId, ItemProgress>>> readTexts(
+        JobId id, WorkspaceName workspace, std::uint64_t objects);
 
     /// @brief Writes a head and results in one transaction, if the stored head has the expected version.
     /// @param condition the expected version; 0 if there must be no head.
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -29,12 +29,6 @@
         return response.status < firstServerErrorStatus && !lacksRoute;
     }
 
-    HttpRequest withoutConnectionHeaders(HttpRequest request)
-    {
-        std::erase_if(request.headers, [](const HttpHeader& header) { return isConnectionHeader(header.name); });
-        return request;
-    }
-
 } // namespace
 
 PeerRelay::PeerRelay(GatewayContext& context, const PeerDirectory& peers)
@@ -52,8 +46,9 @@
     const bool hasEffect = call.action == CallerAction::Route || call.action == CallerAction::EndJob;
     const auto timeLimit = responseTimeout + std::min(call.wait, maxResultWait);
     for (const auto& peer : this->peers.candidates(maxPeersAsked)) {
-        auto answered = co_await this->context.httpClient.call(
-            peer.endpoint, withoutConnectionHeaders(request), Clock::now() + timeLimit);
+        auto relayed = this->context.protocol.encodeRelayedCall(request, identityOf(call));
+        auto answered
+            = co_await this->context.httpClient.call(peer.endpoint, std::move(relayed), Clock::now() + timeLimit);
         const bool isUsable = answered && isUsableResponse(answered.value(), call);
         logEvent(LogLevel::Info, "call-passed",
             { { "id", call.id.value() }, { "job", call.job.value() }, { "vm", peer.vm.name.value() },
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -102,6 +102,7 @@
     Forwarding forwarding {
         .call = call, .route = route, .origin = origin, .pass = SuspectPass(call, exchange.request())
     };
+    forwarding.identity = identityOf(call);
     forwarding.startedAt = Clock::now();
     forwarding.deadline = forwarding.startedAt + std::min(call.timeLimit.value_or(route.timeout), route.timeout);
     forwarding.lastEvent = call.lastEvent;
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -109,7 +109,7 @@
     json::object inFlight;
     for (const auto& [server, count] : head.inFlight)
         inFlight[server.value()] = count;
-    return json::serialize(json::object {
+    json::object object {
         { "owner", head.owner.name.value() },
         { "incarnation", head.owner.incarnation.value() },
         { "ended", head.isEnded },
@@ -125,7 +125,10 @@
         { "path", head.path },
         { "model", head.model.value() },
         { "in_flight", std::move(inFlight) },
-    });
+    };
+    if (!head.workspace.value().empty())
+        object["workspace"] = head.workspace.value();
+    return json::serialize(object);
 }
 
 Result<JobHead> parseJobHead(std::string_view text)
@@ -147,6 +150,8 @@
         head.host = json::value_to<std::string>(value.at("host"));
         head.path = json::value_to<std::string>(value.at("path"));
         head.model = ModelName(json::value_to<std::string>(value.at("model")));
+        if (const auto* workspace = value.as_object().if_contains("workspace"))
+            head.workspace = WorkspaceName(json::value_to<std::string>(*workspace));
         for (const auto& entry : value.at("in_flight").as_object())
             head.inFlight[BackendName(std::string(entry.key()))] = entry.value().to_number<std::uint32_t>();
         return head;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -112,6 +112,7 @@
     case ErrorKind::CallerLimit:
         return 429;
     case ErrorKind::NotAuthorised:
+    case ErrorKind::CallerNotIdentified:
         return 401;
     case ErrorKind::ConfigConflict:
     case ErrorKind::PlatformConflict:
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -124,6 +124,20 @@
         return boost::json::serialize(usual);
     }
 
+    /// The usual configuration with two workspaces and a public route `/p/`.
+    /// @param keysOfOne keys of workspace w1, as a list in JSON.
+    static std::string configurationWithWorkspaces(
+        std::uint64_t version, const std::string& keysOfOne = R"(["secret-1a","secret-1b"])")
+    {
+        auto usual = boost::json::parse(configuration(version)).as_object();
+        usual["routes"].as_array().push_back(
+            boost::json::parse(R"({"name":"open","hostname":"a.example","prefix":"/p/","type":"safe","timeoutMs":2000,)"
+                               R"("targetLatencyMs":150,"service":"app","maxAttempts":2,"public":true})"));
+        usual["tenants"] = boost::json::parse(
+            R"([{"name":"w1","apiKeys":)" + keysOfOne + R"(},{"name":"w2","apiKeys":["secret-2"],"priority":3}])");
+        return boost::json::serialize(usual);
+    }
+
     static std::string configuration(std::uint64_t version, const std::string& bookingTimeout = "2000")
     {
         return R"({"version":)" + std::to_string(version)
--- a/tests/src/gateway/stream_client.hpp
+++ b/tests/src/gateway/stream_client.hpp
@@ -34,6 +34,8 @@
     std::size_t leaveAfter { 0 };
     /// Time that it takes for each piece.
     std::chrono::milliseconds readPause { 0 };
+    /// Headers beside the usual ones.
+    std::vector<HttpHeader> headers {};
 };
 
 inline boost::asio::awaitable<ReceivedStream> receiveStream(HttpClient& client, Endpoint endpoint, HttpRequest request,
@@ -77,6 +79,7 @@
         request.headers.push_back({ "Last-Event-Id", call.lastEvent });
     if (!call.resumes.empty())
         request.headers.push_back({ "Resumes", call.resumes });
+    request.headers.insert(request.headers.end(), call.headers.begin(), call.headers.end());
     request.body = "prompt";
     return request;
 }
--- a/tests/src/platform/unit-callers.cpp
+++ b/tests/src/platform/unit-callers.cpp
@@ -1,4 +1,5 @@
 #include <platform/callers.hpp>
+#include <platform/workers.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -41,6 +42,29 @@
     CHECK_TRUE(call.value().timeLimit == 800ms);
 }
 
+TEST(Callers, AKeyIsABearerTokenInAnyCaseOfTheScheme)
+{
+    const auto keyOf = [](const std::string& value) {
+        return decodeCall(requestOf("POST", "/x/1", { { "Authorization", value } })).value().apiKey;
+    };
+    for (const char* value : { "Bearer key-1", "bearer key-1", "BEARER   key-1 " })
+        STRCMP_EQUAL("key-1", keyOf(value).c_str());
+    for (const char* value : { "", "key-1", "Bearer", "Bearer ", "Basic key-1", "Bearerkey-1" })
+        STRCMP_EQUAL("", keyOf(value).c_str());
+}
+
+// A caller could otherwise name any workspace.
+TEST(Callers, AWorkspaceIsReadOnlyBesideTheMarkOfAVmThatCheckedIt)
+{
+    const auto forged = requestOf("POST", "/x/1", { { "Topaztack-Tenant", "w1" } });
+    CHECK_TRUE(decodeCall(forged).value().workspace == WorkspaceName());
+    CHECK_FALSE(decodeIdentity(forged).hasWorkspaces);
+    CHECK_TRUE(decodeIdentity(forged).workspace == WorkspaceName());
+    const auto relayed = encodeRelayedCall(forged, { true, WorkspaceName("w2") });
+    CHECK_TRUE(decodeIdentity(relayed).hasWorkspaces);
+    CHECK_TRUE(decodeIdentity(relayed).workspace == WorkspaceName("w2"));
+}
+
 TEST(Callers, CallsOfTrainersAreToldByMethodAndPath)
 {
     const auto read = decodeCall(requestOf("GET", "/-/lots/j1?after=12", { { "Topaztack-Wait-Ms", "1000" } }));
--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -49,6 +49,35 @@
     LONGS_EQUAL(33554432, table.value()->callers.maxBody);
 }
 
+TEST(Records, TenantsBecomeWorkspacesAndTheirKeysDigests)
+{
+    const std::string tenants = R"("version":7,"tenants":[{"name":"w1","apiKeys":["k1","k2"],"priority":0},)"
+                                R"({"name":"w2","apiKeys":["k3","","k1"]}])";
+    const auto decoded = decodeConfiguration(replaced(wholeConfiguration, "\"version\":7", tenants));
+    const auto& table = *decoded.value();
+    CHECK_TRUE(table.hasWorkspaces);
+    LONGS_EQUAL(2, table.workspaces.size());
+    LONGS_EQUAL(0, table.workspaces[0].rank.value());
+    CHECK_FALSE(table.workspaces[1].rank.has_value());
+    CHECK_TRUE(findWorkspace(table.keys, "k2") == WorkspaceName("w1"));
+    CHECK_TRUE(findWorkspace(table.keys, "k3") == WorkspaceName("w2"));
+    CHECK_TRUE(findWorkspace(table.keys, "k1") == WorkspaceName());
+    LONGS_EQUAL(2, table.keys.unusable.size());
+    const auto empty
+        = decodeConfiguration(replaced(wholeConfiguration, "\"version\":7", R"("version":7,"tenants":[])"));
+    CHECK_TRUE(empty.value()->hasWorkspaces);
+    CHECK_FALSE(decodeConfiguration(wholeConfiguration).value()->hasWorkspaces);
+}
+
+// The error is logged.
+TEST(Records, AnErrorInTheTenantsNamesNoKey)
+{
+    const auto wrong = decodeConfiguration(replaced(
+        wholeConfiguration, "\"version\":7", R"("version":7,"tenants":[{"name":"w","apiKeys":["secret",8]}])"));
+    CHECK_TRUE(wrong.error().message.find("`apiKeys`") != std::string::npos);
+    CHECK_TRUE(wrong.error().message.find("secret") == std::string::npos);
+}
+
 TEST(Records, ADamagedConfigurationIsAnErrorThatNamesTheField)
 {
     for (std::size_t length = 0; length < wholeConfiguration.size(); ++length)
--- a/tests/src/platform/unit-workers.cpp
+++ b/tests/src/platform/unit-workers.cpp
@@ -77,6 +77,43 @@
     STRCMP_EQUAL("12", headerOf(resumed, "Last-Event-Id").c_str());
 }
 
+// A trainer could have its items run as another workspace's.
+TEST(Workers, AnItemCarriesItsJobsWorkspaceAndNoOtherIdentity)
+{
+    JobSpec job;
+    JobItem item;
+    item.headers = { { "authorization", "Bearer k" }, { "topaztack-tenant", "w2" }, { "X-Own", "1" } };
+    const auto plain = encodeItemRequest(job, item, someServer(), std::nullopt);
+    STRCMP_EQUAL("Bearer k", headerOf(plain, "Authorization").c_str());
+    STRCMP_EQUAL("w2", headerOf(plain, "Topaztack-Tenant").c_str());
+    job.workspace = WorkspaceName("w1");
+    const auto named = encodeItemRequest(job, item, someServer(), std::nullopt);
+    STRCMP_EQUAL("", headerOf(named, "Authorization").c_str());
+    STRCMP_EQUAL("w1", headerOf(named, "Topaztack-Tenant").c_str());
+    STRCMP_EQUAL("1", headerOf(named, "X-Own").c_str());
+}
+
+TEST(Workers, BetweenVmsTheNameReplacesTheKeyAndIsMarkedAsChecked)
+{
+    HttpRequest original;
+    original.headers = { { "Authorization", "Bearer k" }, { "Topaztack-Tenant", "forged" },
+        { "Topaztack-Tenant-Checked", "1" }, { "Topaztack-Deadline-Ms", "800" }, { "Connection", "close" } };
+    const CallerIdentity known { true, WorkspaceName("w1") };
+    const auto relayed = encodeRelayedCall(original, known);
+    STRCMP_EQUAL("800", headerOf(relayed, "Topaztack-Deadline-Ms").c_str());
+    for (const auto& request : { relayed, encodeCarriedRequest(original, 500ms, known) }) {
+        STRCMP_EQUAL("", headerOf(request, "Authorization").c_str());
+        STRCMP_EQUAL("w1", headerOf(request, "Topaztack-Tenant").c_str());
+        STRCMP_EQUAL("1", headerOf(request, "Topaztack-Tenant-Checked").c_str());
+    }
+    const auto sent = encodeServiceRequest(original, someServer(), 500ms, std::nullopt, known);
+    STRCMP_EQUAL("", headerOf(sent, "Authorization").c_str());
+    STRCMP_EQUAL("", headerOf(sent, "Topaztack-Tenant-Checked").c_str());
+    const auto withoutWorkspaces = encodeRelayedCall(original, {});
+    STRCMP_EQUAL("Bearer k", headerOf(withoutWorkspaces, "Authorization").c_str());
+    STRCMP_EQUAL("", headerOf(withoutWorkspaces, "Topaztack-Tenant-Checked").c_str());
+}
+
 TEST(Workers, AScoringCallIsSentAsItWasGivenWithADeadlineOfOurs)
 {
     const ScoringCall call { RequestId("c1"), "b.example", "/s/1?x=2", "bytes" };
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -42,6 +42,17 @@
     CHECK_TRUE(parseJobHead(toText(head)).value() == head);
 }
 
+// A VM of an earlier version accepted the job, or it runs without workspaces.
+TEST(Job, AHeadWithoutAWorkspaceIsReadAsBefore)
+{
+    auto head = someHead();
+    CHECK_TRUE(toText(head).find("workspace") == std::string::npos);
+    CHECK_TRUE(parseJobHead(toText(head)).value().workspace == WorkspaceName());
+    head.workspace = WorkspaceName("w\"1");
+    CHECK_TRUE(parseJobHead(toText(head)).value() == head);
+    CHECK_FALSE(head == someHead());
+}
+
 TEST(Job, TruncatedOrMalformedJobHeadIsRefused)
 {
     const auto text = toText(someHead());
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -81,6 +81,19 @@
     return this->objectsByName.size();
 }
 
+std::string StoreStandin::contentWrittenByVms() const
+{
+    const std::lock_guard guard(this->lock);
+    std::string content;
+    for (const auto& [place, row] : this->rows) {
+        if (std::get<0>(place) != "op")
+            content += std::get<0>(place) + " " + std::get<2>(place) + " " + row.value + "\n";
+    }
+    for (const auto& [name, bytes] : this->objectsByName)
+        content += name + " " + bytes + "\n";
+    return content;
+}
+
 std::string StoreStandin::rowsJson(const std::vector<std::pair<Place, Row>>& found) const
 {
     json::array list;
@@ -93,8 +106,8 @@
             entry["value"] = encodeBase64(row.value);
         list.push_back(std::move(entry));
     }
-    return json::serialize(
-        json::object { { "rows", std::move(list) }, { "morePages", false }, { "ver", this->version }, { "nowMs", steadyTime() } });
+    return json::serialize(json::object {
+        { "rows", std::move(list) }, { "morePages", false }, { "ver", this->version }, { "nowMs", steadyTime() } });
 }
 
 HttpResponse StoreStandin::commit(const std::string& body)
--- a/tests/src/standins/store.hpp
+++ b/tests/src/standins/store.hpp
@@ -50,6 +50,9 @@
     /// @brief The values of a table by key, whatever the part.
     std::map<std::string, std::string> rowsOf(const std::string& table) const;
     std::size_t objects() const;
+
+    /// @brief Keys and values of all rows and objects except the operator's, which hold the configuration.
+    std::string contentWrittenByVms() const;
     std::size_t commits() const { return this->commitCount; }
 
     StoreFaults faults;
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -234,7 +234,8 @@
     {
         const std::lock_guard guard(this->lock);
         this->requests.push_back({ headerOf(request, "Topaztack-Request-Id"), request.target, request.body,
-            headerOf(request, "Last-Event-Id"), Clock::now() });
+            headerOf(request, "Last-Event-Id"), Clock::now(), headerOf(request, "Topaztack-Tenant"),
+            headerOf(request, "Authorization") });
     }
     this->logRun("run " + headerOf(request, "Topaztack-Request-Id") + " " + headerOf(request, "Last-Event-Id"));
     if (!this->faults.deadlyBody.empty() && request.body == this->faults.deadlyBody) {
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -58,6 +58,8 @@
     std::string body;
     std::string lastEvent;
     std::chrono::steady_clock::time_point at;
+    std::string workspace;
+    std::string credential;
 };
 
 /// @brief What a worker is like, apart from its faults.
