Node documents have workspaces, whose keys nodes check

Sections [workspace NAME] with keys and rank are validated and shown by topaztack diff, which counts keys and shows none. CallerGate checks the key before the callers' paths with the module that gateways use.

--- a/apps/topaztack-console/console.cpp
+++ b/apps/topaztack-console/console.cpp
@@ -232,6 +232,7 @@
         sections.push_back(emptySection("pool"));
         sections.push_back(emptySection("backend"));
         sections.push_back(emptySection("trainer"));
+        sections.push_back(emptySection("workspace"));
         auto form = htmlResponse(422, editPage(sections, review.base, csrfToken), csrfToken);
         co_await exchange.respond(std::move(form));
         co_return;
--- a/apps/topaztack-console/form.cpp
+++ b/apps/topaztack-console/form.cpp
@@ -90,6 +90,8 @@
         return toFormKeys(backendRules());
     if (kind == "trainer")
         return toFormKeys(trainerRules());
+    if (kind == "workspace")
+        return toFormKeys(workspaceRules());
     return toFormKeys(limitsRules());
 }
 
@@ -98,7 +100,7 @@
     std::vector<IniProblem> problems;
     const auto file = parseIni(text, "document", problems);
     std::vector<FormSection> sections;
-    for (const std::string kind : { "pool", "backend", "trainer", "limits" }) {
+    for (const std::string kind : { "pool", "backend", "trainer", "workspace", "limits" }) {
         bool isPresent = false;
         for (const auto& section : file.sections) {
             if (section.kind != kind)
--- a/include/topaztack/control/document.hpp
+++ b/include/topaztack/control/document.hpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/base/ids.hpp>
 #include <topaztack/base/ini.hpp>
+#include <topaztack/control/workspace_keys.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -75,6 +76,14 @@
     double stalenessWeight { 0.5 };
 };
 
+/// @brief `[workspace NAME]`: callers that share keys and a rank.
+struct WorkspaceSettings {
+    WorkspaceName name;
+    std::vector<KeyDigest> keys;
+    /// 0 is the most urgent.
+    std::uint64_t rank { 0 };
+};
+
 /// @brief `[limits]`
 struct LimitsSettings {
     std::uint64_t maxBody { 0 };
@@ -92,6 +101,9 @@
     std::vector<PoolSettings> pools;
     std::vector<BackendSettings> backends;
     std::vector<TrainerSettings> trainers;
+    /// If there are any, callers identify themselves by a key.
+    std::vector<WorkspaceSettings> workspaces;
+    WorkspaceKeys workspaceKeys;
     LimitsSettings limits;
     std::string text;
 };
@@ -113,6 +125,7 @@
 const std::vector<KeyRule<PoolSettings>>& poolRules();
 const std::vector<KeyRule<BackendSettings>>& backendRules();
 const std::vector<KeyRule<TrainerSettings>>& trainerRules();
+const std::vector<KeyRule<WorkspaceSettings>>& workspaceRules();
 const std::vector<KeyRule<LimitsSettings>>& limitsRules();
 /// @}
 
--- a/include/topaztack/control/workspace_keys.hpp
+++ b/include/topaztack/control/workspace_keys.hpp
@@ -49,6 +49,9 @@
 /// @complexity linear in the number of keys.
 void addKey(WorkspaceKeys& keys, const WorkspaceName& workspace, std::string_view key);
 
+/// @brief Adds a key by its digest.
+void addKey(WorkspaceKeys& keys, const WorkspaceName& workspace, const KeyDigest& digest);
+
 /// @brief The workspace of a key; empty if the key is unknown. Compares all keys, so that the time doesn't tell which
 /// one matched.
 /// @complexity linear in the number of keys.
@@ -67,7 +70,16 @@
     WorkspaceName workspace;
 };
 
+/// @brief The token of an `Authorization: Bearer TOKEN` header; empty if it has another form. The scheme's case doesn't
+/// matter.
+std::string_view bearerToken(std::string_view authorization);
+
 /// @brief Decides whether a caller is admitted, and for which workspace.
+/// @param isPublic whether no key is needed.
+/// @param key empty if none was sent.
+AccessDecision decideAccess(bool hasWorkspaces, const WorkspaceKeys& keys, bool isPublic, std::string_view key);
+
+/// @brief Decides whether a caller of a gateway is admitted, and for which workspace.
 /// @param route nullptr for calls about a job, whose route is found by its head.
 /// @param key empty if none was sent.
 /// @example decideAccess(table, matchRoute(table, host, path), key)
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -29,6 +29,7 @@
 #include <topaztack/gateway/gateway.hpp>
 #include <topaztack/gateway/protocol.hpp>
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/caller_gate.hpp>
 #include <topaztack/node/caller_limits.hpp>
 #include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/completion_relay.hpp>
--- a/src/control/document.cpp
+++ b/src/control/document.cpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/detail/read_id.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace topaztack {
@@ -11,6 +12,7 @@
 
 namespace {
 
+    constexpr std::size_t minKeyLength = 16;
     constexpr std::uint64_t mebibyte = 1024 * 1024;
 
     std::string readPoolKind(std::string_view text, PoolKind& kind)
@@ -29,6 +31,23 @@
         return {};
     }
 
+    /// Reads keys separated by spaces or commas. The message names no key, since problems are printed and logged.
+    std::string readKeys(std::string_view text, std::vector<KeyDigest>& keys)
+    {
+        keys.clear();
+        while (!text.empty()) {
+            const auto begin = std::min(text.find_first_not_of(" \t,"), text.size());
+            text.remove_prefix(begin);
+            const auto key = text.substr(0, text.find_first_of(" \t,"));
+            if (!key.empty() && key.size() < minKeyLength)
+                return "a key is shorter than " + std::to_string(minKeyLength) + " characters";
+            if (!key.empty())
+                keys.push_back(digestKey(key));
+            text.remove_prefix(key.size());
+        }
+        return keys.empty() ? "no key" : std::string {};
+    }
+
     template <typename Settings>
     void bindNamed(const IniSection& section, std::string_view fileName, const std::vector<KeyRule<Settings>>& rules,
         std::vector<Settings>& list, std::vector<IniProblem>& problems)
@@ -61,6 +80,7 @@
             this->checkBackends();
             this->checkTrainers();
             this->checkPools();
+            this->checkWorkspaces();
         }
 
     private:
@@ -121,6 +141,22 @@
             }
         }
 
+        void checkWorkspaces()
+        {
+            std::vector<std::pair<KeyDigest, WorkspaceName>> known;
+            for (const auto& workspace : this->document.workspaces) {
+                for (const auto& key : workspace.keys) {
+                    const auto isSame = [&key](const auto& each) { return areEqualDigests(each.first, key); };
+                    const auto found = std::find_if(known.begin(), known.end(), isSame);
+                    if (found != known.end())
+                        this->report("workspace", workspace.name.value(), "keys",
+                            "workspace `" + found->second.value() + "` lists a key of this one, or it is listed twice",
+                            "give each workspace keys of its own");
+                    known.emplace_back(key, workspace.name);
+                }
+            }
+        }
+
         const Document& document;
         const IniFile& file;
         std::string_view fileName;
@@ -200,6 +236,19 @@
     return rules;
 }
 
+const std::vector<KeyRule<WorkspaceSettings>>& workspaceRules()
+{
+    static const std::vector<KeyRule<WorkspaceSettings>> rules {
+        { "keys", requiredKey, "keys of its callers, at least 16 characters each, separated by spaces",
+            [](WorkspaceSettings& workspace, std::string_view text) { return readKeys(text, workspace.keys); } },
+        { "rank", "0", "urgency of its requests, 0..1000; 0 is the most urgent",
+            [](WorkspaceSettings& workspace, std::string_view text) {
+                return readWhole(text, 0, 1000, workspace.rank);
+            } },
+    };
+    return rules;
+}
+
 const std::vector<KeyRule<LimitsSettings>>& limitsRules()
 {
     static const std::vector<KeyRule<LimitsSettings>> rules {
@@ -248,13 +297,19 @@
             bindNamed(section, fileName, backendRules(), document.backends, problems);
         else if (section.kind == "trainer")
             bindNamed(section, fileName, trainerRules(), document.trainers, problems);
+        else if (section.kind == "workspace")
+            bindNamed(section, fileName, workspaceRules(), document.workspaces, problems);
         else if (section.kind == "limits" && section.name.empty())
             limits = section;
         else
             problems.push_back({ std::string(fileName), section.line, section.kind, "unknown section",
-                "use [pool NAME], [backend NAME], [trainer NAME] or [limits]" });
+                "use [pool NAME], [backend NAME], [trainer NAME], [workspace NAME] or [limits]" });
     }
     bindSection(limits, fileName, limitsRules(), document.limits, problems);
+    for (const auto& workspace : document.workspaces) {
+        for (const auto& key : workspace.keys)
+            addKey(document.workspaceKeys, workspace.name, key);
+    }
     ReferenceChecker(document, file, fileName, problems).check();
     return document;
 }
--- a/src/control/document_diff.cpp
+++ b/src/control/document_diff.cpp
@@ -41,6 +41,21 @@
         return keys;
     }
 
+    /// Differences are printed and logged, so keys of workspaces are only counted.
+    std::string printable(const std::string& section, const std::string& key, const std::string* value)
+    {
+        if (!value || key != "keys" || !section.starts_with("workspace "))
+            return value ? *value : std::string {};
+        std::size_t count = 0;
+        bool isInKey = false;
+        for (const char letter : *value) {
+            const bool isSeparator = letter == ' ' || letter == '\t' || letter == ',';
+            count += !isSeparator && !isInKey ? 1 : 0;
+            isInKey = !isSeparator;
+        }
+        return "(" + std::to_string(count) + (count == 1 ? " key)" : " keys)");
+    }
+
     void diffEntries(
         const std::string& section, const Entries& before, const Entries& after, std::vector<DocumentChange>& changes)
     {
@@ -49,8 +64,8 @@
             const auto* current = findValue(after, key);
             if (previous && current && *previous == *current)
                 continue;
-            changes.push_back({ section, key, previous ? *previous : std::string {},
-                current ? *current : std::string {}, previous != nullptr, current != nullptr });
+            changes.push_back({ section, key, printable(section, key, previous), printable(section, key, current),
+                previous != nullptr, current != nullptr });
         }
     }
 
--- a/src/control/settings_page.cpp
+++ b/src/control/settings_page.cpp
@@ -45,6 +45,10 @@
     printSection("[pool NAME]", "Backend servers that serve the same requests.", poolRules(), page);
     printSection("[backend NAME]", "A backend server.", backendRules(), page);
     printSection("[trainer NAME]", "A trainer that receives samples.", trainerRules(), page);
+    printSection("[workspace NAME]",
+        "Callers that share keys and a rank. If the document has any, every caller's request carries `Authorization: "
+        "Bearer KEY`, and backend servers get the name in `Topaztack-Workspace` in place of the key.",
+        workspaceRules(), page);
     printSection("[limits]", "Limits that apply to every VM.", limitsRules(), page);
     return page;
 }
--- a/src/control/workspace_keys.cpp
+++ b/src/control/workspace_keys.cpp
@@ -8,12 +8,15 @@
 #include <openssl/rand.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 
 namespace topaztack {
 
 namespace {
 
+    /// In lower case.
+    constexpr std::string_view keyScheme = "bearer";
     constexpr std::size_t secretBytes = 32;
     using Secret = std::array<unsigned char, secretBytes>;
 
@@ -31,6 +34,12 @@
         return secret;
     }
 
+    std::string_view trim(std::string_view text)
+    {
+        const auto begin = std::min(text.find_first_not_of(" \t"), text.size());
+        return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+    }
+
     /// Whether a header can carry the name unchanged.
     bool isHeaderValue(std::string_view name)
     {
@@ -71,7 +80,11 @@
         keys.unusable.push_back({ { workspace }, "the key is empty" });
         return;
     }
-    const auto digest = digestKey(key);
+    addKey(keys, workspace, digestKey(key));
+}
+
+void addKey(WorkspaceKeys& keys, const WorkspaceName& workspace, const KeyDigest& digest)
+{
     const auto isSame = [&digest](const WorkspaceKey& each) { return areEqualDigests(each.digest, digest); };
     const auto known = std::find_if(keys.usable.begin(), keys.usable.end(), isSame);
     if (known == keys.usable.end()) {
@@ -99,19 +112,34 @@
     return found;
 }
 
-AccessDecision decideAccess(const RouteTable& table, const Route* route, std::string_view key)
+std::string_view bearerToken(std::string_view authorization)
+{
+    const auto text = trim(authorization);
+    const auto space = std::min(text.find_first_of(" \t"), text.size());
+    const auto isSame = [](char one, char other) { return std::tolower(static_cast<unsigned char>(one)) == other; };
+    const auto scheme = text.substr(0, space);
+    if (!std::equal(scheme.begin(), scheme.end(), keyScheme.begin(), keyScheme.end(), isSame))
+        return {};
+    return trim(text.substr(space));
+}
+
+AccessDecision decideAccess(bool hasWorkspaces, const WorkspaceKeys& keys, bool isPublic, std::string_view key)
 {
     AccessDecision access;
-    if (!table.hasWorkspaces)
+    if (!hasWorkspaces)
         return access;
     if (!key.empty())
-        access.workspace = findWorkspace(table.keys, key);
-    const bool isPublic = route && route->isPublic;
+        access.workspace = findWorkspace(keys, key);
     if (!isPublic && access.workspace.value().empty())
         access.verdict = key.empty() ? AccessVerdict::KeyMissing : AccessVerdict::KeyUnknown;
     return access;
 }
 
+AccessDecision decideAccess(const RouteTable& table, const Route* route, std::string_view key)
+{
+    return decideAccess(table.hasWorkspaces, table.keys, route && route->isPublic, key);
+}
+
 bool hasPublicJobs(const RouteTable& table)
 {
     return std::any_of(table.routes.begin(), table.routes.end(),
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/base/log.hpp>
 #include <topaztack/base/random.hpp>
+#include <topaztack/node/caller_gate.hpp>
 #include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/completion_relay.hpp>
 #include <topaztack/node/config_desk.hpp>
@@ -72,6 +73,7 @@
     ConfigDesk configDesk;
     StatusDesk statusDesk;
     OperatorGate gate;
+    CallerGate callerGate;
     LeaseKeeper leases;
     BackendTable backends;
     TicketDesk tickets;
@@ -102,6 +104,7 @@
     , configDesk(this->context, this->config)
     , statusDesk(this->context, this->config, callerOf(this->context))
     , gate(this->context)
+    , callerGate(this->context)
     , leases(this->context)
     , backends(this->context)
     , tickets(this->context)
@@ -120,8 +123,8 @@
     , peers(this->context)
     , callerServer(
           this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
-          [this](HttpExchange& exchange) { return this->callerRoutes.handle(exchange); }, this->context.metrics,
-          "callers")
+          [this](HttpExchange& exchange) { return this->callerGate.handle(exchange, this->callerRoutes); },
+          this->context.metrics, "callers")
     , operatorServer(
           this->context.threads, this->context.settings.operators,
           [] { return HttpServerLimits { .maxBody = operatorBodyLimit }; },
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/node/service_relay.hpp>
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/node/caller_gate.hpp>
 #include <topaztack/policy/request_state_machine.hpp>
 
 namespace topaztack {
@@ -113,6 +114,8 @@
     call.request = exchange.request();
     const auto id = call.id;
     const auto accepted = this->context.document();
+    if (accepted)
+        replaceIdentity(accepted->document, call.request);
     const auto* pool = accepted ? findPool(accepted->document, poolOf(call.request)) : nullptr;
     const auto allowed = allowedTime(call.request, pool ? pool->deadline : std::chrono::seconds(1));
     HttpResponse response;
