--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -25,9 +25,11 @@
 #include <topaztack/control/settings_page.hpp>
 #include <topaztack/control/swim.hpp>
 #include <topaztack/control/weight_view.hpp>
+#include <topaztack/control/workspace_keys.hpp>
 #include <topaztack/gateway/gateway.hpp>
 #include <topaztack/gateway/protocol.hpp>
 #include <topaztack/node/backend_table.hpp>
+#include <topaztack/node/caller_gate.hpp>
 #include <topaztack/node/caller_limits.hpp>
 #include <topaztack/node/claim_desk.hpp>
 #include <topaztack/node/completion_relay.hpp>
