--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -31,14 +31,19 @@
         return response;
     }
 
+    HttpResponse notFound(const CallerRequest& call)
+    {
+        return errorResponse(
+            makeError(ErrorKind::UnknownPath, "no job `" + call.job.value() + "`", "submit the job first"),
+            call.id.value());
+    }
+
     /// A caller without a key is told the same whether there is such a job or not.
     HttpResponse noSuchJob(const CallerRequest& call)
     {
         if (call.hasWorkspaces && call.workspace.value().empty())
             return notIdentifiedResponse(call.id, "the call needs a key");
-        return errorResponse(
-            makeError(ErrorKind::UnknownPath, "no job `" + call.job.value() + "`", "submit the job first"),
-            call.id.value());
+        return notFound(call);
     }
 
 } // namespace
@@ -283,7 +288,7 @@
     const auto& items = spec.value()->items;
     const auto found = std::find_if(items.begin(), items.end(), [&](const auto& item) { return item.id == call.item; });
     if (found == items.end())
-        co_return noSuchJob(call);
+        co_return notFound(call);
     HttpResponse response;
     response.headers.push_back({ "Content-Type", "application/octet-stream" });
     response.body = found->body;
--- a/tests/fuzzing/fuzz-inputs.cpp
+++ b/tests/fuzzing/fuzz-inputs.cpp
@@ -70,7 +70,8 @@
 
 TEST(FuzzInputs, ADocumentIsReadOrItsProblemsHavePositions)
 {
-    fuzz({ readFile("examples/velandino/rollout.ini"), readFile("examples/possession/rollout.ini") },
+    const std::string workspace = "[workspace w]\nkeys = first-key-of-w-0000, second-key-of-w-000\nrank = 3\n";
+    fuzz({ readFile("examples/velandino/rollout.ini"), readFile("examples/possession/rollout.ini") + workspace },
         [](const std::string& text) {
             std::vector<IniProblem> problems;
             const auto document = parseDocument(text, "f.ini", problems);
--- a/tests/fuzzing/fuzz-platform.cpp
+++ b/tests/fuzzing/fuzz-platform.cpp
@@ -33,6 +33,7 @@
       R"({"name":"safe","hostname":"a.example","prefix":"/b/","type":"safe","timeoutMs":800,"targetLatencyMs":150,)"
       R"("trafficSplit":[{"service":"app","weight":1},{"service":"app2","weight":3}],"maxAttempts":2}],)"
       R"("services":[{"name":"lm","engine":{"slots":4,"models":[{"name":"m"}]}},{"name":"app"}],)"
+      R"("tenants":[{"name":"w1","apiKeys":["k1","k2"],"priority":1},{"name":"w2","apiKeys":["k3"]}],)"
       R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"idleTimeoutMs":15000}})";
 
 } // namespace
--- a/tests/src/gateway/unit-workspaces.cpp
+++ b/tests/src/gateway/unit-workspaces.cpp
@@ -293,6 +293,7 @@
             .status);
     CHECK_TRUE(this->env->waitForResults(gateway, "j2", 1));
     LONGS_EQUAL(200, this->call(gateway.callers, { "GET", "/-/items/j2?id=b" }, {}).status);
+    LONGS_EQUAL(404, this->call(gateway.callers, { "GET", "/-/items/j2?id=none" }, {}).status);
     for (const std::string job : { "j1", "none" }) {
         LONGS_EQUAL(401, this->call(gateway.callers, { "GET", "/-/lots/" + job }, {}).status);
         LONGS_EQUAL(401, this->call(gateway.callers, { "GET", "/-/items/" + job + "?id=a" }, {}).status);
