Pace of servers that start, and speed by kind of work

A server that has just started gets as many requests at once as there are VMs, and a server that became slow is noticed only by generations.

--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -74,7 +74,9 @@
 #include <topaztack/policy/routing.hpp>
 #include <topaztack/policy/server_choice.hpp>
 #include <topaztack/policy/server_health.hpp>
+#include <topaztack/policy/server_pace.hpp>
 #include <topaztack/policy/server_silence.hpp>
+#include <topaztack/policy/server_speed.hpp>
 #include <topaztack/policy/slot_share.hpp>
 #include <topaztack/policy/ticket_ledger.hpp>
 #include <topaztack/samples/item_length.hpp>
