Servers' pace and speed are used by the server table

With the setting server_pace a server that started, or is back after failures, a crash or silence, is held back while another one has room, and plain requests are chosen by expected finish. Requests in flight for too long count before they are answered. Without the setting nothing of it is called.

--- a/include/topaztack/policy/server_choice.hpp
+++ b/include/topaztack/policy/server_choice.hpp
@@ -39,6 +39,8 @@
     double slowdownAtFullLoad { 1 };
     /// Its mean time per unit of work, relative to the mean of the pool.
     double slowness { 1 };
+    /// How much its pace holds a request back; 0 if it doesn't. See server_pace.hpp.
+    double paceShortfall { 0 };
 };
 
 /// @brief The allowance of a server for a request that no caller waits for. A third of the slots is left to callers;
@@ -56,6 +58,10 @@
 /// @return its index; nothing if no candidate has capacity.
 std::optional<std::size_t> chooseServer(const std::vector<ServerLoad>& servers, Random& random);
 
+/// @brief As chooseServer(), with a random one of those whose cost is nearly the lowest: many VMs with few requests
+/// each would otherwise all choose the one that is slightly faster.
+std::optional<std::size_t> chooseNearlyBest(const std::vector<ServerLoad>& servers, Random& random);
+
 /// @brief Whether a long request that can be resumed elsewhere should move to one of these servers.
 /// @param slownessHere slowness of the server that runs it.
 bool isWorthMoving(double slownessHere, const std::vector<ServerLoad>& servers);
--- a/include/topaztack/policy/server_speed.hpp
+++ b/include/topaztack/policy/server_speed.hpp
@@ -44,13 +44,11 @@
     TimePoint updatedAt;
 };
 
+/// @brief Estimates by kind of work.
 using ServerSpeed = std::array<SpeedEstimate, workKinds>;
 
-inline SpeedEstimate& speedOf(ServerSpeed& speed, WorkKind kind) { return speed[static_cast<std::size_t>(kind)]; }
-inline const SpeedEstimate& speedOf(const ServerSpeed& speed, WorkKind kind)
-{
-    return speed[static_cast<std::size_t>(kind)];
-}
+/// @brief The place of a kind of work in an array.
+constexpr std::size_t indexOf(WorkKind kind) { return static_cast<std::size_t>(kind); }
 
 /// @brief Records the time that a server took.
 /// @param concurrency this VM's requests at the server when the request was sent, itself included; what exceeds the
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -130,7 +130,7 @@
     , peers(this->context)
     , quota(this->context, this->peers)
     , crashes(this->context, [this](const ServerStart& server) { this->servers.markEnded(server); })
-    , servers(this->context, this->quota, this->crashes)
+    , servers(this->context, this->quota, this->crashes, this->peers)
     , suspects(this->context, this->servers, this->crashes)
     , reach(this->context, this->servers, this->peers)
     , carrier(this->context, this->reach)
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -95,7 +95,7 @@
     }
 
     asio::awaitable<AttemptOutcome> readEvents(GatewayContext& context, ServerTable& servers, ItemAttempt attempt,
-        const ServerRecord& server, HttpStream& stream)
+        const ServerRecord& server, HttpStream& stream, TimePoint sentAt)
     {
         auto version = context.protocol.decodeAnswer(stream.head()).version;
         SseReader reader;
@@ -123,6 +123,8 @@
                 co_return AttemptOutcome::Interrupted;
             }
             const auto now = Clock::now();
+            if (count > 0 && before == 0)
+                servers.recordFirstEvent(server, now - sentAt);
             if (count > before && before > 0)
                 servers.recordEventInterval(server.name, (now - eventAt) / (count - before));
             if (count > before)
@@ -217,7 +219,7 @@
     servers.recordAnswer(server, answer, sentAt);
     auto outcome = classifyResponse(answer, attempt, stream.head());
     if (outcome == AttemptOutcome::Whole)
-        outcome = co_await readEvents(context, servers, attempt, server, stream);
+        outcome = co_await readEvents(context, servers, attempt, server, stream, sentAt);
     else
         co_await drainBody(stream);
     co_return attempt.control.isCancelled() ? AttemptOutcome::Cancelled : outcome;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -28,8 +28,6 @@
     constexpr double maxPreferredSlowness = 1.7;
     /// How long choices reuse what was looked up about a pool's servers: counts of other VMs and idle connections.
     constexpr Duration snapshotLifetime = 50ms;
-    /// Requests that one VM sends to a server of a plain service beyond its slots; they queue there.
-    constexpr std::uint32_t maxQueuedPerServer = 4;
 
     /// Versions only increase while a server runs, and a record may be older than what was already seen at the server.
     void keepNewerVersions(const ServerRecord& known, ServerRecord& record)
@@ -40,10 +38,21 @@
 
 } // namespace
 
-ServerTable::ServerTable(GatewayContext& context, RequestQuota& quota, CrashRecords& crashes)
+ServerTable::ServerTable(
+    GatewayContext& context, RequestQuota& quota, CrashRecords& crashes, const PeerDirectory& peers)
     : context(context)
     , quota(quota)
     , crashes(crashes)
+    , peers(peers)
+    , paceBegun(context.metrics.counter(
+          "topaztack_server_paces_begun_total", "Servers whose load began to follow their answers"))
+    , paceHalved(context.metrics.counter("topaztack_server_paces_halved_total",
+          "Halvings of a server's window, since it refused, failed or answered late"))
+    , paceHeldBack(context.metrics.counter(
+          "topaztack_server_pace_held_total", "Choices in which a server's window left a request to another server"))
+    , paceOverridden(context.metrics.counter("topaztack_server_pace_overridden_total",
+          "Requests sent beyond a server's window, since no other server had room"))
+    , slowDowns(context.metrics.counter("topaztack_server_slow_downs_total", "Servers found to have become slow"))
     , changeNotifier(context.loop())
 {
 }
@@ -62,6 +71,7 @@
         return;
     }
     const bool isNew = !known || known->startedAt != record.startedAt;
+    const bool isRestart = known != nullptr;
     if (isNew)
         this->usageByServer[record.name] = ServerUsage { .outstanding = this->usageByServer[record.name].outstanding,
             .background = this->usageByServer[record.name].background,
@@ -71,6 +81,8 @@
             { { "server", record.name.value() }, { "pool", record.pool.value() },
                 { "address", toText(record.endpoint) }, { "software", record.softwareVersion },
                 { "leaving", record.isLeaving ? "1" : "0" }, { "source", "record" } });
+    if (isNew)
+        this->beginPace(record, isRestart ? "restarted" : "new", isRestart || this->startsForAll(record));
     putServer(this->servers, std::move(record));
 }
 
@@ -160,6 +172,8 @@
         snapshot.medianIntervalSeconds = *middle;
         snapshot.shortestIntervalSeconds = *std::min_element(seconds.begin(), seconds.end());
     }
+    if (this->isPaced())
+        this->learnUsualTimes(snapshot);
     return snapshot;
 }
 
@@ -258,6 +272,10 @@
     load.isSuspected = now < usage.suspectedUntil || usage.isSilent || usage.isAtRisk;
     if (snapshot.medianIntervalSeconds > 0 && usage.intervalSeconds > 0)
         load.slowness = usage.intervalSeconds / snapshot.medianIntervalSeconds;
+    if (this->isPaced()) {
+        load.slowness = this->slownessOf(member, requirements, snapshot, now);
+        load.paceShortfall = shortfall(usage.pace, usage.outstanding, now);
+    }
     return load;
 }
 
@@ -283,19 +301,23 @@
 {
     const auto now = Clock::now();
     this->gatherCandidates(this->snapshotOf(requirements.pool, now), requirements, now);
-    auto chosen = chooseServer(this->loads, this->context.random);
+    const bool isPlain = requirements.model.value().empty();
+    auto chosen = this->isPaced() && isPlain ? chooseNearlyBest(this->loads, this->context.random)
+                                             : chooseServer(this->loads, this->context.random);
     if (!requirements.preferred.value().empty()) {
         for (std::size_t index = 0; index < this->candidates.size(); ++index) {
             const auto& load = this->loads[index];
             const bool isPreferred = this->candidates[index]->record->name == requirements.preferred
                 && !load.isSuspected && !load.wasTried && !load.hasOlderWeights && load.slowness < maxPreferredSlowness
-                && hasCapacity(load);
+                && load.paceShortfall == 0 && hasCapacity(load);
             if (isPreferred)
                 chosen = index;
         }
     }
     if (!chosen)
         return std::nullopt;
+    if (this->isPaced())
+        this->recordPacedChoice(*chosen, now);
     auto& member = *this->candidates[*chosen];
     if (member.usage->outstanding == 0)
         member.usage->heardAt = now;
@@ -343,7 +365,10 @@
     const auto usage = this->usageByServer.find(server.name);
     if (usage == this->usageByServer.end() || snapshot.medianIntervalSeconds == 0)
         return false;
-    const auto slowness = usage->second.intervalSeconds / snapshot.medianIntervalSeconds;
+    auto slowness = usage->second.intervalSeconds / snapshot.medianIntervalSeconds;
+    if (this->isPaced())
+        slowness = topaztack::slowness(usage->second.speed[indexOf(WorkKind::EventInterval)],
+            snapshot.usualSeconds[indexOf(WorkKind::EventInterval)], now);
     const auto fastest = snapshot.shortestIntervalSeconds / snapshot.medianIntervalSeconds;
     if (!couldGainByMoving(slowness, fastest) || !mayMove(isUrgentToMove(slowness)))
         return false;
@@ -358,6 +383,9 @@
     usage.intervalSeconds = usage.intervalSeconds == 0
         ? seconds
         : usage.intervalSeconds + smoothingFactor * (seconds - usage.intervalSeconds);
+    const auto* server = this->isPaced() ? this->find(name) : nullptr;
+    if (server)
+        this->learnSpeed(*server, usage, { WorkKind::EventInterval, 0 }, interval);
 }
 
 void ServerTable::updateTokenReservation(
@@ -368,9 +396,12 @@
     requirements.tokens = tokens;
 }
 
-void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements)
+void ServerTable::finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements,
+    std::optional<TimePoint> sentAt)
 {
     const auto now = Clock::now();
+    if (this->isPaced())
+        this->recordPacedEnd(server, outcome, sentAt);
     auto& usage = this->usageByServer[server.name];
     if (usage.outstanding > 0)
         --usage.outstanding;
@@ -439,10 +470,13 @@
         json::object versions;
         for (const auto& loaded : entry.record.models)
             versions[loaded.model.value()] = loaded.version.value();
-        list.push_back(json::object { { "server", name.value() }, { "pool", entry.record.pool.value() },
+        json::object server { { "server", name.value() }, { "pool", entry.record.pool.value() },
             { "address", toText(entry.record.endpoint) }, { "leaving", entry.record.isLeaving },
             { "outstanding", usage == this->usageByServer.end() ? 0 : usage->second.outstanding },
-            { "versions", std::move(versions) } });
+            { "versions", std::move(versions) } };
+        if (this->isPaced() && usage != this->usageByServer.end())
+            server["pace"] = this->dumpPace(entry.record, usage->second);
+        list.push_back(std::move(server));
     }
     return list;
 }
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -3,13 +3,17 @@
 #include "context.hpp"
 #include "crash_records.hpp"
 #include "notifier.hpp"
+#include "peer_directory.hpp"
 #include "request_quota.hpp"
 
 #include <topaztack/control/server_registry.hpp>
 #include <topaztack/policy/server_choice.hpp>
+#include <topaztack/policy/server_pace.hpp>
+#include <topaztack/policy/server_speed.hpp>
 
 #include <boost/json/value.hpp>
 
+#include <array>
 #include <functional>
 #include <set>
 
@@ -63,9 +67,12 @@
     Cancelled,
 };
 
+/// Requests that one VM sends to a server of a plain service beyond its slots; they queue there.
+inline constexpr std::uint32_t maxQueuedPerServer = 4;
+
 class ServerTable {
 public:
-    ServerTable(GatewayContext& context, RequestQuota& quota, CrashRecords& crashes);
+    ServerTable(GatewayContext& context, RequestQuota& quota, CrashRecords& crashes, const PeerDirectory& peers);
 
     void applyRows(const std::vector<StoreRow>& rows, bool isFullTable);
 
@@ -106,9 +113,18 @@
     /// for.
     Duration timeUntilAdmission(const PoolName& pool);
 
+    /// @brief Records that a plain request for which acquire() chose a server is sent now, so that an overdue answer is
+    /// noticed before it arrives.
+    void recordSend(const ServerRecord& server, const ServerRequirements& requirements, TimePoint sentAt);
+
+    /// @brief Records the time from sending a generation to its first event.
+    void recordFirstEvent(const ServerRecord& server, Duration took);
+
     /// @brief Ends the request that acquire() counted.
     /// @param requirements as passed to acquire(), or as updated by updateTokenReservation().
-    void finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements = {});
+    /// @param sentAt as passed to recordSend(); empty if that was not called.
+    void finish(const ServerRecord& server, ServerOutcome outcome, const ServerRequirements& requirements = {},
+        std::optional<TimePoint> sentAt = {});
 
     /// @brief Learns from the head of a server's answer that the server is not silent, which limit it states, and
     /// whether it is leaving; it gets nothing more then.
@@ -183,6 +199,13 @@
     boost::json::value dump() const;
 
 private:
+    /// A plain request that a server has not answered yet.
+    struct SentRequest {
+        WorkKind kind { WorkKind::Request };
+        /// This VM's requests at the server when it was sent, itself included.
+        std::uint32_t concurrency { 1 };
+    };
+
     struct ServerUsage {
         std::uint32_t outstanding { 0 };
         /// Those of them that no caller waits for.
@@ -204,6 +227,12 @@
         bool isAtRisk { false };
         /// When its process was found to be gone; empty if it wasn't.
         std::optional<TimePoint> endedAt;
+        /// @name Used only with the setting `server_pace`
+        /// @{
+        ServerPace pace;
+        ServerSpeed speed;
+        std::multimap<TimePoint, SentRequest> sent;
+        /// @}
     };
 
     /// The generations that another VM last reported.
@@ -229,10 +258,27 @@
         /// Median of the servers' event intervals, so that one slow server doesn't distort it; 0 if none is known.
         double medianIntervalSeconds { 0 };
         double shortestIntervalSeconds { 0 };
+        /// The usual time for each kind of work: medians over the servers; 0 if not known.
+        std::array<double, workKinds> usualSeconds {};
         /// Tokens that an engine's KV cache holds; 0 if the configuration doesn't state it.
         std::uint64_t memoryTokens { 0 };
     };
 
+    bool isPaced() const { return this->context.settings.gateway.hasServerPace; }
+    void beginPace(const ServerRecord& server, std::string_view reason, bool isSharedStart);
+    void recordPaceChange(const ServerRecord& server, PaceChange change, std::string_view cause);
+    bool startsForAll(const ServerRecord& server) const;
+    void learnSpeed(const ServerRecord& server, ServerUsage& usage, const SentRequest& request, Duration took);
+    void recordPacedEnd(const ServerRecord& server, ServerOutcome outcome, std::optional<TimePoint> sentAt);
+    void recordPacedChoice(std::size_t chosen, TimePoint now);
+    void logPace(const ServerRecord& server, std::string_view phase, std::string_view cause);
+    void learnUsualTimes(PoolSnapshot& snapshot) const;
+    double slownessOf(const PoolMember& member, const ServerRequirements& requirements, const PoolSnapshot& snapshot,
+        TimePoint now) const;
+    Duration usualTime(const ServerRecord& server, WorkKind kind, TimePoint now);
+    static double overdueSlownessOf(
+        const ServerUsage& usage, const std::array<double, workKinds>& usualSeconds, TimePoint now);
+    boost::json::object dumpPace(const ServerRecord& server, const ServerUsage& usage) const;
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
     boost::asio::awaitable<bool> reachesAnotherServer(BackendName except);
@@ -249,6 +295,15 @@
     GatewayContext& context;
     RequestQuota& quota;
     CrashRecords& crashes;
+    const PeerDirectory& peers;
+    Counter& paceBegun;
+    Counter& paceHalved;
+    Counter& paceHeldBack;
+    Counter& paceOverridden;
+    Counter& slowDowns;
+    /// Lines about paces in the current second.
+    TimePoint paceLogSecond;
+    std::uint32_t paceLines { 0 };
     ServerRegistry servers;
     std::map<BackendName, ServerUsage> usageByServer;
     std::map<VmName, PeerLoad> peerLoads;
--- a/src/gateway/server_table_ends.cpp
+++ b/src/gateway/server_table_ends.cpp
@@ -95,6 +95,7 @@
     usage->second.endedAt.reset();
     logEvent(LogLevel::Info, "server-alive-again", { { "server", server.name.value() } });
     this->crashes.withdrawEnd({ server.name, server.startedAt });
+    this->beginPace(server, "alive-again", true);
 }
 
 void ServerTable::recordPoolSizes(TimePoint now)
--- a/src/gateway/server_table_silence.cpp
+++ b/src/gateway/server_table_silence.cpp
@@ -13,7 +13,10 @@
     auto& usage = this->usageByServer[name];
     usage.heardAt = Clock::now();
     usage.answeredAt = usage.heardAt;
+    const auto* server = usage.isSilent ? this->find(name) : nullptr;
     usage.isSilent = false;
+    if (server)
+        this->beginPace(*server, "silence", true);
 }
 
 void ServerTable::markSilent(const ServerRecord& server)
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -88,17 +88,19 @@
         return answer.request.value().empty() || answer.request == id;
     };
     const auto sentAt = Clock::now();
+    servers.recordSend(server, requirements, sentAt);
     auto called = co_await context.httpClient.call(server.endpoint, std::move(request), deadline, std::move(options));
     if (!called) {
         const bool isReached = called.error().progress != AttemptProgress::NothingWritten;
-        servers.finish(server, control.isCancelled() ? ServerOutcome::Cancelled : ServerOutcome::Failed, requirements);
+        servers.finish(
+            server, control.isCancelled() ? ServerOutcome::Cancelled : ServerOutcome::Failed, requirements, sentAt);
         co_return failedCall(
             isReached ? ServiceCallOutcome::Unknown : ServiceCallOutcome::NotReached, std::move(called.error().error));
     }
     const auto answer = context.protocol.decodeAnswer(called.value());
     servers.recordAnswer(server, answer, sentAt);
     auto result = classifyAnswer(server, answer, std::move(called).value());
-    servers.finish(server, toServerOutcome(answer, result), requirements);
+    servers.finish(server, toServerOutcome(answer, result), requirements, sentAt);
     co_return result;
 }
 
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -251,6 +251,7 @@
 {
     const auto& server = attempt.server;
     const auto sentAt = Clock::now();
+    attempt.sentAt = sentAt;
     const auto eventsBefore = forwarding.events;
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - sentAt));
     auto request = this->context.protocol.encodeServiceRequest(
@@ -378,8 +379,10 @@
     co_return co_await exchange.writeChunk(bytes);
 }
 
-void StreamForwarder::recordFirstEvent(Forwarding& forwarding, const ServerRecord& server)
+void StreamForwarder::recordFirstEvent(Forwarding& forwarding, const Attempt& attempt)
 {
+    const auto& server = attempt.server;
+    this->servers.recordFirstEvent(server, Clock::now() - attempt.sentAt);
     if (!forwarding.call.lastEvent)
         this->firstEventTime.record(Clock::now() - forwarding.startedAt);
     forwarding.requirements.softwareVersion = server.softwareVersion;
@@ -424,7 +427,7 @@
             if (!isNextEvent(forwarding.lastEvent, decoded.value().number))
                 co_return broken("an event is out of order");
             if (++count == 1) {
-                this->recordFirstEvent(forwarding, server);
+                this->recordFirstEvent(forwarding, attempt);
                 this->suspects.recordRun(forwarding.pass);
                 this->suspects.release(forwarding.pass);
             }
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -44,6 +44,7 @@
 
         const ServerRecord server;
         CallControl control;
+        TimePoint sentAt;
         bool isResumable { false };
         /// The server stopped sending on all of its streams.
         bool isServerSilent { false };
@@ -66,7 +67,7 @@
     boost::asio::awaitable<bool> passBytes(
         HttpExchange& exchange, Forwarding& forwarding, const HttpStream& stream, std::string_view bytes);
     static ServerOutcome toServerOutcome(AttemptEnd end);
-    void recordFirstEvent(Forwarding& forwarding, const ServerRecord& server);
+    void recordFirstEvent(Forwarding& forwarding, const Attempt& attempt);
     bool mayContinue(const Forwarding& forwarding, AttemptEnd end) const;
     void finish(const HttpExchange& exchange, const Forwarding& forwarding);
 
--- a/src/policy/server_choice.cpp
+++ b/src/policy/server_choice.cpp
@@ -23,6 +23,11 @@
     constexpr double minMoveSpeedup = 1.2;
     /// From this slowness on, a generation leaves its server as soon as one with capacity is faster by this factor.
     constexpr double urgentSlowness = 1.5;
+    /// Larger than any load: a server whose pace holds the request back is chosen if no other has room, before
+    /// suspected ones.
+    constexpr double pacePenalty = 20;
+    /// Costs that differ by less count as equal; less than one more request at a server costs.
+    constexpr double nearlyEqualCosts = 0.06;
     /// Larger than any load: suspected servers come last, and after them those already tried.
     constexpr double suspicionPenalty = 100;
     constexpr double triedPenalty = 1000;
@@ -50,6 +55,8 @@
             cost += connectPenalty;
         if (server.hasOlderWeights)
             cost += olderWeightsPenalty;
+        if (server.paceShortfall > 0)
+            cost += pacePenalty * (1 + server.paceShortfall);
         if (server.isSuspected)
             cost += suspicionPenalty;
         if (server.wasTried)
@@ -94,10 +101,28 @@
     return best;
 }
 
+std::optional<std::size_t> chooseNearlyBest(const std::vector<ServerLoad>& servers, Random& random)
+{
+    std::optional<double> lowest;
+    for (const auto& server : servers) {
+        if (hasCapacity(server))
+            lowest = std::min(lowest.value_or(costOf(server)), costOf(server));
+    }
+    std::optional<std::size_t> chosen;
+    std::uint64_t nearlyEqual = 0;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        if (!hasCapacity(servers[index]) || costOf(servers[index]) > *lowest + nearlyEqualCosts)
+            continue;
+        if (random.below(++nearlyEqual) == 0)
+            chosen = index;
+    }
+    return chosen;
+}
+
 bool isWorthMoving(double slownessHere, const std::vector<ServerLoad>& servers)
 {
     return std::any_of(servers.begin(), servers.end(), [slownessHere](const ServerLoad& server) {
-        if (server.isSuspected || server.wasTried || !hasCapacity(server))
+        if (server.isSuspected || server.wasTried || server.paceShortfall > 0 || !hasCapacity(server))
             return false;
         // The free slots of a server that is half full are left to requests that can't run elsewhere, unless the move
         // is urgent.
