Gateway tests of server_pace; margins for times on the network

Cause: answers of a server that takes 0.1 ms were late by chance (window halved), and a server found slow got no request that could have shown its recovery. Change: 5 ms of margin for lateness, 2 ms in ratios of times, a plain request to a slow server after 40 went elsewhere.

--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -232,6 +232,8 @@
         ServerPace pace;
         ServerSpeed speed;
         std::multimap<TimePoint, SentRequest> sent;
+        /// Choices of another server since the last request was sent there.
+        std::uint32_t passedOver { 0 };
         /// @}
     };
 
@@ -267,6 +269,7 @@
     bool isPaced() const { return this->context.settings.gateway.hasServerPace; }
     void beginPace(const ServerRecord& server, std::string_view reason, bool isSharedStart);
     void recordPaceChange(const ServerRecord& server, PaceChange change, std::string_view cause);
+    WorkKind pacedKind(const ServerRecord& server) const;
     bool startsForAll(const ServerRecord& server) const;
     void learnSpeed(const ServerRecord& server, ServerUsage& usage, const SentRequest& request, Duration took);
     void recordPacedEnd(const ServerRecord& server, ServerOutcome outcome, std::optional<TimePoint> sentAt);
--- a/src/gateway/server_table_pace.cpp
+++ b/src/gateway/server_table_pace.cpp
@@ -22,6 +22,9 @@
     constexpr std::chrono::milliseconds recentStart { 10'000 };
     /// The order of the VMs at a server changes this often.
     constexpr std::chrono::milliseconds orderPeriod { 60'000 };
+    /// A server that is known as slow gets a plain request after this many went elsewhere, so that a recovery is
+    /// noticed.
+    constexpr std::uint32_t choicesPerProbe = 40;
     constexpr std::uint32_t maxPaceLinesPerSecond = 20;
 
     Duration toDuration(double seconds)
@@ -50,12 +53,6 @@
         return "gradient";
     }
 
-    /// The kind of work whose time an engine's or a plain server's pace is compared with.
-    WorkKind pacedKind(const ServerRecord& server)
-    {
-        return server.models.empty() ? WorkKind::Request : WorkKind::FirstEvent;
-    }
-
     double medianOf(std::vector<double>& values)
     {
         if (values.empty())
@@ -67,6 +64,14 @@
 
 } // namespace
 
+/// The kind of work whose time an engine's or a plain server's pace is compared with.
+WorkKind ServerTable::pacedKind(const ServerRecord& server) const
+{
+    const auto* pool = this->context.routes ? findPool(*this->context.routes, server.pool) : nullptr;
+    const bool isEngine = pool ? pool->engines.has_value() : !server.models.empty();
+    return isEngine ? WorkKind::FirstEvent : WorkKind::Request;
+}
+
 bool ServerTable::startsForAll(const ServerRecord& server) const
 {
     const auto age = unixTime() - server.startedAt;
@@ -84,7 +89,7 @@
     const auto vms = this->peers.known().size() + 1;
     begin(usage.pace,
         { server.slots, static_cast<std::uint32_t>(server.slots) + maxQueuedPerServer, vms,
-            paceRank(key, this->context.settings.name.value()), this->usualTime(server, pacedKind(server), now),
+            paceRank(key, this->context.settings.name.value()), this->usualTime(server, this->pacedKind(server), now),
             isSharedStart },
         now);
     this->paceBegun.add();
@@ -169,7 +174,9 @@
         return of(has(WorkKind::EventInterval) ? WorkKind::EventInterval : WorkKind::FirstEvent);
     const bool isBackground = requirements.isBackground && has(WorkKind::BackgroundRequest);
     const auto learned = of(isBackground ? WorkKind::BackgroundRequest : WorkKind::Request);
-    return std::max(learned, overdueSlownessOf(usage, snapshot.usualSeconds, now));
+    const bool isProbeDue = usage.passedOver >= choicesPerProbe && usage.sent.empty();
+    return std::max(
+        isProbeDue ? std::min(1.0, learned) : learned, overdueSlownessOf(usage, snapshot.usualSeconds, now));
 }
 
 void ServerTable::learnSpeed(const ServerRecord& server, ServerUsage& usage, const SentRequest& request, Duration took)
@@ -255,6 +262,9 @@
 /// Called by acquire() with an index into `candidates`.
 void ServerTable::recordPacedChoice(std::size_t chosen, TimePoint now)
 {
+    for (const auto* candidate : this->candidates)
+        ++candidate->usage->passedOver;
+    this->candidates[chosen]->usage->passedOver = 0;
     topaztack::recordSend(this->candidates[chosen]->usage->pace, now);
     if (this->loads[chosen].paceShortfall > 0) {
         this->paceOverridden.add();
@@ -278,7 +288,7 @@
     const auto now = Clock::now();
     json::object dump { { "phase", phaseName(usage.pace.phase) }, { "window", window(usage.pace, now) },
         { "failures", usage.pace.consecutiveFailures }, { "in_flight", usage.sent.size() },
-        { "confidence", confidence(usage.speed[indexOf(pacedKind(server))], now) } };
+        { "confidence", confidence(usage.speed[indexOf(this->pacedKind(server))], now) } };
     for (std::size_t kind = 0; kind < workKinds; ++kind) {
         if (usage.speed[kind].samples > 0)
             dump[names[kind]] = usage.speed[kind].seconds * 1000;
--- a/src/policy/server_pace.cpp
+++ b/src/policy/server_pace.cpp
@@ -27,6 +27,9 @@
     /// An answer that takes longer than this multiple of the expected time is late. Service times vary by less between
     /// requests, and a queue at the server delays by more.
     constexpr double lateFactor = 2.5;
+    /// Time on the network and in event loops, which doesn't depend on the server. Without it, answers of a server that
+    /// takes less than a millisecond are late by chance.
+    constexpr Duration lateMargin = 5ms;
     constexpr double minGradient = 0.5;
     /// Growth is fast below the share that each VM could have if all had requests, and from 1 on, where answers come
     /// often enough to stop it. In between, hundreds of VMs grow before the first answers of their growth arrive.
@@ -65,6 +68,8 @@
         return static_cast<double>(one.count()) / static_cast<double>(std::max<Duration::rep>(1, other.count()));
     }
 
+    Duration lateAfter(const ServerPace& pace) { return scaled(expectedOf(pace), lateFactor) + lateMargin; }
+
     Duration sendInterval(const ServerPace& pace)
     {
         if (pace.window >= 1)
@@ -124,8 +129,7 @@
     void followGradient(ServerPace& pace, Duration took)
     {
         const bool mayGrowFast = pace.window < pace.share || pace.window >= 1;
-        const auto gradient
-            = std::clamp(ratio(scaled(expectedOf(pace), lateFactor), took), minGradient, mayGrowFast ? maxGradient : 1);
+        const auto gradient = std::clamp(ratio(lateAfter(pace), took), minGradient, mayGrowFast ? maxGradient : 1);
         const auto growth = std::min(maxGrowth, growthFraction * pace.window);
         pace.window += smoothingFactor * (pace.window * gradient + growth - pace.window);
         pace.window = std::max(minWindow, pace.window);
@@ -178,7 +182,7 @@
         pace.lastRelaxedAt = now;
     pace.consecutiveFailures = 0;
     pace.passedOver = 0;
-    const bool isLate = took > scaled(pace.expected, lateFactor);
+    const bool isLate = took > lateAfter(pace);
     pace.consecutiveLate = isLate ? pace.consecutiveLate + 1 : 0;
     if (pace.phase == PacePhase::Unlimited)
         return pace.consecutiveLate >= lateToLimit ? halve(pace, now, concurrencyAtSend) : PaceChange::None;
--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -35,8 +35,9 @@
     constexpr double equalRatio = 1.25;
     constexpr double maxSlowness = 8;
     constexpr double overdueFactor = 2.5;
-    /// Time on the network and in event loops that is no part of the server's work.
-    constexpr double overdueMarginSeconds = 0.004;
+    /// Time on the network and in event loops that is no part of the server's work. It varies by as much.
+    constexpr double outsideSeconds = 0.002;
+    constexpr double overdueMarginSeconds = 2 * outsideSeconds;
     constexpr double maxOverdueSlowness = 4;
 
     void learn(SpeedEstimate& estimate, double seconds)
@@ -51,8 +52,8 @@
 
     void extendStreak(SpeedEstimate& estimate, double seconds, Duration took, TimePoint now)
     {
-        const bool isSlow = seconds > streakRatio * estimate.seconds;
-        const bool isFast = seconds * streakRatio < estimate.seconds;
+        const bool isSlow = seconds > streakRatio * estimate.seconds + outsideSeconds;
+        const bool isFast = seconds * streakRatio + outsideSeconds < estimate.seconds;
         if (!isSlow && !isFast) {
             estimate.streak = 0;
             return;
@@ -117,7 +118,7 @@
 {
     if (estimate.samples == 0 || usualSeconds <= 0)
         return 1;
-    const auto ratio = estimate.seconds / usualSeconds;
+    const auto ratio = (estimate.seconds + outsideSeconds) / (usualSeconds + outsideSeconds);
     const auto beyond = ratio > equalRatio ? ratio / equalRatio : (ratio * equalRatio < 1 ? ratio * equalRatio : 1);
     return std::clamp(1 + (beyond - 1) * confidence(estimate, now), 1 / maxSlowness, maxSlowness);
 }
@@ -137,7 +138,7 @@
     if (!limit || age <= *limit)
         return 1;
     const auto seconds = estimate.samples >= samplesForMean ? estimate.seconds : usualSeconds;
-    return std::min(maxOverdueSlowness, std::chrono::duration<double>(age).count() / seconds);
+    return std::min(maxOverdueSlowness, std::chrono::duration<double>(age).count() / (seconds + outsideSeconds));
 }
 
 } // namespace topaztack
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -47,7 +47,9 @@
 /// @brief One gateway and its addresses.
 struct RunningGateway {
     /// An outgoing connection may have taken a port since it was found free; other ports are tried then.
-    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation)
+    RunningGateway(
+        const Endpoint& store, const std::string& name, std::uint64_t incarnation, bool hasServerPace = false)
+        : hasServerPace(hasServerPace)
     {
         static constexpr int maxStartAttempts = 20;
         for (int attempt = 0; attempt < maxStartAttempts; ++attempt) {
@@ -78,9 +80,11 @@
         settings.gateway.resultRetention = std::chrono::minutes(2);
         settings.gateway.rowBytes = 64 * 1024;
         settings.gateway.objectBytes = 1024;
+        settings.gateway.hasServerPace = this->hasServerPace;
         return settings;
     }
 
+    bool hasServerPace { false };
     Endpoint callers;
     Endpoint operators;
     Endpoint peers;
@@ -160,9 +164,13 @@
         return this->startGatewayAt(this->store.endpoint(), name, incarnation);
     }
 
-    RunningGateway& startGatewayAt(const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation)
+    /// Starts a gateway with the setting `server_pace`.
+    RunningGateway& startPacedGateway() { return this->startGatewayAt(this->store.endpoint(), "vm-1", 1, true); }
+
+    RunningGateway& startGatewayAt(
+        const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation, bool hasServerPace = false)
     {
-        this->gateways.push_back(std::make_unique<RunningGateway>(storeEndpoint, name, incarnation));
+        this->gateways.push_back(std::make_unique<RunningGateway>(storeEndpoint, name, incarnation, hasServerPace));
         auto& gateway = *this->gateways.back();
         waitFor([&] { return this->call(gateway.operators, "GET", "/-/readyz").status == 200; });
         return gateway;
