A single failure halves a server's window, several in a row reset it

Cause: one failed request of a hundred, by its own content, set the window of a warm server back to the initial share. Result: test-policy -g ServerPace 15 pass, ServerChoice 20 pass.

--- a/include/topaztack/policy/server_pace.hpp
+++ b/include/topaztack/policy/server_pace.hpp
@@ -70,6 +70,8 @@
     /// Late answers in a row while nothing is limited.
     std::uint32_t consecutiveLate { 0 };
     std::uint32_t consecutiveFailures { 0 };
+    /// The window before the first failure in a row.
+    double windowBeforeFailures { 0 };
     /// Until then a server that failed gets nothing, unless no other server has room.
     TimePoint failingUntil;
     /// Requests that went to another server since the last failure.
--- a/src/policy/server_pace.cpp
+++ b/src/policy/server_pace.cpp
@@ -180,6 +180,11 @@
     pace.lastTook = took;
     if (pace.consecutiveFailures > 0)
         pace.lastRelaxedAt = now;
+    // A single failure may be that of a request; a server that fails some of them still runs the others.
+    if (pace.consecutiveFailures == 1) {
+        pace.phase = PacePhase::Gradient;
+        pace.window = std::max(pace.window, pace.windowBeforeFailures / 2);
+    }
     pace.consecutiveFailures = 0;
     pace.passedOver = 0;
     const bool isLate = took > lateAfter(pace);
@@ -217,6 +222,8 @@
         pace.lastBadAt = now;
         return PaceChange::None;
     }
+    if (pace.consecutiveFailures == 0)
+        pace.windowBeforeFailures = pace.phase == PacePhase::Unlimited ? pace.limit : pace.window;
     const auto doublings = std::min(pace.consecutiveFailures++, maxFailureDoublings);
     pace.failingUntil = now + minFailurePause * (1U << doublings);
     pace.passedOver = 0;
--- a/tests/src/policy/unit-server_choice.cpp
+++ b/tests/src/policy/unit-server_choice.cpp
@@ -96,6 +96,41 @@
     LONGS_EQUAL(0, *chooseServer({ suspected, makeServer(12) }, this->random));
 }
 
+// A server has just started, and its window lets nothing through.
+TEST(ServerChoice, AServerThatItsPaceHoldsBackIsChosenOnlyIfNoOtherHasRoom)
+{
+    auto paced = makeServer(0);
+    paced.paceShortfall = 0.2;
+    LONGS_EQUAL(1, *chooseServer({ paced, makeServer(11) }, this->random));
+    LONGS_EQUAL(0, *chooseServer({ paced, makeServer(12) }, this->random));
+    LONGS_EQUAL(0, *chooseNearlyBest({ paced, makeServer(12) }, this->random));
+    auto suspected = makeServer(0);
+    suspected.isSuspected = true;
+    LONGS_EQUAL(0, *chooseServer({ paced, suspected }, this->random));
+    // Of servers that are all held back, the one with the most room.
+    auto narrow = makeServer(0);
+    narrow.paceShortfall = 0.8;
+    LONGS_EQUAL(1, *chooseNearlyBest({ narrow, paced }, this->random));
+    CHECK_FALSE(isWorthMoving(3, { paced }));
+}
+
+// 350 VMs without a request in flight see servers whose learned times differ by a few percent.
+TEST(ServerChoice, VmsThatSeeNearlyEqualServersDoNotAllChooseTheSame)
+{
+    std::vector<ServerLoad> servers(4, makeServer(0));
+    for (std::size_t index = 0; index < servers.size(); ++index)
+        servers[index].slowness = 1 + 0.01 * static_cast<double>(index);
+    servers.push_back(makeServer(0));
+    servers.back().slowness = 2;
+    std::vector<int> chosen(servers.size(), 0);
+    for (int vm = 0; vm < 350; ++vm)
+        ++chosen[*chooseNearlyBest(servers, this->random)];
+    for (std::size_t index = 0; index < 4; ++index)
+        CHECK_TRUE(chosen[index] > 50);
+    LONGS_EQUAL(0, chosen[4]);
+    CHECK_FALSE(chooseNearlyBest({ makeServer(12) }, this->random).has_value());
+}
+
 TEST(ServerChoice, ATriedServerComesAfterASuspectedOne)
 {
     auto suspected = makeServer(3);
--- a/tests/src/policy/unit-server_pace.cpp
+++ b/tests/src/policy/unit-server_pace.cpp
@@ -234,6 +234,20 @@
     }
 }
 
+// One request of a hundred fails by its own content, and five are in flight at a time.
+TEST(ServerPace, ASingleFailureHalvesTheWindowAndNoMore)
+{
+    ServerPace pace = warmPace();
+    recordFailure(pace, start);
+    CHECK_FALSE(maySend(pace, 0, start));
+    recordAnswer(pace, start + 20ms, serviceTime, serviceTime, 5);
+    CHECK_TRUE(window(pace, start + 20ms) >= 5);
+    auto now = start + 20ms;
+    for (int request = 0; request < 40; ++request)
+        recordAnswer(pace, now += 50ms, serviceTime, serviceTime, 5);
+    CHECK_TRUE(pace.phase == PacePhase::Unlimited);
+}
+
 TEST(ServerPace, AServerThatStopsFailingBeginsWithASmallWindow)
 {
     ServerPace pace = warmPace();
