Requests that may wait keep to the window of a server that was full

The window yields whenever no other server has room; a queue of requests needs the opposite, or it sends what is answered "full" again.

--- a/include/topaztack/policy/server_pace.hpp
+++ b/include/topaztack/policy/server_pace.hpp
@@ -113,6 +113,15 @@
 /// @param outstanding this VM's requests at the server.
 bool maySend(const ServerPace& pace, std::uint32_t outstanding, TimePoint now);
 
+/// @brief Whether the window holds a request back since the server was late or full, so that a request which can wait
+/// should not be sent even if no other server has room. A server that fails or has just started doesn't count: it is
+/// probed by requests that find no other.
+bool isHeldByOverload(const ServerPace& pace, std::uint32_t outstanding, TimePoint now);
+
+/// @brief When the window lets a request through that it holds back now, if no answer arrives before; `now` if that
+/// depends on answers alone.
+TimePoint nextSendAt(const ServerPace& pace, std::uint32_t outstanding, TimePoint now);
+
 /// @brief How much the window holds a request back: 0 if it doesn't, otherwise in (0, 1], less for more room. Orders
 /// the servers when all of them are held back.
 double shortfall(const ServerPace& pace, std::uint32_t outstanding, TimePoint now);
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -185,6 +185,8 @@
         return false;
     if (requirements.reserved.contains(server.name))
         return false;
+    if (requirements.isWithinPace && this->isPaced() && isHeldByOverload(usage.pace, usage.outstanding, now))
+        return false;
     if (!usage.refusingUntil.empty()) {
         const auto refusing = usage.refusingUntil.find(requirements.model);
         if (refusing != usage.refusingUntil.end() && now < refusing->second)
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -41,6 +41,9 @@
     bool isBackground { false };
     /// Whether a caller waits for the generation, so that it may queue at an engine whose slots are taken.
     bool hasCaller { false };
+    /// Whether the request may wait, so that with the setting `server_pace` it is not sent beyond the window of a
+    /// server that was late or full, whatever room other servers have.
+    bool isWithinPace { false };
     /// Servers that are not to be chosen: other suspected requests run there.
     std::set<BackendName> reserved;
     /// Server that is preferred for its prompt cache while it has room; empty for none.
@@ -120,6 +123,10 @@
     /// @brief Records the time from sending a generation to its first event.
     void recordFirstEvent(const ServerRecord& server, Duration took);
 
+    /// @brief Time until a server's window lets through a request with `isWithinPace`, unless an answer does so before;
+    /// 0 if none is waited for.
+    Duration timeUntilPaceOpens(const PoolName& pool);
+
     /// @brief Ends the request that acquire() counted.
     /// @param requirements as passed to acquire(), or as updated by updateTokenReservation().
     /// @param sentAt as passed to recordSend(); empty if that was not called.
--- a/src/gateway/server_table_pace.cpp
+++ b/src/gateway/server_table_pace.cpp
@@ -204,6 +204,23 @@
     usage->second.sent.emplace(sentAt, SentRequest { kind, usage->second.outstanding });
 }
 
+Duration ServerTable::timeUntilPaceOpens(const PoolName& pool)
+{
+    if (!this->isPaced())
+        return 0ms;
+    const auto now = Clock::now();
+    std::optional<TimePoint> earliest;
+    for (const auto& member : this->snapshotOf(pool, now).members) {
+        const auto& usage = *member.usage;
+        if (member.record->isLeaving || usage.endedAt)
+            continue;
+        const auto at = nextSendAt(usage.pace, usage.outstanding, now);
+        if (at > now)
+            earliest = std::min(earliest.value_or(at), at);
+    }
+    return earliest ? *earliest - now : Duration(0);
+}
+
 void ServerTable::recordFirstEvent(const ServerRecord& server, Duration took)
 {
     const auto usage = this->usageByServer.find(server.name);
--- a/src/policy/server_pace.cpp
+++ b/src/policy/server_pace.cpp
@@ -262,6 +262,17 @@
     return allowed > 0 && outstanding == 0 && now - pace.lastSentAt >= sendInterval(pace);
 }
 
+bool isHeldByOverload(const ServerPace& pace, std::uint32_t outstanding, TimePoint now)
+{
+    return pace.phase == PacePhase::Gradient && pace.consecutiveFailures == 0 && !maySend(pace, outstanding, now);
+}
+
+TimePoint nextSendAt(const ServerPace& pace, std::uint32_t outstanding, TimePoint now)
+{
+    const bool isTimed = pace.phase != PacePhase::Unlimited && pace.window < 1 && outstanding == 0;
+    return isTimed ? std::max({ now, pace.entersAt, pace.lastSentAt + sendInterval(pace) }) : now;
+}
+
 double shortfall(const ServerPace& pace, std::uint32_t outstanding, TimePoint now)
 {
     if (maySend(pace, outstanding, now))
--- a/tests/src/policy/unit-server_pace.cpp
+++ b/tests/src/policy/unit-server_pace.cpp
@@ -191,6 +191,28 @@
     CHECK_FALSE(maySend(pace, 1, now + 2s));
 }
 
+// A queue of requests waits for a server that was full, but not for one that has just started or fails.
+TEST(ServerPace, RequestsThatCanWaitAreHeldByOverloadOnly)
+{
+    ServerPace starting;
+    begin(starting, paceStart(350, 0), start);
+    recordSend(starting, start);
+    CHECK_FALSE(maySend(starting, 1, start));
+    CHECK_FALSE(isHeldByOverload(starting, 1, start));
+    auto failing = warmPace();
+    recordFailure(failing, start);
+    CHECK_FALSE(isHeldByOverload(failing, 0, start));
+    auto full = warmPace();
+    for (int refusal = 0; refusal < 3; ++refusal)
+        recordRefusal(full, start + refusal * 100ms, 1);
+    const auto now = start + 300ms;
+    recordSend(full, now);
+    CHECK_TRUE(isHeldByOverload(full, 0, now));
+    const auto opensAt = nextSendAt(full, 0, now);
+    CHECK_TRUE(opensAt > now);
+    CHECK_FALSE(isHeldByOverload(full, 0, opensAt));
+}
+
 // A server fails for a second and works for a second in turn; another one has room, and 100 requests per second come.
 TEST(ServerPace, AFlappingServerGetsFewRequestsThatFail)
 {
