Event intervals count from 5 % of difference on

Cause: with server_pace, engines that are 1.3 times slower counted as equal, and generations no longer moved away from them.

--- a/include/topaztack/policy/server_speed.hpp
+++ b/include/topaztack/policy/server_speed.hpp
@@ -65,7 +65,7 @@
 /// @brief The server's time relative to the pool's usual one, drawn to 1 by lack of confidence. Differences that noise
 /// explains give 1, so that equal servers stay equal.
 /// @param usualSeconds the median over the pool's servers; 0 if not known.
-double slowness(const SpeedEstimate& estimate, double usualSeconds, TimePoint now);
+double slowness(const SpeedEstimate& estimate, double usualSeconds, TimePoint now, WorkKind kind);
 
 /// @brief The time that a request at the server should take at most: answers that take longer are overdue.
 /// @return empty if nothing is known.
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -370,7 +370,7 @@
     auto slowness = usage->second.intervalSeconds / snapshot.medianIntervalSeconds;
     if (this->isPaced())
         slowness = topaztack::slowness(usage->second.speed[indexOf(WorkKind::EventInterval)],
-            snapshot.usualSeconds[indexOf(WorkKind::EventInterval)], now);
+            snapshot.usualSeconds[indexOf(WorkKind::EventInterval)], now, WorkKind::EventInterval);
     const auto fastest = snapshot.shortestIntervalSeconds / snapshot.medianIntervalSeconds;
     if (!couldGainByMoving(slowness, fastest) || !mayMove(isUrgentToMove(slowness)))
         return false;
--- a/src/gateway/server_table_pace.cpp
+++ b/src/gateway/server_table_pace.cpp
@@ -167,7 +167,7 @@
     const auto& usage = *member.usage;
     const bool isGeneration = !requirements.model.value().empty();
     const auto of = [&](WorkKind kind) {
-        return slowness(usage.speed[indexOf(kind)], snapshot.usualSeconds[indexOf(kind)], now);
+        return slowness(usage.speed[indexOf(kind)], snapshot.usualSeconds[indexOf(kind)], now, kind);
     };
     const auto has = [&usage](WorkKind kind) { return usage.speed[indexOf(kind)].samples > 0; };
     if (isGeneration)
--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -31,8 +31,10 @@
     /// Samples that show a server to be fast again.
     constexpr std::uint32_t samplesInFastStreak = 3;
     constexpr Duration minFastStreakTime = 200ms;
-    /// Ratios to the usual time within this factor count as equal.
-    constexpr double equalRatio = 1.25;
+    /// Ratios to the usual time within this factor count as equal. Each request is work of its own; the events of a
+    /// generation come evenly, and there are many.
+    constexpr double equalRequestRatio = 1.25;
+    constexpr double equalIntervalRatio = 1.05;
     constexpr double maxSlowness = 8;
     constexpr double overdueFactor = 2.5;
     /// Time on the network and in event loops that is no part of the server's work. It varies by as much.
@@ -114,11 +116,12 @@
         * std::exp2(-age / confidenceHalfLifeSeconds);
 }
 
-double slowness(const SpeedEstimate& estimate, double usualSeconds, TimePoint now)
+double slowness(const SpeedEstimate& estimate, double usualSeconds, TimePoint now, WorkKind kind)
 {
     if (estimate.samples == 0 || usualSeconds <= 0)
         return 1;
     const auto ratio = (estimate.seconds + outsideSeconds) / (usualSeconds + outsideSeconds);
+    const auto equalRatio = kind == WorkKind::EventInterval ? equalIntervalRatio : equalRequestRatio;
     const auto beyond = ratio > equalRatio ? ratio / equalRatio : (ratio * equalRatio < 1 ? ratio * equalRatio : 1);
     return std::clamp(1 + (beyond - 1) * confidence(estimate, now), 1 / maxSlowness, maxSlowness);
 }
--- a/tests/src/policy/unit-server_speed.cpp
+++ b/tests/src/policy/unit-server_speed.cpp
@@ -34,7 +34,7 @@
     for (int round = 0; round < 20; ++round) {
         feed(this->estimate, this->now, 80, 25ms, 25ms);
         CHECK_FALSE(feed(this->estimate, this->now, 12, 62ms, 25ms));
-        DOUBLES_EQUAL(1, slowness(this->estimate, usual, this->now), 0.01);
+        DOUBLES_EQUAL(1, slowness(this->estimate, usual, this->now, WorkKind::Request), 0.01);
     }
 }
 
@@ -47,10 +47,10 @@
     while (!isFound && this->now < slowSince + 2s)
         isFound = recordSample(this->estimate, 100ms, 0, 8, false, this->now += 100ms);
     CHECK_TRUE(this->now - slowSince <= 500ms);
-    CHECK_TRUE(slowness(this->estimate, 0.04, this->now) > 1.7);
+    CHECK_TRUE(slowness(this->estimate, 0.04, this->now, WorkKind::EventInterval) > 1.7);
     // It is fast again as soon as it works as before.
     feed(this->estimate, this->now, 12, 40ms, 40ms);
-    DOUBLES_EQUAL(1, slowness(this->estimate, 0.04, this->now), 0.01);
+    DOUBLES_EQUAL(1, slowness(this->estimate, 0.04, this->now, WorkKind::EventInterval), 0.01);
 }
 
 // A plain server turns ten times slower, with a request every 50 ms.
@@ -77,12 +77,12 @@
 TEST(ServerSpeed, AServerAtHalfSpeedIsKnownWithConfidenceAndForgottenWithAge)
 {
     feed(this->estimate, this->now, 2, 50ms, 100ms);
-    const auto early = slowness(this->estimate, usual, this->now);
+    const auto early = slowness(this->estimate, usual, this->now, WorkKind::Request);
     CHECK_TRUE(early > 1 && early < 1.2);
     feed(this->estimate, this->now, 30, 50ms, 100ms);
-    CHECK_TRUE(slowness(this->estimate, usual, this->now) > 1.5);
+    CHECK_TRUE(slowness(this->estimate, usual, this->now, WorkKind::Request) > 1.5);
     CHECK_TRUE(confidence(this->estimate, this->now) > 0.99);
-    CHECK_TRUE(slowness(this->estimate, usual, this->now + 5min) < 1.1);
+    CHECK_TRUE(slowness(this->estimate, usual, this->now + 5min, WorkKind::Request) < 1.1);
 }
 
 // Equal servers, service times between half and one and a half of the mean.
@@ -94,7 +94,7 @@
         for (int sample = 0; sample < 400; ++sample)
             recordSample(each, std::chrono::microseconds(12500 + random.below(25000)), 1, 6, false, this->now += 20ms);
         // The lower quartile of these times is 19 ms.
-        DOUBLES_EQUAL(1, slowness(each, 0.0195, this->now), 0.06);
+        DOUBLES_EQUAL(1, slowness(each, 0.0195, this->now, WorkKind::Request), 0.06);
     }
 }
 
@@ -103,7 +103,7 @@
 {
     for (int sample = 0; sample < 50; ++sample)
         recordSample(this->estimate, 50ms, 12, 6, false, this->now += 50ms);
-    DOUBLES_EQUAL(1, slowness(this->estimate, usual, this->now), 0.01);
+    DOUBLES_EQUAL(1, slowness(this->estimate, usual, this->now, WorkKind::Request), 0.01);
 }
 
 // Other VMs fill the server's queue for two seconds of five; this VM sees only the answers.
@@ -111,5 +111,14 @@
 {
     for (int sample = 0; sample < 200; ++sample)
         recordSample(this->estimate, sample % 5 < 2 ? 45ms : 25ms, 1, 6, false, this->now += 50ms);
-    CHECK_TRUE(slowness(this->estimate, usual, this->now) < 1.25);
+    CHECK_TRUE(slowness(this->estimate, usual, this->now, WorkKind::Request) < 1.25);
+}
+
+// A third of the engines takes 1.3 times as long for an event.
+TEST(ServerSpeed, ASmallDifferenceOfEventIntervalsCounts)
+{
+    feed(this->estimate, this->now, 50, 52ms, 52ms);
+    const auto slow = slowness(this->estimate, 0.04, this->now, WorkKind::EventInterval);
+    CHECK_TRUE(slow > 1.2);
+    CHECK_TRUE(slow < 1.3);
 }
