--- a/src/policy/server_pace.cpp
+++ b/src/policy/server_pace.cpp
@@ -30,6 +30,10 @@
     /// Time on the network and in event loops, which doesn't depend on the server. Without it, answers of a server that
     /// takes less than a millisecond are late by chance.
     constexpr Duration lateMargin = 5ms;
+    /// While the window doubles, less is late, since the server gets more from all VMs before the answers show it.
+    constexpr double doublingFactor = 2;
+    /// The window follows the ratio of this multiple of the expected time to the observed one.
+    constexpr double gradientFactor = 2;
     constexpr double minGradient = 0.5;
     /// Growth is fast below the share that each VM could have if all had requests, and from 1 on, where answers come
     /// often enough to stop it. In between, hundreds of VMs grow before the first answers of their growth arrive.
@@ -68,7 +72,8 @@
         return static_cast<double>(one.count()) / static_cast<double>(std::max<Duration::rep>(1, other.count()));
     }
 
-    Duration lateAfter(const ServerPace& pace) { return scaled(expectedOf(pace), lateFactor) + lateMargin; }
+    /// The longest time of an answer that is a multiple of the expected time.
+    Duration timeLimit(const ServerPace& pace, double factor) { return scaled(expectedOf(pace), factor) + lateMargin; }
 
     Duration sendInterval(const ServerPace& pace)
     {
@@ -129,7 +134,8 @@
     void followGradient(ServerPace& pace, Duration took)
     {
         const bool mayGrowFast = pace.window < pace.share || pace.window >= 1;
-        const auto gradient = std::clamp(ratio(lateAfter(pace), took), minGradient, mayGrowFast ? maxGradient : 1);
+        const auto gradient
+            = std::clamp(ratio(timeLimit(pace, gradientFactor), took), minGradient, mayGrowFast ? maxGradient : 1);
         const auto growth = std::min(maxGrowth, growthFraction * pace.window);
         pace.window += smoothingFactor * (pace.window * gradient + growth - pace.window);
         pace.window = std::max(minWindow, pace.window);
@@ -187,7 +193,8 @@
     }
     pace.consecutiveFailures = 0;
     pace.passedOver = 0;
-    const bool isLate = took > lateAfter(pace);
+    const bool isDoubling = pace.phase == PacePhase::SlowStart;
+    const bool isLate = took > timeLimit(pace, isDoubling ? doublingFactor : lateFactor);
     pace.consecutiveLate = isLate ? pace.consecutiveLate + 1 : 0;
     if (pace.phase == PacePhase::Unlimited)
         return pace.consecutiveLate >= lateToLimit ? halve(pace, now, concurrencyAtSend) : PaceChange::None;
