--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,7 +134,7 @@
     , quota(this->context, this->peers)
     , crashes(this->context, [this](const ServerStart& server) { this->servers.markEnded(server); })
     , software(this->context)
-    , servers(this->context, this->quota, this->crashes, this->software)
+    , servers(this->context, this->quota, this->crashes, this->software, this->peers)
     , suspects(this->context, this->servers, this->crashes)
     , reach(this->context, this->servers, this->peers)
     , carrier(this->context, this->reach)
