--- /dev/null
+++ b/include/topaztack/policy/admission.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <topaztack/base/random.hpp>
+#include <topaztack/policy/fair_queue.hpp>
+#include <topaztack/policy/send_limit.hpp>
+
+/// @file
+/// Whether a request runs now, waits for a server or is refused, while a pool lacks capacity. Pure functions without
+/// I/O.
+
+namespace topaztack {
+
+/// @brief The work that a pool took from this VM of late, in seconds of work per second, averaged over about a second.
+struct DrainRate {
+    double work { 0 };
+    std::optional<TimePoint> startedAt;
+    TimePoint updatedAt;
+};
+
+void recordDrained(DrainRate& drain, Duration work, TimePoint now);
+
+/// @return 0 if nothing was taken of late.
+double drainPerSecond(const DrainRate& drain, TimePoint now);
+
+/// @brief Moving average of the time in which servers answered requests; the default before the first one.
+struct ServiceTime {
+    double seconds { 0 };
+};
+
+void recordServiceTime(ServiceTime& known, Duration measured);
+
+/// @param latencyObjective of the route; its sixth is expected before an answer was measured.
+Duration expectedServiceTime(const ServiceTime& known, Duration latencyObjective);
+
+/// @brief The work that a workspace asked for at this VM of late, in seconds of work per second.
+struct WorkspaceDemand {
+    DrainRate arrived;
+    /// What all VMs together were asked for, as other VMs say; empty if not known.
+    std::optional<double> everywhere;
+    TimePoint heardAt;
+};
+
+/// @brief What a VM knows of the waiting requests of one pool.
+struct PoolQueue {
+    FairQueue waiting;
+    std::map<WorkspaceName, SendLimit> limits;
+    DrainRate drain;
+    /// For each workspace that was refused: when its share of the pool has served the requests refused so far.
+    std::map<WorkspaceName, TimePoint> promisedUntil;
+    std::map<WorkspaceName, WorkspaceDemand> demands;
+};
+
+/// @brief Counts a request that arrived, whatever becomes of it.
+void recordArrival(PoolQueue& pool, const WorkspaceName& workspace, Duration work, TimePoint now);
+
+/// @brief Takes in the work per second that a workspace asks all VMs for. Its requests here then count for more, so that
+/// it gets no larger share by sending to many VMs.
+void applyTotalDemand(PoolQueue& pool, const WorkspaceName& workspace, double perSecond, TimePoint now);
+
+/// @brief The part of the workspace's requests that this VM gets; 1 if not known.
+double weightOf(const PoolQueue& pool, const WorkspaceName& workspace);
+
+/// @brief Whether any workspace's requests to the pool are limited: servers lacked room of late.
+bool isLimited(const PoolQueue& pool, TimePoint now);
+
+/// @brief When the next request of a workspace may be sent; see nextSendAt() of a SendLimit.
+TimePoint nextSendAt(const PoolQueue& pool, const WorkspaceName& workspace, Duration serviceTime, TimePoint now);
+
+/// @brief When the first waiting request may be sent, or is late.
+/// @complexity linear in the workspaces that wait.
+TimePoint nextEventAt(const PoolQueue& pool, Duration serviceTime, TimePoint now);
+
+/// @brief Drops what is known of workspaces without requests of late, and of refusals whose time has passed.
+void expire(PoolQueue& pool, TimePoint now);
+
+enum class AdmissionVerdict : std::uint8_t {
+    /// Nobody waits and the limit allows it: a server is to be asked.
+    Run,
+    Wait,
+    Refuse,
+};
+
+struct Admission {
+    AdmissionVerdict verdict { AdmissionVerdict::Run };
+    Duration expectedWait {};
+    /// The part of the pool that the workspace gets while others wait.
+    double share { 1 };
+    /// Set with Refuse.
+    std::chrono::milliseconds retryAfter { 0 };
+    /// Set with Wait if the queue is too long: the request that gives way.
+    std::optional<std::uint64_t> displaced;
+};
+
+/// @brief Bounds of Retry-After.
+inline constexpr std::chrono::milliseconds minRefusalRetryAfter { 100 };
+inline constexpr std::chrono::milliseconds maxRefusalRetryAfter { 10000 };
+
+/// @brief Decides on a request that arrives.
+/// @param hasServer false if a server was asked and none took it.
+/// @complexity as workAhead().
+Admission decideAdmission(
+    PoolQueue& pool, const WaitingRequest& arriving, bool hasServer, TimePoint now, Random& random);
+
+/// @brief Time after which a refused request should come back: when the share of its workspace has served what waits
+/// and what was refused before, and up to as much again, so that not all come back at once.
+std::chrono::milliseconds retryAfter(PoolQueue& pool, const WaitingRequest& refused, TimePoint now, Random& random);
+
+} // namespace topaztack
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -54,11 +54,13 @@
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
 #include <topaztack/node/weight_roller.hpp>
+#include <topaztack/policy/admission.hpp>
 #include <topaztack/policy/claim_batch.hpp>
 #include <topaztack/policy/claim_history.hpp>
 #include <topaztack/policy/class_queue.hpp>
 #include <topaztack/policy/crash_evidence.hpp>
 #include <topaztack/policy/event_stream.hpp>
+#include <topaztack/policy/fair_queue.hpp>
 #include <topaztack/policy/home.hpp>
 #include <topaztack/policy/job_placement.hpp>
 #include <topaztack/policy/keepers.hpp>
@@ -72,6 +74,7 @@
 #include <topaztack/policy/request_state_machine.hpp>
 #include <topaztack/policy/retry.hpp>
 #include <topaztack/policy/routing.hpp>
+#include <topaztack/policy/send_limit.hpp>
 #include <topaztack/policy/server_choice.hpp>
 #include <topaztack/policy/server_health.hpp>
 #include <topaztack/policy/server_silence.hpp>
