--- a/include/topaztack/policy/admission.hpp
+++ b/include/topaztack/policy/admission.hpp
@@ -35,8 +35,9 @@
 /// @brief The work that a workspace asked for at this VM of late, in seconds of work per second.
 struct WorkspaceDemand {
     DrainRate arrived;
-    /// What all VMs together were asked for, as other VMs say; empty if not known.
-    std::optional<double> everywhere;
+    /// The work that servers did for it.
+    DrainRate served;
+    /// When other VMs last told of its demand.
     TimePoint heardAt;
 };
 
@@ -44,6 +45,8 @@
 struct PoolQueue {
     FairQueue waiting;
     std::map<WorkspaceName, SendLimit> limits;
+    /// Workspaces of which a request was refused since the last of their results.
+    std::set<WorkspaceName> refused;
     DrainRate drain;
     /// For each workspace that was refused: when its share of the pool has served the requests refused so far.
     std::map<WorkspaceName, TimePoint> promisedUntil;
@@ -53,9 +56,26 @@
 /// @brief Counts a request that arrived, whatever becomes of it.
 void recordArrival(PoolQueue& pool, const WorkspaceName& workspace, Duration work, TimePoint now);
 
-/// @brief Takes in the work per second that a workspace asks all VMs for. Its requests here then count for more, so that
-/// it gets no larger share by sending to many VMs.
-void applyTotalDemand(PoolQueue& pool, const WorkspaceName& workspace, double perSecond, TimePoint now);
+/// @brief What all VMs together know of a workspace at a pool that lacks room, in seconds of work per second.
+struct TotalUse {
+    double demand { 0 };
+    double served { 0 };
+    /// What a workspace may have that asks for more: see fairLevel().
+    double level { 0 };
+};
+
+/// @brief The max-min fair level: workspaces that ask for less get all of it, the others get the level.
+/// @complexity O(n log n) in the workspaces.
+double fairLevel(std::vector<double> demands, double capacity);
+
+/// @brief Takes in what all VMs know of a workspace, so that it gets no larger share by sending to many VMs: its
+/// requests here count for more, and they are limited if it has more than the level.
+void applyTotalUse(PoolQueue& pool, const WorkspaceName& workspace, const TotalUse& total, TimePoint now);
+
+/// @brief Records how a request that was sent ended.
+/// @param took time at the server, if answered.
+void recordResult(PoolQueue& pool, const WaitingRequest& request, SendOutcome outcome, Duration took,
+    Duration latencyObjective, TimePoint now);
 
 /// @brief The part of the workspace's requests that this VM gets; 1 if not known.
 double weightOf(const PoolQueue& pool, const WorkspaceName& workspace);
@@ -63,12 +83,12 @@
 /// @brief Whether any workspace's requests to the pool are limited: servers lacked room of late.
 bool isLimited(const PoolQueue& pool, TimePoint now);
 
-/// @brief When the next request of a workspace may be sent; see nextSendAt() of a SendLimit.
-TimePoint nextSendAt(const PoolQueue& pool, const WorkspaceName& workspace, Duration serviceTime, TimePoint now);
+/// @brief When the next request of the workspace may be sent; see nextSendAt() of a SendLimit.
+TimePoint nextSendAt(const PoolQueue& pool, const WaitingRequest& request, TimePoint now);
 
 /// @brief When the first waiting request may be sent, or is late.
 /// @complexity linear in the workspaces that wait.
-TimePoint nextEventAt(const PoolQueue& pool, Duration serviceTime, TimePoint now);
+TimePoint nextEventAt(const PoolQueue& pool, TimePoint now);
 
 /// @brief Drops what is known of workspaces without requests of late, and of refusals whose time has passed.
 void expire(PoolQueue& pool, TimePoint now);
--- a/include/topaztack/policy/fair_queue.hpp
+++ b/include/topaztack/policy/fair_queue.hpp
@@ -74,15 +74,15 @@
 std::uint64_t enqueue(FairQueue& queue, WaitingRequest request);
 
 /// @brief Removes the request that is served next and counts its work towards its workspace's share.
-/// @param maySend whether requests of a workspace may be sent now; the others are passed over.
+/// @param maySend whether a workspace's first request may be sent now; workspaces for which it may not are passed over.
 /// @return empty if none waits that may be sent.
 /// @complexity logarithmic in the requests that wait, linear in the workspaces that are passed over.
 std::optional<QueuedRequest> takeNext(
-    FairQueue& queue, const std::function<bool(const WorkspaceName&)>& maySend = {});
+    FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend = {});
 
-/// @brief The workspaces with waiting requests.
-/// @complexity linear in them.
-std::vector<WorkspaceName> waitingWorkspaces(const FairQueue& queue);
+/// @brief The first waiting request of each workspace.
+/// @complexity linear in the workspaces that wait.
+std::vector<WaitingRequest> firstRequests(const FairQueue& queue);
 
 /// @brief Puts back a request that takeNext() returned and no server ran. Its work no longer counts.
 /// @complexity logarithmic in the requests and workspaces that wait.
@@ -109,10 +109,10 @@
 
 /// @brief Work of waiting requests that is served before a request that arrives now: everything of more urgent ranks,
 /// and of each workspace of its rank as much as its own workspace gets up to then.
-/// @param maySend whether requests of a workspace may be sent now; the others are not ahead.
+/// @param maySend whether a workspace's first request may be sent now; workspaces for which it may not are not ahead.
 /// @complexity linear in the workspaces that wait, constant in their requests.
 Duration workAhead(const FairQueue& queue, const WaitingRequest& arriving,
-    const std::function<bool(const WorkspaceName&)>& maySend = {});
+    const std::function<bool(const WaitingRequest&)>& maySend = {});
 
 /// @brief Work of the workspace's waiting requests of a rank.
 Duration waitingWork(const FairQueue& queue, std::uint64_t rank, const WorkspaceName& workspace);
--- a/include/topaztack/policy/send_limit.hpp
+++ b/include/topaztack/policy/send_limit.hpp
@@ -42,6 +42,8 @@
     Duration took {};
     /// Latency objective of the request's route.
     Duration latencyObjective {};
+    /// Whether requests of the workspace wait or were refused since the last result.
+    bool isUsedUp { false };
     /// The part of the workspace's requests that this VM gets.
     double weight { 1 };
 };
@@ -59,6 +61,10 @@
 
 void recordSend(SendLimit& limit, TimePoint now);
 
+/// @brief Lowers the limit, and puts it in force, since the workspace has more than its share of a pool that lacks room.
+/// @param ratio its share by what it has.
+void lowerToShare(SendLimit& limit, double ratio, TimePoint now);
+
 /// @brief Ends a request that recordSend() counted.
 void recordSendResult(SendLimit& limit, const SendResult& result, TimePoint now);
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -30,12 +30,19 @@
     std::optional<HttpResponse> answer;
     std::optional<Error> problem;
     SuspectPass pass;
+    /// Set if the request may wait for a server.
+    std::optional<QueuedCall> queued;
 
     bool isRepeatable() const { return this->route.kind == RouteKind::Idempotent; }
     CarriedCall carriedCall() const
     {
         return { this->call.id, this->identity, this->requirements.pool, this->deadline, this->isRepeatable() };
     }
+    QueuedCall queuedCall(HttpExchange& exchange, const RouteTable& table)
+    {
+        return { exchange, this->pass, this->requirements, this->route, this->call.id, this->call.workspace,
+            rankOf(table, this->route, this->call.workspace), this->startedAt, this->deadline };
+    }
     bool mayAttempt() const
     {
         return this->attempts < this->route.maxAttempts && this->unreached < maxUnreachedServers
@@ -44,12 +51,14 @@
 };
 
 Forwarder::Forwarder(
-    GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier)
+    GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier,
+    RequestQueue& queue)
     : context(context)
     , servers(servers)
     , suspects(suspects)
     , reach(reach)
     , carrier(carrier)
+    , queue(queue)
     , requests(context.metrics.counter("topaztack_requests_total", "Requests forwarded to pools"))
     , retries(context.metrics.counter("topaztack_request_repeats_total", "Attempts after a request's first one"))
     , refused(context.metrics.counter("topaztack_requests_refused_total", "Requests answered as not run"))
@@ -71,6 +80,8 @@
     const auto* pool = choosePool(route, this->context.random.next());
     if (pool)
         forwarding.requirements.pool = *pool;
+    if (this->queue.isUsed())
+        forwarding.queued.emplace(forwarding.queuedCall(exchange, *this->context.routes));
     auto response = co_await this->forward(exchange, forwarding);
     co_await this->suspects.leave(forwarding.pass);
     const auto took = Clock::now() - forwarding.startedAt;
@@ -126,8 +137,12 @@
 {
     auto& requirements = forwarding.requirements;
     while (!exchange.isCallerGone()) {
-        auto entry = co_await this->suspects.enter(
-            forwarding.pass, requirements, forwarding.startedAt + forwarding.route.latencyObjective);
+        SuspectGate::Entry entry;
+        if (forwarding.queued)
+            entry = co_await this->queue.enter(*forwarding.queued);
+        else
+            entry = co_await this->suspects.enter(
+                forwarding.pass, requirements, forwarding.startedAt + forwarding.route.latencyObjective);
         if (entry.refusal)
             forwarding.problem = std::move(entry.refusal);
         if (!entry.server)
@@ -135,6 +150,8 @@
         const bool isAdmitted = co_await this->servers.admit(*entry.server);
         if (isAdmitted && !exchange.isCallerGone())
             co_return std::move(entry.server);
+        if (forwarding.queued)
+            this->queue.cancel(*forwarding.queued);
         this->servers.finish(*entry.server, ServerOutcome::Cancelled, requirements);
         this->suspects.release(forwarding.pass);
     }
@@ -162,6 +179,11 @@
     auto result = co_await callService(this->context, this->servers, std::move(request), forwarding.call.id, server,
         end, control, forwarding.requirements);
     exchange.onCallerGone({});
+    if (forwarding.queued)
+        this->queue.recordResult(*forwarding.queued, result, Clock::now() - now);
+    // A request that a server had no room for waits for another one, within the same limit.
+    if (forwarding.queued && result.outcome == ServiceCallOutcome::Refused)
+        --forwarding.attempts;
     if (result.outcome == ServiceCallOutcome::NotReached) {
         --forwarding.attempts;
         ++forwarding.unreached;
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include "call_carrier.hpp"
 #include "context.hpp"
+#include "request_queue.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
 #include "suspect_gate.hpp"
@@ -19,7 +20,8 @@
 class Forwarder {
 public:
     Forwarder(
-        GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier);
+        GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier,
+        RequestQueue& queue);
 
     boost::asio::awaitable<void> handle(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
@@ -38,6 +40,7 @@
     SuspectGate& suspects;
     ServerReach& reach;
     CallCarrier& carrier;
+    RequestQueue& queue;
     Counter& requests;
     Counter& retries;
     Counter& refused;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "order_lease.hpp"
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
+#include "request_queue.hpp"
 #include "request_quota.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
@@ -112,6 +113,7 @@
     StoreWatch storeWatch;
     JobOwner jobs;
     JobService jobService;
+    RequestQueue requestQueue;
     Forwarder forwarder;
     OrderLease lease;
     WeightLoader weights;
@@ -141,7 +143,8 @@
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier)
+    , requestQueue(this->context, this->servers, this->suspects, this->reach)
+    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->requestQueue)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
@@ -192,6 +195,7 @@
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
+        { "queues", this->requestQueue.dump() },
         { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
         { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
@@ -352,6 +356,7 @@
         this->quota.expire();
         this->crashes.expire();
         this->streamOrigins.expire();
+        this->requestQueue.expire();
         co_await pauseFor(expiryInterval);
     }
 }
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -12,12 +12,16 @@
     constexpr double drainWindowSeconds = 1;
     /// Rates over less time than this are too uncertain to refuse anything.
     constexpr double minDrainSeconds = 0.1;
-    constexpr double serviceTimeSmoothing = 0.1;
+    /// Servers that fill up become slower faster than an average over many answers shows, and requests that start too
+    /// late are lost work.
+    constexpr double risingServiceTimeSmoothing = 0.5;
+    constexpr double fallingServiceTimeSmoothing = 0.1;
     constexpr int defaultObjectiveParts = 6;
     constexpr Duration demandRetention = 3s;
     /// VMs report less often the more of them there are; see maxReportInterval.
     constexpr Duration costRetention = 15s;
     constexpr double maxCostFactor = 1000;
+    constexpr double shareTolerance = 1.1;
     constexpr std::size_t maxPromises = 1024;
     /// Leaves room for the jitter.
     constexpr Duration maxPromise = maxRefusalRetryAfter / 2;
@@ -52,7 +56,8 @@
 void recordServiceTime(ServiceTime& known, Duration measured)
 {
     const auto seconds = toSeconds(measured);
-    known.seconds = known.seconds == 0 ? seconds : known.seconds + serviceTimeSmoothing * (seconds - known.seconds);
+    const auto smoothing = seconds > known.seconds ? risingServiceTimeSmoothing : fallingServiceTimeSmoothing;
+    known.seconds = known.seconds == 0 ? seconds : known.seconds + smoothing * (seconds - known.seconds);
 }
 
 Duration expectedServiceTime(const ServiceTime& known, Duration latencyObjective)
@@ -82,8 +87,8 @@
     {
         Duration wait {};
         const auto rate = drainPerSecond(pool.drain, now);
-        const auto ahead = workAhead(pool.waiting, arriving, [&](const WorkspaceName& workspace) {
-            return nextSendAt(pool, workspace, arriving.work, now) <= now;
+        const auto ahead = workAhead(pool.waiting, arriving, [&pool, now](const WaitingRequest& request) {
+            return nextSendAt(pool, request, now) <= now;
         });
         if (rate > 0)
             wait = toDuration(toSeconds(ahead) / rate);
@@ -105,7 +110,7 @@
 {
     Admission admission;
     admission.share = shareOf(pool.waiting, arriving.rank, arriving.workspace);
-    const bool maySend = nextSendAt(pool, arriving.workspace, arriving.work, now) <= now;
+    const bool maySend = nextSendAt(pool, arriving, now) <= now;
     if (hasServer && pool.waiting.requests.empty() && maySend)
         return admission;
     admission.expectedWait = expectedWait(pool, arriving, now);
@@ -121,6 +126,8 @@
 std::chrono::milliseconds retryAfter(PoolQueue& pool, const WaitingRequest& refused, TimePoint now, Random& random)
 {
     const auto rate = ownRate(pool, refused, now);
+    if (pool.limits.contains(refused.workspace))
+        pool.refused.insert(refused.workspace);
     Duration wait {};
     if (rate > 0) {
         if (pool.promisedUntil.size() >= maxPromises)
@@ -140,16 +147,44 @@
     recordDrained(pool.demands[workspace].arrived, work, now);
 }
 
-void applyTotalDemand(PoolQueue& pool, const WorkspaceName& workspace, double perSecond, TimePoint now)
+double fairLevel(std::vector<double> demands, double capacity)
+{
+    std::sort(demands.begin(), demands.end());
+    for (std::size_t index = 0; index < demands.size(); ++index) {
+        const auto level = capacity / static_cast<double>(demands.size() - index);
+        if (demands[index] >= level)
+            return level;
+        capacity -= demands[index];
+    }
+    return demands.empty() ? capacity : demands.back() + capacity;
+}
+
+void applyTotalUse(PoolQueue& pool, const WorkspaceName& workspace, const TotalUse& total, TimePoint now)
 {
     const auto found = pool.demands.find(workspace);
     if (found == pool.demands.end())
         return;
-    const auto own = drainPerSecond(found->second.arrived, now);
-    found->second.everywhere = perSecond;
     found->second.heardAt = now;
+    const auto own = drainPerSecond(found->second.arrived, now);
     if (own > 0)
-        pool.waiting.costFactors[workspace] = std::clamp(perSecond / own, 1.0, maxCostFactor);
+        pool.waiting.costFactors[workspace] = std::clamp(total.demand / own, 1.0, maxCostFactor);
+    if (total.served > shareTolerance * total.level)
+        lowerToShare(pool.limits[workspace], total.level / total.served, now);
+}
+
+void recordResult(PoolQueue& pool, const WaitingRequest& request, SendOutcome outcome, Duration took,
+    Duration latencyObjective, TimePoint now)
+{
+    SendResult result { outcome, took, latencyObjective };
+    result.isUsedUp = waitingWork(pool.waiting, request.rank, request.workspace) > Duration {}
+        || pool.refused.contains(request.workspace);
+    result.weight = weightOf(pool, request.workspace);
+    pool.refused.erase(request.workspace);
+    recordSendResult(pool.limits[request.workspace], result, now);
+    if (outcome != SendOutcome::Answered)
+        return;
+    recordDrained(pool.drain, request.work, now);
+    recordDrained(pool.demands[request.workspace].served, request.work, now);
 }
 
 double weightOf(const PoolQueue& pool, const WorkspaceName& workspace)
@@ -164,17 +199,17 @@
         pool.limits.begin(), pool.limits.end(), [now](const auto& each) { return isLimited(each.second, now); });
 }
 
-TimePoint nextSendAt(const PoolQueue& pool, const WorkspaceName& workspace, Duration serviceTime, TimePoint now)
+TimePoint nextSendAt(const PoolQueue& pool, const WaitingRequest& request, TimePoint now)
 {
-    const auto limit = pool.limits.find(workspace);
-    return limit == pool.limits.end() ? now : nextSendAt(limit->second, serviceTime, now);
+    const auto limit = pool.limits.find(request.workspace);
+    return limit == pool.limits.end() ? now : nextSendAt(limit->second, request.work, now);
 }
 
-TimePoint nextEventAt(const PoolQueue& pool, Duration serviceTime, TimePoint now)
+TimePoint nextEventAt(const PoolQueue& pool, TimePoint now)
 {
     auto first = nextLateAt(pool.waiting).value_or(TimePoint::max());
-    for (const auto& workspace : waitingWorkspaces(pool.waiting))
-        first = std::min(first, nextSendAt(pool, workspace, serviceTime, now));
+    for (const auto& request : firstRequests(pool.waiting))
+        first = std::min(first, nextSendAt(pool, request, now));
     return first;
 }
 
@@ -182,6 +217,7 @@
 {
     std::erase_if(pool.promisedUntil, [now](const auto& each) { return each.second <= now; });
     std::erase_if(pool.limits, [now](const auto& each) { return isIdle(each.second, now); });
+    std::erase_if(pool.refused, [&pool](const auto& each) { return !pool.limits.contains(each); });
     std::erase_if(
         pool.demands, [now](const auto& each) { return now - each.second.arrived.updatedAt > demandRetention; });
     std::erase_if(pool.waiting.costFactors, [&pool, now](const auto& each) {
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -14,6 +14,12 @@
         return toSeconds(request.work) * (factor == queue.costFactors.end() ? 1 : factor->second);
     }
 
+    const WaitingRequest& firstOf(
+        const FairQueue& queue, const FairQueue::Level& level, const WorkspaceName& workspace)
+    {
+        return queue.requests.at(level.flows.at(workspace).order.begin()->second);
+    }
+
     /// Drops what the level knows of workspaces that have nothing left and are not ahead of the others.
     void forgetIdleFlows(FairQueue::Level& level)
     {
@@ -71,11 +77,11 @@
     return number;
 }
 
-std::optional<QueuedRequest> takeNext(FairQueue& queue, const std::function<bool(const WorkspaceName&)>& maySend)
+std::optional<QueuedRequest> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend)
 {
     for (auto& [rank, level] : queue.levels) {
         const auto chosen = std::find_if(level.waiting.begin(), level.waiting.end(),
-            [&maySend](const auto& each) { return !maySend || maySend(each.second); });
+            [&](const auto& each) { return !maySend || maySend(firstOf(queue, level, each.second)); });
         if (chosen == level.waiting.end())
             continue;
         const auto workspace = chosen->second;
@@ -91,14 +97,14 @@
     return std::nullopt;
 }
 
-std::vector<WorkspaceName> waitingWorkspaces(const FairQueue& queue)
+std::vector<WaitingRequest> firstRequests(const FairQueue& queue)
 {
-    std::vector<WorkspaceName> workspaces;
+    std::vector<WaitingRequest> requests;
     for (const auto& [rank, level] : queue.levels) {
         for (const auto& [start, workspace] : level.waiting)
-            workspaces.push_back(workspace);
+            requests.push_back(firstOf(queue, level, workspace));
     }
-    return workspaces;
+    return requests;
 }
 
 void putBack(FairQueue& queue, const QueuedRequest& entry)
@@ -150,7 +156,7 @@
 }
 
 Duration workAhead(const FairQueue& queue, const WaitingRequest& arriving,
-    const std::function<bool(const WorkspaceName&)>& maySend)
+    const std::function<bool(const WaitingRequest&)>& maySend)
 {
     const auto ownWork = waitingWork(queue, arriving.rank, arriving.workspace);
     Duration ahead = ownWork;
@@ -159,7 +165,7 @@
             break;
         for (const auto& [start, workspace] : level.waiting) {
             const bool isOwn = rank == arriving.rank && workspace == arriving.workspace;
-            if (isOwn || (maySend && !maySend(workspace)))
+            if (isOwn || (maySend && !maySend(firstOf(queue, level, workspace))))
                 continue;
             const auto work = level.flows.at(workspace).work;
             ahead += rank < arriving.rank ? work : std::min(work, ownWork + arriving.work);
--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -10,14 +10,20 @@
 
     /// Requests in flight together are refused together.
     constexpr Duration halvingInterval = 100ms;
+    /// A workspace with one request at a time may be refused several times in a row because of the others.
+    constexpr Duration singleHalvingInterval = 500ms;
     constexpr Duration limitRetention = 5s;
     constexpr double minLimit = 1.0 / 64;
+    /// The limit of a workspace that shares a pool at hundreds of VMs with hundreds of others.
+    constexpr double minSharedLimit = 1.0 / 16384;
+    /// What is known of the other VMs is some seconds old, so a share is approached in steps.
+    constexpr double maxShareStep = 0.25;
     /// Late answers alone don't take the limit below this: a server may be slow without being full.
     constexpr double minLimitWhenLate = 1.0 / 8;
     /// Growth per second while answers are early, for one workspace and as a fraction of the limit. Both are by time and
     /// not by answer, so that the limits of all VMs come to be in proportion to their weights.
     constexpr double growthPerWeight = 0.1;
-    constexpr double growthFraction = 0.5;
+    constexpr double growthFraction = 0.3;
     /// Decline per second while answers are late, as a fraction of the limit.
     constexpr double declineFraction = 1;
     /// Answers that are further apart count as this far apart.
@@ -26,7 +32,7 @@
     constexpr double shortestTimeRise = 0.1;
     /// A server's answer is late from this part of the objective on: the rest is left for waiting at VMs, and the
     /// server's queue doesn't fill up.
-    constexpr double lateFraction = 0.5;
+    constexpr double lateFraction = 0.4;
     /// Answers that take longer than this many times the shortest show a queue at the server.
     constexpr double lateSlowdown = 2;
 
@@ -34,12 +40,12 @@
 
     void recordFull(SendLimit& limit, std::uint32_t inFlight, TimePoint now)
     {
-        if (!isLimited(limit, now))
-            limit.limit = inFlight;
-        else if (limit.halvedAt && now - *limit.halvedAt < halvingInterval)
+        const auto interval = limit.limit > 1 ? halvingInterval : singleHalvingInterval;
+        if (limit.halvedAt && isLimited(limit, now) && now - *limit.halvedAt < interval)
             return;
+        // A workspace with a single request at once is not what fills the servers.
+        limit.limit = isLimited(limit, now) ? std::max(std::min(limit.limit, minLimit), limit.limit / 2) : std::max(1.0, inFlight / 2.0);
         limit.halvedAt = now;
-        limit.limit = std::max(minLimit, limit.limit / 2);
     }
 
 } // namespace
@@ -72,6 +78,14 @@
     ++limit.inFlight;
 }
 
+void lowerToShare(SendLimit& limit, double ratio, TimePoint now)
+{
+    if (!isLimited(limit, now))
+        limit.limit = std::max(1U, limit.inFlight);
+    limit.limit = std::max(minSharedLimit, limit.limit * std::max(maxShareStep, ratio));
+    limit.congestedAt = now;
+}
+
 void recordSendResult(SendLimit& limit, const SendResult& result, TimePoint now)
 {
     const auto inFlight = limit.inFlight;
@@ -99,6 +113,8 @@
     }
     if (took > lateSlowdown * limit.shortestSeconds)
         limit.congestedAt = now;
+    if (!result.isUsedUp)
+        return;
     const auto lowest = std::min(limit.limit, minLimitWhenLate);
     limit.limit = std::max(lowest, limit.limit * (1 - declineFraction * elapsed));
 }
--- a/tests/src/policy/overload_world.hpp
+++ b/tests/src/policy/overload_world.hpp
@@ -280,8 +280,12 @@
         vm.at[server].refusals = 0;
         const bool isInTime = this->now - call.sentAt <= this->options.objective;
         ++(isInTime ? this->outcomes[call.workspace].inTime : this->outcomes[call.workspace].late);
-        recordSendResult(vm.pool.limits[WorkspaceName(call.workspace)], this->result(vm, call, SendOutcome::Answered, this->now - sentAt), this->now);
-        recordDrained(vm.pool.drain, expectedServiceTime(vm.serviceTime, this->options.objective), this->now);
+        WaitingRequest request;
+        request.workspace = WorkspaceName(call.workspace);
+        request.rank = call.rank;
+        request.work = expectedServiceTime(vm.serviceTime, this->options.objective);
+        recordResult(
+            vm.pool, request, SendOutcome::Answered, this->now - sentAt, this->options.objective, this->now);
         recordServiceTime(vm.serviceTime, this->now - sentAt);
         this->pump(call.vm);
     }
@@ -294,7 +298,7 @@
         --view.outstanding;
         if (this->now >= view.pausedUntil)
             view.pausedUntil = this->now + 60ms * (1U << std::min(view.refusals++, 2U));
-        recordSendResult(vm.pool.limits[request.workspace], this->result(vm, call, SendOutcome::Full, {}), this->now);
+        recordResult(vm.pool, request, SendOutcome::Full, {}, this->options.objective, this->now);
         if (this->now > request.latestStart)
             this->refuse(call, topaztack::retryAfter(vm.pool, request, this->now, this->random));
         else if (number == 0)
@@ -306,23 +310,29 @@
         this->pump(call.vm);
     }
 
-    SendResult result(const Vm& vm, const Call& call, SendOutcome outcome, Duration took) const
-    {
-        return { outcome, took, this->options.objective, weightOf(vm.pool, WorkspaceName(call.workspace)) };
-    }
-
     /// What VMs with a limit tell each other: the demand of each workspace at all of them.
     void exchange()
     {
-        std::map<WorkspaceName, double> totals;
+        std::map<WorkspaceName, TotalUse> totals;
+        double capacity = 0;
         for (const auto& vm : this->vms) {
-            for (const auto& [workspace, demand] : vm.pool.demands)
-                totals[workspace] += isLimited(vm.pool, this->now) ? drainPerSecond(demand.arrived, this->now) : 0;
+            if (!isLimited(vm.pool, this->now))
+                continue;
+            for (const auto& [workspace, demand] : vm.pool.demands) {
+                totals[workspace].demand += drainPerSecond(demand.arrived, this->now);
+                totals[workspace].served += drainPerSecond(demand.served, this->now);
+                capacity += drainPerSecond(demand.served, this->now);
+            }
         }
+        std::vector<double> demands;
+        for (const auto& [workspace, total] : totals)
+            demands.push_back(total.demand);
+        const auto level = fairLevel(demands, capacity);
         for (auto& vm : this->vms) {
-            for (const auto& [workspace, total] : totals) {
+            for (auto& [workspace, total] : totals) {
+                total.level = level;
                 if (isLimited(vm.pool, this->now))
-                    applyTotalDemand(vm.pool, workspace, total, this->now);
+                    applyTotalUse(vm.pool, workspace, total, this->now);
             }
             expire(vm.pool, this->now);
         }
@@ -342,17 +352,16 @@
             this->refuseWaiting(vm, number);
         auto wakeAt = TimePoint::max();
         while (!vm.pool.waiting.requests.empty()) {
-            const auto work = expectedServiceTime(vm.serviceTime, this->options.objective);
             const auto server = this->choose(vm);
             if (!server) {
                 wakeAt = this->now + 5ms;
                 break;
             }
-            const auto next = takeNext(vm.pool.waiting, [&](const WorkspaceName& workspace) {
-                return nextSendAt(vm.pool, workspace, work, this->now) <= this->now;
+            const auto next = takeNext(vm.pool.waiting, [&](const WaitingRequest& request) {
+                return nextSendAt(vm.pool, request, this->now) <= this->now;
             });
             if (!next) {
-                wakeAt = nextEventAt(vm.pool, work, this->now);
+                wakeAt = nextEventAt(vm.pool, this->now);
                 break;
             }
             const auto call = vm.calls.at(next->number);
