--- a/include/topaztack/policy/admission.hpp
+++ b/include/topaztack/policy/admission.hpp
@@ -51,6 +51,8 @@
     /// For each workspace that was refused: when its share of the pool has served the requests refused so far.
     std::map<WorkspaceName, TimePoint> promisedUntil;
     std::map<WorkspaceName, WorkspaceDemand> demands;
+    /// When a request last could not run at once.
+    std::optional<TimePoint> lackedRoomAt;
 };
 
 /// @brief Counts a request that arrived, whatever becomes of it.
@@ -80,8 +82,8 @@
 /// @brief The part of the workspace's requests that this VM gets; 1 if not known.
 double weightOf(const PoolQueue& pool, const WorkspaceName& workspace);
 
-/// @brief Whether any workspace's requests to the pool are limited: servers lacked room of late.
-bool isLimited(const PoolQueue& pool, TimePoint now);
+/// @brief Whether servers of the pool lacked room of late: a request had to wait, or its limit is in force.
+bool lacksRoom(const PoolQueue& pool, TimePoint now);
 
 /// @brief When the next request of the workspace may be sent; see nextSendAt() of a SendLimit.
 TimePoint nextSendAt(const PoolQueue& pool, const WaitingRequest& request, TimePoint now);
--- a/include/topaztack/policy/send_limit.hpp
+++ b/include/topaztack/policy/send_limit.hpp
@@ -61,9 +61,10 @@
 
 void recordSend(SendLimit& limit, TimePoint now);
 
-/// @brief Lowers the limit, and puts it in force, since the workspace has more than its share of a pool that lacks room.
+/// @brief Keeps the limit in force for a workspace that asks for more than its share of a pool that lacks room, and
+/// adjusts it.
 /// @param ratio its share by what it has.
-void lowerToShare(SendLimit& limit, double ratio, TimePoint now);
+void adjustToShare(SendLimit& limit, double ratio, TimePoint now);
 
 /// @brief Ends a request that recordSend() counted.
 void recordSendResult(SendLimit& limit, const SendResult& result, TimePoint now);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -21,6 +21,8 @@
     /// VMs report less often the more of them there are; see maxReportInterval.
     constexpr Duration costRetention = 15s;
     constexpr double maxCostFactor = 1000;
+    constexpr Duration lackRetention = 5s;
+    constexpr double minServed = 1e-6;
     constexpr double shareTolerance = 1.1;
     constexpr std::size_t maxPromises = 1024;
     /// Leaves room for the jitter.
@@ -113,6 +115,7 @@
     const bool maySend = nextSendAt(pool, arriving, now) <= now;
     if (hasServer && pool.waiting.requests.empty() && maySend)
         return admission;
+    pool.lackedRoomAt = now;
     admission.expectedWait = expectedWait(pool, arriving, now);
     admission.verdict = AdmissionVerdict::Wait;
     if (now + admission.expectedWait >= arriving.latestStart) {
@@ -168,8 +171,9 @@
     const auto own = drainPerSecond(found->second.arrived, now);
     if (own > 0)
         pool.waiting.costFactors[workspace] = std::clamp(total.demand / own, 1.0, maxCostFactor);
-    if (total.served > shareTolerance * total.level)
-        lowerToShare(pool.limits[workspace], total.level / total.served, now);
+    const bool isLimitedByShare = total.demand > shareTolerance * total.level;
+    if (isLimitedByShare && (total.served > total.level || pool.limits.contains(workspace)))
+        adjustToShare(pool.limits[workspace], total.level / std::max(total.served, minServed), now);
 }
 
 void recordResult(PoolQueue& pool, const WaitingRequest& request, SendOutcome outcome, Duration took,
@@ -193,8 +197,10 @@
     return factor == pool.waiting.costFactors.end() ? 1 : 1 / factor->second;
 }
 
-bool isLimited(const PoolQueue& pool, TimePoint now)
+bool lacksRoom(const PoolQueue& pool, TimePoint now)
 {
+    if (pool.lackedRoomAt && now - *pool.lackedRoomAt < lackRetention)
+        return true;
     return std::any_of(
         pool.limits.begin(), pool.limits.end(), [now](const auto& each) { return isLimited(each.second, now); });
 }
--- a/tests/src/policy/overload_world.hpp
+++ b/tests/src/policy/overload_world.hpp
@@ -316,7 +316,7 @@
         std::map<WorkspaceName, TotalUse> totals;
         double capacity = 0;
         for (const auto& vm : this->vms) {
-            if (!isLimited(vm.pool, this->now))
+            if (!lacksRoom(vm.pool, this->now))
                 continue;
             for (const auto& [workspace, demand] : vm.pool.demands) {
                 totals[workspace].demand += drainPerSecond(demand.arrived, this->now);
@@ -331,7 +331,7 @@
         for (auto& vm : this->vms) {
             for (auto& [workspace, total] : totals) {
                 total.level = level;
-                if (isLimited(vm.pool, this->now))
+                if (lacksRoom(vm.pool, this->now))
                     applyTotalUse(vm.pool, workspace, total, this->now);
             }
             expire(vm.pool, this->now);
