--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -17,8 +17,8 @@
     /// The limit of a workspace that shares a pool at hundreds of VMs with hundreds of others.
     constexpr double minSharedLimit = 1.0 / 16384;
     /// What is known of the other VMs is some seconds old, so a share is approached in steps.
-    constexpr double minShareStep = 0.25;
-    constexpr double maxShareStep = 1.5;
+    constexpr double minShareStep = 0.35;
+    constexpr double maxShareStep = 1.7;
     /// Late answers alone don't take the limit below this: a server may be slow without being full.
     constexpr double minLimitWhenLate = 1.0 / 8;
     /// Growth per second while answers are early, for one workspace and as a fraction of the limit. Both are by time and
