--- a/include/topaztack/policy/admission.hpp
+++ b/include/topaztack/policy/admission.hpp
@@ -60,9 +60,10 @@
 
 /// @brief What all VMs together know of a workspace at a pool that lacks room, in seconds of work per second.
 struct TotalUse {
+    std::uint64_t rank { 0 };
     double demand { 0 };
     double served { 0 };
-    /// What a workspace may have that asks for more: see fairLevel().
+    /// What the workspace may have: see setLevels().
     double level { 0 };
 };
 
@@ -70,6 +71,11 @@
 /// @complexity O(n log n) in the workspaces.
 double fairLevel(std::vector<double> demands, double capacity);
 
+/// @brief Sets the level of each workspace: those of the most urgent rank share what the pool serves, those of the next
+/// rank what is left.
+/// @complexity O(n log n) in the workspaces.
+void setLevels(std::map<WorkspaceName, TotalUse>& workspaces);
+
 /// @brief Takes in what all VMs know of a workspace, so that it gets no larger share by sending to many VMs: its
 /// requests here count for more, and they are limited if it has more than the level.
 void applyTotalUse(PoolQueue& pool, const WorkspaceName& workspace, const TotalUse& total, TimePoint now);
--- a/include/topaztack/policy/send_limit.hpp
+++ b/include/topaztack/policy/send_limit.hpp
@@ -61,11 +61,14 @@
 
 void recordSend(SendLimit& limit, TimePoint now);
 
-/// @brief Keeps the limit in force for a workspace that asks for more than its share of a pool that lacks room, and
-/// adjusts it.
+/// @brief Adjusts the limit of a workspace that asks for more than its share of a pool that lacks room, and keeps it in
+/// force.
 /// @param ratio its share by what it has.
 void adjustToShare(SendLimit& limit, double ratio, TimePoint now);
 
+/// @brief Lifts the limit of a workspace that asks for less than its share, until a server is full again.
+void lift(SendLimit& limit);
+
 /// @brief Ends a request that recordSend() counted.
 void recordSendResult(SendLimit& limit, const SendResult& result, TimePoint now);
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -22,6 +22,8 @@
     constexpr Duration costRetention = 15s;
     constexpr double maxCostFactor = 1000;
     constexpr Duration lackRetention = 5s;
+    /// What servers did is less than what they can do if the limits were too low.
+    constexpr double capacityHeadroom = 1.2;
     constexpr double minServed = 1e-6;
     constexpr double shareTolerance = 1.1;
     constexpr std::size_t maxPromises = 1024;
@@ -162,6 +164,26 @@
     return demands.empty() ? capacity : demands.back() + capacity;
 }
 
+void setLevels(std::map<WorkspaceName, TotalUse>& workspaces)
+{
+    std::map<std::uint64_t, std::vector<double>> demands;
+    double capacity = 0;
+    for (const auto& [workspace, total] : workspaces) {
+        demands[total.rank].push_back(total.demand);
+        capacity += capacityHeadroom * total.served;
+    }
+    std::map<std::uint64_t, double> levels;
+    for (const auto& [rank, each] : demands) {
+        const auto level = fairLevel(each, capacity);
+        levels[rank] = level;
+        for (const auto demand : each)
+            capacity -= std::min(demand, level);
+        capacity = std::max(0.0, capacity);
+    }
+    for (auto& [workspace, total] : workspaces)
+        total.level = std::max(minServed, levels.at(total.rank));
+}
+
 void applyTotalUse(PoolQueue& pool, const WorkspaceName& workspace, const TotalUse& total, TimePoint now)
 {
     const auto found = pool.demands.find(workspace);
@@ -171,9 +193,12 @@
     const auto own = drainPerSecond(found->second.arrived, now);
     if (own > 0)
         pool.waiting.costFactors[workspace] = std::clamp(total.demand / own, 1.0, maxCostFactor);
-    const bool isLimitedByShare = total.demand > shareTolerance * total.level;
-    if (isLimitedByShare && (total.served > total.level || pool.limits.contains(workspace)))
-        adjustToShare(pool.limits[workspace], total.level / std::max(total.served, minServed), now);
+    const auto limit = pool.limits.find(workspace);
+    if (total.demand > shareTolerance * total.level) {
+        if (total.served > total.level || limit != pool.limits.end())
+            adjustToShare(pool.limits[workspace], total.level / std::max(total.served, minServed), now);
+    } else if (limit != pool.limits.end())
+        lift(limit->second);
 }
 
 void recordResult(PoolQueue& pool, const WaitingRequest& request, SendOutcome outcome, Duration took,
--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -25,6 +25,9 @@
     /// not by answer, so that the limits of all VMs come to be in proportion to their weights.
     constexpr double growthPerWeight = 0.1;
     constexpr double growthFraction = 0.3;
+    /// Answers within this part of the objective show servers with free slots; the limit then grows faster.
+    constexpr double idleFraction = 0.25;
+    constexpr double idleGrowthFraction = 2;
     /// Decline per second while answers are late, as a fraction of the limit.
     constexpr double declineFraction = 1;
     /// Answers that are further apart count as this far apart.
@@ -87,6 +90,8 @@
     limit.congestedAt = now;
 }
 
+void lift(SendLimit& limit) { limit.congestedAt.reset(); }
+
 void recordSendResult(SendLimit& limit, const SendResult& result, TimePoint now)
 {
     const auto inFlight = limit.inFlight;
@@ -108,8 +113,9 @@
         return;
     limit.limit += elapsed * growthPerWeight * result.weight;
     if (took <= lateFraction * toSeconds(result.latencyObjective)) {
+        const bool isIdle = took <= idleFraction * toSeconds(result.latencyObjective);
         if (limit.limit < inFlight + 1)
-            limit.limit += elapsed * growthFraction * limit.limit;
+            limit.limit += elapsed * (isIdle ? idleGrowthFraction : growthFraction) * limit.limit;
         return;
     }
     if (took > lateSlowdown * limit.shortestSeconds)
--- a/tests/src/policy/unit-admission.cpp
+++ b/tests/src/policy/unit-admission.cpp
@@ -178,6 +178,7 @@
         world.run(14s);
         CHECK_TRUE(inTimePart(world, "usual") >= 0.99);
         CHECK_TRUE(fullPart(world) < maxFullPart);
+        world.run(15s);
         LONGS_EQUAL(0, world.waiting());
     }
 }
