--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,7 +143,7 @@
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , requestQueue(this->context, this->servers, this->suspects, this->reach)
+    , requestQueue(this->context, this->servers, this->suspects, this->reach, this->peers)
     , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->requestQueue)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
@@ -283,6 +283,10 @@
         co_await exchange.respond(this->quota.answer(exchange.request()));
         co_return;
     }
+    if (path == workspaceUsePath) {
+        co_await exchange.respond(this->requestQueue.answer(exchange.request()));
+        co_return;
+    }
     if (path == streamOriginPath) {
         co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
         co_return;
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -37,11 +37,18 @@
 
 } // namespace
 
-RequestQueue::RequestQueue(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach)
+RequestQueue::RequestQueue(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach,
+    const PeerDirectory& peers)
     : context(context)
     , servers(servers)
     , suspects(suspects)
     , reach(reach)
+    , exchange(
+          context, peers, [this](const PoolName& pool) { return this->usesOf(pool); },
+          [this](const PoolName& pool, const WorkspaceUses& totals) {
+              for (const auto& [workspace, total] : totals)
+                  applyTotalUse(this->poolOf(pool).state, workspace, total, Clock::now());
+          })
     , queued(context.metrics.counter("topaztack_requests_queued_total", "Requests that waited for a server"))
     , length(context.metrics.gauge("topaztack_queue_length", "Requests that wait for a server"))
     , waits(context.metrics.latency("topaztack_queue_seconds", "Time for which requests waited for a server"))
@@ -56,6 +63,23 @@
     return *pool;
 }
 
+/// What this VM knows of a pool that lacks room; empty if it doesn't.
+WorkspaceUses RequestQueue::usesOf(const PoolName& name)
+{
+    WorkspaceUses uses;
+    const auto now = Clock::now();
+    auto& pool = this->poolOf(name);
+    if (!lacksRoom(pool.state, now))
+        return uses;
+    for (const auto& [workspace, demand] : pool.state.demands) {
+        auto& use = uses[workspace];
+        use.rank = pool.ranks[workspace];
+        use.demand = drainPerSecond(demand.arrived, now);
+        use.served = drainPerSecond(demand.served, now);
+    }
+    return uses;
+}
+
 WaitingRequest RequestQueue::describe(const QueuedCall& call, Pool& pool) const
 {
     WaitingRequest request;
@@ -74,6 +98,7 @@
     if (!call.isCounted)
         recordArrival(pool.state, call.workspace, request.work, Clock::now());
     call.isCounted = true;
+    pool.ranks[call.workspace] = call.rank;
     if (call.refusals > 0 && Clock::now() >= request.latestStart)
         co_return this->refuseWaiter(call, request, WaiterState::Late);
     auto admission = decideAdmission(pool.state, request, true, Clock::now(), this->context.random);
@@ -85,6 +110,7 @@
             co_return entry;
         admission = decideAdmission(pool.state, request, false, Clock::now(), this->context.random);
     }
+    this->exchange.report(call.requirements.pool);
     if (admission.verdict == AdmissionVerdict::Refuse)
         co_return this->refuse(call, request, admission);
     if (admission.displaced) {
@@ -282,6 +308,10 @@
     const auto now = Clock::now();
     for (const auto& [name, pool] : this->pools)
         topaztack::expire(pool->state, now);
+    for (const auto& [name, pool] : this->pools)
+        std::erase_if(
+            pool->ranks, [&pool](const auto& each) { return !pool->state.demands.contains(each.first); });
+    this->exchange.expire();
 }
 
 json::value RequestQueue::dump() const
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -5,6 +5,7 @@
 #include "server_reach.hpp"
 #include "service_call.hpp"
 #include "suspect_gate.hpp"
+#include "usage_exchange.hpp"
 
 #include <topaztack/policy/admission.hpp>
 #include <topaztack/wire/http_server.hpp>
@@ -40,7 +41,8 @@
 
 class RequestQueue {
 public:
-    RequestQueue(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach);
+    RequestQueue(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach,
+        const PeerDirectory& peers);
 
     /// @brief Whether requests may wait: the configuration has workspaces.
     bool isUsed() const { return this->context.routes && this->context.routes->hasWorkspaces; }
@@ -59,6 +61,9 @@
     /// @brief Drops what is out of date.
     void expire();
 
+    /// @brief Answers another VM's report on what workspaces use.
+    HttpResponse answer(const HttpRequest& request) { return this->exchange.answer(request); }
+
     boost::json::value dump() const;
 
 private:
@@ -88,6 +93,7 @@
         }
 
         PoolQueue state;
+        std::map<WorkspaceName, std::uint64_t> ranks;
         std::map<RouteName, ServiceTime> serviceTimes;
         std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         bool isServed { false };
@@ -100,6 +106,7 @@
     };
 
     Pool& poolOf(const PoolName& name);
+    WorkspaceUses usesOf(const PoolName& name);
     WaitingRequest describe(const QueuedCall& call, Pool& pool) const;
     boost::asio::awaitable<SuspectGate::Entry> wait(QueuedCall& call, WaitingRequest request);
     boost::asio::awaitable<void> serve(PoolName name);
@@ -114,6 +121,7 @@
     ServerTable& servers;
     SuspectGate& suspects;
     ServerReach& reach;
+    UsageExchange exchange;
     std::map<PoolName, std::unique_ptr<Pool>> pools;
     std::map<WorkspaceName, Counter*> refusalCounters;
     Counter& queued;
--- a/tests/src/gateway/unit-request_queue.cpp
+++ b/tests/src/gateway/unit-request_queue.cpp
@@ -75,7 +75,7 @@
         , suspects(this->context, this->servers, this->crashes)
         , reach(this->context, this->servers, this->peers)
         , carrier(this->context, this->reach)
-        , queue(this->context, this->servers, this->suspects, this->reach)
+        , queue(this->context, this->servers, this->suspects, this->reach, this->peers)
         , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->queue)
     {
         boost::intrusive_ptr<RouteTable> table(new RouteTable);
@@ -219,6 +219,29 @@
     CHECK_TRUE(served >= 1);
 }
 
+// Two VMs report the use of one workspace to the VM that keeps the pool.
+TEST(RequestQueue, UseOfAWorkspaceIsAddedUpOverVms)
+{
+    Forwarding forwarding(*this->env);
+    boost::intrusive_ptr<RouteTable> table(new RouteTable);
+    table->pools.push_back({ .name = PoolName("app") });
+    forwarding.context.routes = table;
+    HttpRequest request;
+    request.body = R"({"vm":"vm-2","pool":"app","uses":[["a",0,1500,300,0],["b",0,100,100,0]]})";
+    LONGS_EQUAL(200, forwarding.queue.answer(request).status);
+    request.body = R"({"vm":"vm-3","pool":"app","uses":[["a",0,500,200,0]]})";
+    const auto answer = boost::json::parse(forwarding.queue.answer(request).body);
+    const auto& total = answer.at("uses").at(0);
+    LONGS_EQUAL(2000, total.at(2).as_int64());
+    LONGS_EQUAL(500, total.at(3).as_int64());
+    // 720 is what the servers did and a fifth more; `b` asks for 100 of it.
+    LONGS_EQUAL(620, total.at(4).as_int64());
+    request.body = R"({"vm":"vm-3","pool":"other","uses":[]})";
+    LONGS_EQUAL(400, forwarding.queue.answer(request).status);
+    request.body = "{";
+    LONGS_EQUAL(400, forwarding.queue.answer(request).status);
+}
+
 TEST(RequestQueue, RetryAfterGrowsWithTheQueue)
 {
     Forwarding forwarding(*this->env, 300ms);
