--- a/src/gateway/item_dispatcher.cpp
+++ b/src/gateway/item_dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "stream_forwarder.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/samples/item_order.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,11 +34,38 @@
         TimePoint latestStart;
     };
 
-    bool isBefore(const WaitingItem& one, const WaitingItem& other)
+    /// Puts the items into the order in which they start.
+    void sortItems(std::vector<WaitingItem>& items, const std::vector<std::shared_ptr<JobRunner>>& open)
     {
-        if (one.item->isSpare != other.item->isSpare)
-            return other.item->isSpare;
-        return one.latestStart < other.latestStart;
+        std::set<WorkspaceName> workspaces;
+        for (const auto& runner : open)
+            workspaces.insert(runner->spec().workspace);
+        const bool isShared = workspaces.size() > 1;
+        RunningTokens running;
+        std::vector<StartCandidate> candidates;
+        candidates.reserve(items.size());
+        for (const auto& each : items) {
+            StartCandidate candidate;
+            candidate.latestStart = each.latestStart;
+            candidate.isSpare = each.item->isSpare;
+            if (isShared) {
+                const auto need = each.runner->needOf(*each.item);
+                candidate.pool = need.pool;
+                candidate.tokens = need.tokens;
+                candidate.workspace = each.runner->spec().workspace;
+                candidate.rank = each.runner->rank();
+            }
+            candidates.push_back(std::move(candidate));
+        }
+        for (const auto& runner : open) {
+            if (isShared)
+                runner->addRunningTokens(running);
+        }
+        std::vector<WaitingItem> sorted;
+        sorted.reserve(items.size());
+        for (const auto index : orderCandidates(candidates, std::move(running)))
+            sorted.push_back(items[index]);
+        items = std::move(sorted);
     }
 
     /// What decides which servers can take an item. If there is none for one item, there is none for another with the
@@ -178,7 +206,7 @@
             waiting.push_back({ runner.get(), item, runner->dueAt() - remaining });
         }
     }
-    std::stable_sort(waiting.begin(), waiting.end(), isBefore);
+    sortItems(waiting, open);
     // For each key the smallest number of tokens for which no server was found.
     std::map<NeedKey, std::uint64_t> smallestUnmetTokens;
     std::vector<ServerRequirements> unmet;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -248,6 +248,21 @@
     return need;
 }
 
+std::uint64_t JobRunner::rank() const
+{
+    return this->route && this->context.routes ? rankOf(*this->context.routes, *this->route, this->job.workspace) : 0;
+}
+
+void JobRunner::addRunningTokens(RunningTokens& running) const
+{
+    for (const auto& item : this->items) {
+        if (item->phase != ItemPhase::Running || !item->route)
+            continue;
+        const auto need = this->needOf(*item);
+        running[{ need.pool, this->job.workspace }] += need.tokens;
+    }
+}
+
 PoolName JobRunner::pool() const
 {
     const auto* pool = this->route ? choosePool(*this->route, 0) : nullptr;
--- a/src/gateway/job_runner.hpp
+++ b/src/gateway/job_runner.hpp
@@ -9,6 +9,8 @@
 #include "service_call.hpp"
 #include "store_watch.hpp"
 
+#include <topaztack/samples/item_order.hpp>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
@@ -80,6 +82,12 @@
 
     ServerRequirements needOf(const ItemRun& item) const;
 
+    /// @brief The rank of the job's workspace, or of the route if it has none.
+    std::uint64_t rank() const;
+
+    /// @brief Adds the tokens of running items to those of the job's workspace at their pools.
+    void addRunningTokens(RunningTokens& running) const;
+
     /// @brief Starts an item if a server can take it.
     bool startItem(ItemRun& item, const ServerRequirements& need);
 
--- a/src/samples/item_order.cpp
+++ b/src/samples/item_order.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace topaztack {
@@ -14,6 +15,21 @@
         bool isCarriedOver { false };
     };
 
+    /// What decides when the items of a workspace have their turns.
+    struct Turn {
+        bool isSpare { false };
+        std::uint64_t rank { 0 };
+        PoolName pool;
+        WorkspaceName workspace;
+
+        auto operator<=>(const Turn&) const = default;
+    };
+
+    bool isSameLevel(const Turn& one, const Turn& other)
+    {
+        return one.isSpare == other.isSpare && one.rank == other.rank && one.pool == other.pool;
+    }
+
     std::vector<GroupLength> groupLengths(const std::vector<SchedulableItem>& items)
     {
         std::map<GroupId, GroupLength> groups;
@@ -47,6 +63,49 @@
 
 } // namespace
 
+std::vector<std::size_t> orderCandidates(const std::vector<StartCandidate>& candidates, RunningTokens running)
+{
+    std::vector<std::size_t> byStart(candidates.size());
+    std::iota(byStart.begin(), byStart.end(), 0);
+    std::stable_sort(byStart.begin(), byStart.end(), [&candidates](std::size_t left, std::size_t right) {
+        const auto& one = candidates[left];
+        const auto& other = candidates[right];
+        return one.isSpare != other.isSpare ? other.isSpare : one.latestStart < other.latestStart;
+    });
+    const bool hasOneWorkspace = std::all_of(candidates.begin(), candidates.end(),
+        [&candidates](const StartCandidate& each) { return each.workspace == candidates.front().workspace; });
+    if (hasOneWorkspace)
+        return byStart;
+    // The items of each workspace, in the order of their latest starts.
+    std::map<Turn, std::vector<std::size_t>> flows;
+    for (const auto index : byStart) {
+        const auto& each = candidates[index];
+        flows[{ each.isSpare, each.rank, each.pool, each.workspace }].push_back(index);
+    }
+    std::vector<std::size_t> order;
+    order.reserve(candidates.size());
+    for (auto flow = flows.begin(); flow != flows.end();) {
+        // The workspaces that share a pool at the same rank, the one with the fewest tokens running first.
+        std::set<std::pair<std::uint64_t, WorkspaceName>> turns;
+        const auto turn = flow->first;
+        for (; flow != flows.end() && isSameLevel(flow->first, turn); ++flow)
+            turns.emplace(running[{ turn.pool, flow->first.workspace }], flow->first.workspace);
+        std::map<WorkspaceName, std::size_t> taken;
+        while (!turns.empty()) {
+            const auto [tokens, workspace] = *turns.begin();
+            turns.erase(turns.begin());
+            const auto& items = flows.at({ turn.isSpare, turn.rank, turn.pool, workspace });
+            const auto next = items[taken[workspace]++];
+            order.push_back(next);
+            const auto after = tokens + std::max<std::uint64_t>(1, candidates[next].tokens);
+            running[{ turn.pool, workspace }] = after;
+            if (taken[workspace] < items.size())
+                turns.emplace(after, workspace);
+        }
+    }
+    return order;
+}
+
 std::vector<ScheduledItem> orderItems(const std::vector<SchedulableItem>& items, std::uint64_t wantedGroups)
 {
     const auto spare = spareGroups(items, wantedGroups);
--- a/tests/src/samples/unit-item_order.cpp
+++ b/tests/src/samples/unit-item_order.cpp
@@ -115,3 +115,53 @@
     CHECK_TRUE(ordered < first);
     LONGS_EQUAL(135, ordered);
 }
+
+namespace {
+
+StartCandidate makeCandidate(const std::string& workspace, std::chrono::seconds latestStart, std::uint64_t rank = 0,
+    std::uint64_t tokens = 100, bool isSpare = false)
+{
+    return { PoolName("lm"), WorkspaceName(workspace), rank, tokens, TimePoint(latestStart), isSpare };
+}
+
+/// The workspaces in the order in which their items start.
+std::string startOrder(const std::vector<StartCandidate>& candidates, RunningTokens running = {})
+{
+    std::string text;
+    for (const auto index : orderCandidates(candidates, std::move(running)))
+        text += candidates[index].workspace.value();
+    return text;
+}
+
+} // namespace
+
+TEST(ItemOrder, ItemsOfOneWorkspaceStartInTheOrderOfTheirLatestStarts)
+{
+    using std::chrono::seconds;
+    const auto order = orderCandidates({ makeCandidate("a", seconds(3), 2), makeCandidate("a", seconds(1), 1),
+                                           makeCandidate("a", seconds(0), 0, 1, true), makeCandidate("a", seconds(2)) },
+        {});
+    CHECK_TRUE((std::vector<std::size_t> { 1, 3, 0, 2 }) == order);
+}
+
+// A trainer with a large step that is due earlier must not keep the engines from the others.
+TEST(ItemOrder, WorkspacesShareTheEnginesByTokens)
+{
+    using std::chrono::seconds;
+    std::vector<StartCandidate> candidates;
+    for (int index = 0; index < 4; ++index)
+        candidates.push_back(makeCandidate("a", seconds(1), 0, 200));
+    for (int index = 0; index < 4; ++index)
+        candidates.push_back(makeCandidate("b", seconds(9), 0, 100));
+    STRCMP_EQUAL("abbabbaa", startOrder(candidates).c_str());
+    STRCMP_EQUAL("bbbbaaaa", startOrder(candidates, { { { PoolName("lm"), WorkspaceName("a") }, 1000 } }).c_str());
+}
+
+TEST(ItemOrder, MoreUrgentRankStartsFirstAndSpareItemsLast)
+{
+    using std::chrono::seconds;
+    STRCMP_EQUAL("cba",
+        startOrder({ makeCandidate("a", seconds(1), 0, 100, true), makeCandidate("b", seconds(1), 1),
+                       makeCandidate("c", seconds(9), 0) })
+            .c_str());
+}
