--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "order_lease.hpp"
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
+#include "request_queue.hpp"
 #include "request_quota.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
@@ -114,6 +115,7 @@
     StoreWatch storeWatch;
     JobOwner jobs;
     JobService jobService;
+    RequestQueue requestQueue;
     Forwarder forwarder;
     OrderLease lease;
     WeightLoader weights;
@@ -146,7 +148,8 @@
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier)
+    , requestQueue(this->context, this->servers, this->suspects, this->reach, this->peers)
+    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->requestQueue)
     , lease(this->context)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
@@ -197,9 +200,9 @@
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
-        { "suspects", this->crashes.dump() }, { "software", this->software.dump() }, { "cut_off", this->reach.dump() },
-        { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() }, { "weights", this->weights.dump() },
-        { "peers", this->peers.dump() } };
+        { "queues", this->requestQueue.dump() }, { "suspects", this->crashes.dump() },
+        { "software", this->software.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
+        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -299,6 +302,10 @@
         co_await exchange.respond(this->quota.answer(exchange.request()));
         co_return;
     }
+    if (path == workspaceUsePath) {
+        co_await exchange.respond(this->requestQueue.answer(exchange.request()));
+        co_return;
+    }
     if (path == streamOriginPath) {
         co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
         co_return;
@@ -382,6 +389,7 @@
         this->quota.expire();
         this->crashes.expire();
         this->streamOrigins.expire();
+        this->requestQueue.expire();
         co_await pauseFor(expiryInterval);
     }
 }
