--- a/include/topaztack/control/server_registry.hpp
+++ b/include/topaztack/control/server_registry.hpp
@@ -31,6 +31,10 @@
     DataCentre dataCentre;
     std::uint64_t slots { 1 };
     bool isLeaving { false };
+    /// Whether the platform may reclaim it at any time.
+    bool isReclaimable { false };
+    /// Set while the platform reclaims it: the time that it has left, as of its record.
+    std::optional<std::chrono::milliseconds> leavesIn;
     /// Version of its software; empty if unknown. What servers of two versions generate doesn't fit together.
     std::string softwareVersion;
     std::vector<LoadedModel> models;
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -65,6 +65,7 @@
 #include <topaztack/policy/outage_evidence.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/pool_reach.hpp>
+#include <topaztack/policy/pool_scaling.hpp>
 #include <topaztack/policy/pool_scheduler.hpp>
 #include <topaztack/policy/prefix.hpp>
 #include <topaztack/policy/prefix_view.hpp>
--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -83,6 +83,26 @@
         CHECK_FALSE(decodeServer("i-1", bytes).has_value());
 }
 
+TEST(Records, ReclaimableServersAndTheTimeTheyHaveLeft)
+{
+    CHECK_FALSE(decodeServer("i-1", wholeServer).value().isReclaimable);
+    CHECK_FALSE(decodeServer("i-1", wholeServer).value().leavesIn.has_value());
+    const auto reclaimed = decodeServer(
+        "i-1", replaced(wholeServer, "\"ready\"", "\"draining\",\"spot\":true,\"leaves_ms\":8000")).value();
+    CHECK_TRUE(reclaimed.isReclaimable);
+    CHECK_TRUE(reclaimed.isLeaving);
+    CHECK_TRUE(reclaimed.leavesIn == 8000ms);
+}
+
+// A server whose record is refused gets no requests, which costs more than not knowing that it may be reclaimed.
+TEST(Records, MalformedReclaimFieldsDoNotHideAServer)
+{
+    const auto server
+        = decodeServer("i-1", replaced(wholeServer, "\"ready\"", "\"ready\",\"spot\":1,\"leaves_ms\":\"soon\""));
+    CHECK_FALSE(server.value().isReclaimable);
+    CHECK_FALSE(server.value().leavesIn.has_value());
+}
+
 TEST(Records, ANamedVersion)
 {
     const auto version = decodePublishedVersion("version/m", R"({"model":"m","version":5})");
