--- a/src/policy/pool_scaling.cpp
+++ b/src/policy/pool_scaling.cpp
@@ -210,8 +210,7 @@
         const auto total = totalCapacity(plan);
         for (const auto& [group, planned] : plan) {
             const auto inDataCentre = countOf(plan, group.dataCentre);
-            if (!planned.isConfirmed || planned.count == 0 || inDataCentre <= limits.min
-                || planned.capacity < 1)
+            if (!planned.isConfirmed || planned.count == 0 || inDataCentre <= limits.min || planned.capacity < 1)
                 continue;
             auto amount = static_cast<std::uint64_t>(maxScaleInFraction * static_cast<double>(inDataCentre));
             amount = std::min({ amount, inDataCentre - limits.min, planned.count,
@@ -260,8 +259,8 @@
         return found == seen.servers.end() ? ServerGroupCount {} : found->second;
     }
 
-    Plan currentPlan(const PoolScalingState& state, const PoolScalingLimits& limits, const PoolObservation& seen,
-        TimePoint now)
+    Plan currentPlan(
+        const PoolScalingState& state, const PoolScalingLimits& limits, const PoolObservation& seen, TimePoint now)
     {
         Plan plan;
         for (const auto& [group, order] : state.groups) {
@@ -274,8 +273,7 @@
                 + slowServerCapacity * static_cast<double>(count.slow);
             if (age < startLimit(limits))
                 planned.capacity += static_cast<double>(missing);
-            const bool isOverdue
-                = missing > 0 && age >= startLimit(limits) && age < startLimit(limits) + overduePause;
+            const bool isOverdue = missing > 0 && age >= startLimit(limits) && age < startLimit(limits) + overduePause;
             planned.isConfirmed = order.isConfirmed;
             planned.mayRaise = order.isConfirmed && now >= order.notBefore && !isOverdue;
         }
@@ -370,8 +368,7 @@
         }
         state.decidedAt = now;
         state.needs.push_back({ now, demand, needed });
-        std::erase_if(
-            state.needs, [&limits, now](const auto& need) { return now - need.at > scaleInDelay(limits); });
+        std::erase_if(state.needs, [&limits, now](const auto& need) { return now - need.at > scaleInDelay(limits); });
     }
 
     /// Gives up servers if there have been too many for long enough.
@@ -440,8 +437,8 @@
         decision.reason = ScalingReason::InputsMissing;
     } else {
         auto plan = currentPlan(state, limits, seen, now);
-        decision.demand = std::max(
-            concurrencyNeeded(seen) / std::max(1.0, seen.slotsPerServer), static_cast<double>(seen.models));
+        decision.demand
+            = std::max(concurrencyNeeded(seen) / std::max(1.0, seen.slotsPerServer), static_cast<double>(seen.models));
         const auto goal = goalFor(decision.demand, plan);
         decision.needed = serversFor(goal, dataCentresOf(plan).size());
         decision.present = totalCapacity(plan);
--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -87,8 +87,9 @@
 {
     CHECK_FALSE(decodeServer("i-1", wholeServer).value().isReclaimable);
     CHECK_FALSE(decodeServer("i-1", wholeServer).value().leavesIn.has_value());
-    const auto reclaimed = decodeServer(
-        "i-1", replaced(wholeServer, "\"ready\"", "\"draining\",\"spot\":true,\"leaves_ms\":8000")).value();
+    const auto reclaimed
+        = decodeServer("i-1", replaced(wholeServer, "\"ready\"", "\"draining\",\"spot\":true,\"leaves_ms\":8000"))
+              .value();
     CHECK_TRUE(reclaimed.isReclaimable);
     CHECK_TRUE(reclaimed.isLeaving);
     CHECK_TRUE(reclaimed.leavesIn == 8000ms);
