One lease module for orders and calls to the platform

Change: DutyLease takes the row, the silence between holders, the call window, the transit and thaw times; OrderLease is replaced by it with the options of the same row and timing. It can be given up for a time by a holder that can't carry out the duty. After a suspension or a stop of the process no number is given within the thaw time.

--- a/models/order.pml
+++ b/models/order.pml
@@ -109,7 +109,7 @@
     atomic { isBeforeRestart = isHeldUp; newestAccepted = 0 }
 }
 
-/* OrderLease and LeaseContender at one VM */
+/* DutyLease and LeaseContender at one VM */
 proctype Vm(byte self) {
     byte myNumber = 0;
     bool isFirst = true;
@@ -118,7 +118,7 @@
     bool isAnswered = false;
 end:
     do
-    /* OrderLease::read */
+    /* DutyLease::read */
     :: atomic { hasChanged[self] ->
        hasChanged[self] = false; seenAge[self] = 0; isFirst = false;
        if
@@ -126,7 +126,7 @@
        /* A write whose answer was lost is read back; only a renewal lets it order again. */
        :: holder == self -> holds = true; myNumber = number
        fi }
-    /* OrderLease::commit: take the lease, or renew it; the clock is read before the write is sent */
+    /* DutyLease::commit: take the lease, or renew it; the clock is read before the write is sent */
     :: atomic { (mayAsk[self] && (holds || holder == NOBODY
                  || (holder != self && seenAge[self] >= DURATION && number < TERMS))) ->
        sentAge[self] = 0; mayAsk[self] = false }
@@ -155,7 +155,7 @@
            fi;
            isTaken = false; isAnswered = false; sentAge[self] = WINDOW
        }
-    /* OrderLease::fencingNumberForOrder, WeightLoader::sendOrder */
+    /* DutyLease::fencingNumber, WeightLoader::sendOrder */
     :: atomic { (holds
 #ifndef NO_WINDOW
                  && renewedAge[self] < WINDOW
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "call_carrier.hpp"
 #include "context.hpp"
 #include "crash_records.hpp"
+#include "duty_lease.hpp"
 #include "error_responses.hpp"
 #include "forwarder.hpp"
 #include "item_dispatcher.hpp"
@@ -10,7 +11,6 @@
 #include "job_owner.hpp"
 #include "job_service.hpp"
 #include "job_store.hpp"
-#include "order_lease.hpp"
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
 #include "request_quota.hpp"
@@ -113,7 +113,8 @@
     JobOwner jobs;
     JobService jobService;
     Forwarder forwarder;
-    OrderLease lease;
+    DutyLease lease;
+    DutyLease platformDuties;
     WeightLoader weights;
     PeerRelay peerRelay;
     JobCalls jobCalls;
@@ -142,7 +143,8 @@
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
     , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier)
-    , lease(this->context)
+    , lease(this->context, orderLeaseOptions(this->context.settings))
+    , platformDuties(this->context, platformDutyLeaseOptions(this->context.settings))
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
     , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch)
@@ -193,7 +195,8 @@
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
         { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "lease", this->lease.dump() }, { "duty_lease", this->platformDuties.dump() },
+        { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -359,6 +362,7 @@
 asio::awaitable<void> Gateway::Parts::handOver(TimePoint deadline)
 {
     co_await this->lease.release(deadline);
+    co_await this->platformDuties.release(deadline);
     co_await this->jobs.releaseAll(deadline);
     co_await this->peers.withdraw();
 }
@@ -381,6 +385,7 @@
     parts.dispatcher.start();
     parts.jobs.start();
     parts.lease.start();
+    parts.platformDuties.start();
     parts.weights.start();
     parts.peers.start();
     parts.crashes.start();
--- a/src/gateway/weight_loader.cpp
+++ b/src/gateway/weight_loader.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-WeightLoader::WeightLoader(GatewayContext& context, ServerTable& servers, JobOwner& jobs, OrderLease& lease)
+WeightLoader::WeightLoader(GatewayContext& context, ServerTable& servers, JobOwner& jobs, DutyLease& lease)
     : context(context)
     , servers(servers)
     , jobs(jobs)
@@ -66,7 +66,7 @@
 asio::awaitable<void> WeightLoader::plan()
 {
     while (true) {
-        if (this->context.routes && !this->context.isDraining && this->lease.fencingNumberForOrder()) {
+        if (this->context.routes && !this->context.isDraining && this->lease.fencingNumber()) {
             this->removeGoneEngines();
             for (const auto& pool : this->context.routes->pools) {
                 if (pool.engines)
@@ -174,7 +174,7 @@
 {
     // Before the lease is looked at, since another VM may be asked.
     co_await this->servers.charge(server);
-    const auto fencingNumber = this->lease.fencingNumberForOrder();
+    const auto fencingNumber = this->lease.fencingNumber();
     if (!fencingNumber)
         co_return OrderResponse::FencedOff;
     LoadOrder order;
--- a/src/gateway/weight_loader.hpp
+++ b/src/gateway/weight_loader.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "context.hpp"
+#include "duty_lease.hpp"
 #include "job_owner.hpp"
-#include "order_lease.hpp"
 #include "server_table.hpp"
 
 #include <topaztack/samples/load_concurrency.hpp>
@@ -20,7 +20,7 @@
 
 class WeightLoader {
 public:
-    WeightLoader(GatewayContext& context, ServerTable& servers, JobOwner& jobs, OrderLease& lease);
+    WeightLoader(GatewayContext& context, ServerTable& servers, JobOwner& jobs, DutyLease& lease);
 
     void start();
 
@@ -59,7 +59,7 @@
     GatewayContext& context;
     ServerTable& servers;
     JobOwner& jobs;
-    OrderLease& lease;
+    DutyLease& lease;
     std::map<BackendName, Engine> engines;
     std::map<PoolName, LoadConcurrency> paces;
     Counter& orders;
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -93,8 +93,8 @@
             entry["value"] = encodeBase64(row.value);
         list.push_back(std::move(entry));
     }
-    return json::serialize(
-        json::object { { "rows", std::move(list) }, { "morePages", false }, { "ver", this->version }, { "nowMs", steadyTime() } });
+    return json::serialize(json::object {
+        { "rows", std::move(list) }, { "morePages", false }, { "ver", this->version }, { "nowMs", steadyTime() } });
 }
 
 HttpResponse StoreStandin::commit(const std::string& body)
