--- a/include/topaztack/policy/pool_scaling.hpp
+++ b/include/topaztack/policy/pool_scaling.hpp
@@ -74,6 +74,18 @@
     Duration storeAge { 0 };
 };
 
+/// @brief Estimates the time that an item takes: items in flight, over time, divided by the items that finished.
+struct ItemTimeEstimate {
+    double inFlightSeconds { 0 };
+    double finished { 0 };
+};
+
+/// @brief Records the items in flight during a period and those that finished in it.
+void recordItems(ItemTimeEstimate& estimate, double inFlight, std::uint64_t finished, Duration period);
+
+/// @return 0 until enough items have finished.
+Duration itemTimeOf(const ItemTimeEstimate& estimate);
+
 /// @brief What was ordered of a group.
 struct GroupOrder {
     /// Number of servers that the platform is to keep; until the first order, the most that were listed.
@@ -144,7 +156,7 @@
 
 /// @brief Decides what to order now and records it in `state`; each order must be followed by recordOrderAccepted() or
 /// recordOrderRejected() once its answer is known. While the number of servers is between what is needed and 1.6 times
-/// that, and no group is below its minimum, there is no new order.
+/// that, and no data centre is below its minimum, there is no new order.
 /// @complexity O(groups * ordered servers).
 ScalingDecision decidePoolScaling(
     PoolScalingState& state, const PoolScalingLimits& limits, const PoolObservation& seen, TimePoint now);
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -6,6 +6,8 @@
 #include "peer_directory.hpp"
 #include "table_follower.hpp"
 
+#include <topaztack/policy/pool_scaling.hpp>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 
@@ -55,6 +57,13 @@
     /// if its engines loaded new weights.
     bool needsEnginesOf(const ModelName& model) const;
 
+    /// @brief The steps of the jobs whose route leads to a pool: open ones, and those that ended lately.
+    std::vector<StepDemand> stepsOf(const PoolName& pool) const;
+
+    /// @brief Generations at engines and listed results of all jobs, as their heads state them. The number of results
+    /// never decreases while the job is known.
+    std::pair<std::uint64_t, std::uint64_t> countItems(const PoolName& pool) const;
+
     boost::json::value dump() const;
 
 private:
@@ -71,6 +80,7 @@
     void applyRows(const std::vector<StoreRow>& rows, bool isWhole);
     boost::asio::awaitable<void> watch();
     std::map<VmName, std::uint64_t> countOpenItems() const;
+    const Route* routeTo(const JobHead& head, const PoolName& pool) const;
     VmName lastOwner(const ModelName& model) const;
     Duration claimDelay(const JobId& id, Duration spread) const;
     bool isClaimable(const JobId& id, const KnownJob& known, TimePoint now) const;
--- a/src/gateway/server_table.cpp
+++ b/src/gateway/server_table.cpp
@@ -38,6 +38,12 @@
             loaded.version = std::max(loaded.version, versionOf(known, loaded.model).value_or(WeightVersion(0)));
     }
 
+    /// Whether a caller waits for the request, rather than a job or a scoring call.
+    bool isOfCaller(const ServerRequirements& requirements)
+    {
+        return !requirements.isBackground && (requirements.model.value().empty() || requirements.hasCaller);
+    }
+
 } // namespace
 
 ServerTable::ServerTable(GatewayContext& context, RequestQuota& quota, CrashRecords& crashes)
@@ -65,6 +71,7 @@
     if (isNew)
         this->usageByServer[record.name] = ServerUsage { .outstanding = this->usageByServer[record.name].outstanding,
             .background = this->usageByServer[record.name].background,
+            .callers = this->usageByServer[record.name].callers,
             .tokens = this->usageByServer[record.name].tokens };
     if (isNew || known->isLeaving != record.isLeaving)
         logEvent(LogLevel::Info, isNew ? "server-known" : "server-leaving",
@@ -301,6 +308,7 @@
         member.usage->heardAt = now;
     ++member.usage->outstanding;
     member.usage->background += requirements.isBackground ? 1 : 0;
+    member.usage->callers += isOfCaller(requirements) ? 1 : 0;
     member.usage->tokens += requirements.tokens;
     if (member.idleConnections > 0)
         --member.idleConnections;
@@ -376,6 +384,8 @@
         --usage.outstanding;
     if (requirements.isBackground && usage.background > 0)
         --usage.background;
+    if (isOfCaller(requirements) && usage.callers > 0)
+        --usage.callers;
     usage.tokens -= std::min(usage.tokens, requirements.tokens);
     switch (outcome) {
     case ServerOutcome::Answered:
@@ -411,6 +421,9 @@
         return;
     this->recordActivity(server.name);
     this->quota.recordAnswer(server, answer, sentAt);
+    const auto seconds = std::chrono::duration<double>(Clock::now() - sentAt).count();
+    const auto [average, isFirst] = this->answerSeconds.try_emplace(server.pool, seconds);
+    average->second += smoothingFactor * (seconds - average->second);
     if (!answer.isLeaving || !noteDeparture(this->servers, server.name, server.startedAt, Clock::now()))
         return;
     logEvent(LogLevel::Info, "server-leaving",
--- a/src/gateway/server_table.hpp
+++ b/src/gateway/server_table.hpp
@@ -6,6 +6,7 @@
 #include "request_quota.hpp"
 
 #include <topaztack/control/server_registry.hpp>
+#include <topaztack/policy/pool_scaling.hpp>
 #include <topaztack/policy/server_choice.hpp>
 
 #include <boost/json/value.hpp>
@@ -51,6 +52,21 @@
     std::size_t withFreeSlot { 0 };
 };
 
+/// @brief What this VM's callers take of a pool, for the decision on how many servers to order.
+struct PoolUsage {
+    /// Callers' requests that are at servers.
+    std::uint64_t running { 0 };
+    /// Callers' requests that wait for a server.
+    std::uint64_t waiting { 0 };
+    /// Callers' requests per second that got no server, over the last few seconds.
+    double refusedPerSecond { 0 };
+    /// Mean time to the head of an answer; 0 if unknown.
+    Duration answerTime { 0 };
+    /// All generations at servers, and the tokens that they are expected to take.
+    std::uint64_t generations { 0 };
+    std::uint64_t tokens { 0 };
+};
+
 /// @brief How a request at a server ended.
 enum class ServerOutcome : std::uint8_t {
     Answered,
@@ -162,6 +178,14 @@
     /// @param softwareVersion the version that it must run; empty for any.
     bool hasUsableServer(const PoolName& pool, const std::optional<std::string>& softwareVersion);
 
+    /// @brief Records that a caller's request got no server of the pool.
+    void recordUnserved(const PoolName& pool);
+
+    PoolUsage usageOf(const PoolName& pool) const;
+
+    /// @brief The listed servers of a pool by data centre and kind.
+    std::map<ServerGroup, ServerGroupCount> countGroups(const PoolName& pool);
+
     EngineCount countEngines(const PoolName& pool, const ModelName& model, WeightVersion oldest);
 
     /// @brief Whether a generation at this server should move to a faster one.
@@ -187,6 +211,8 @@
         std::uint32_t outstanding { 0 };
         /// Those of them that no caller waits for.
         std::uint32_t background { 0 };
+        /// Those of them that callers wait for.
+        std::uint32_t callers { 0 };
         /// Tokens that this VM's generations there are expected to take.
         std::uint64_t tokens { 0 };
         std::uint32_t consecutiveFailures { 0 };
@@ -233,6 +259,12 @@
         std::uint64_t memoryTokens { 0 };
     };
 
+    /// Callers' requests of one second that got no server.
+    struct UnservedSecond {
+        TimePoint startedAt;
+        std::uint64_t count { 0 };
+    };
+
     std::uint32_t countPeerOutstanding(const BackendName& name, TimePoint now) const;
     void applyRecord(ServerRecord record);
     boost::asio::awaitable<bool> reachesAnotherServer(BackendName except);
@@ -264,6 +296,10 @@
     TimePoint softwareRecordedAt;
     /// The most servers that each pool had lately, and when it had them.
     std::map<PoolName, std::pair<std::size_t, TimePoint>> largestPools;
+    /// The last few seconds in which callers' requests got no server.
+    std::map<PoolName, std::vector<UnservedSecond>> unserved;
+    /// Moving average of the time to the head of an answer, in seconds.
+    std::map<PoolName, double> answerSeconds;
     /// Since when the servers are known without a gap; empty before the first full read.
     std::optional<TimePoint> watchedSince;
 };
--- a/src/gateway/service_call.cpp
+++ b/src/gateway/service_call.cpp
@@ -58,6 +58,7 @@
         return mayHaveRunResponse(
             problem.value_or(makeError(ErrorKind::BackendTimeout, "no backend server answered before the deadline")),
             id);
+    servers.recordUnserved(pool);
     const auto error
         = problem.value_or(makeError(ErrorKind::NoBackendServer, "pool `" + pool.value() + "` has no free server"));
     const auto serverFree = std::max(refusalRetryAfter, toMilliseconds(servers.timeUntilAdmission(pool)));
--- a/src/policy/pool_scaling.cpp
+++ b/src/policy/pool_scaling.cpp
@@ -39,6 +39,11 @@
     /// The wait of a late step's items is counted as this part of its target at least: servers that are ordered now
     /// start too late for them.
     constexpr double minTimeLeftFraction = 0.25;
+    /// Part of the expected reports below which no server is given up: those that are missing may come from busy VMs.
+    constexpr double minReportsForScaleIn = 0.9;
+    /// Weight that the estimate of an item's time keeps over a second.
+    constexpr double itemMemoryPerSecond = 0.98;
+    constexpr double minFinishedItems = 5;
     /// Absorbs rounding errors of sums of fractions.
     constexpr double tolerance = 1e-6;
 
@@ -354,6 +359,12 @@
         }
     }
 
+    bool mayGiveUpServers(const PoolObservation& seen)
+    {
+        return static_cast<double>(seen.freshReports)
+            >= minReportsForScaleIn * static_cast<double>(seen.expectedReports);
+    }
+
     bool hasRecentInputs(const PoolObservation& seen)
     {
         return seen.storeAge <= maxStoreAge && seen.freshReports * 2 >= seen.expectedReports;
@@ -403,6 +414,21 @@
     return std::max<Duration>(minScaleInDelay, 2 * Duration(limits.bootTime));
 }
 
+void recordItems(ItemTimeEstimate& estimate, double inFlight, std::uint64_t finished, Duration period)
+{
+    const auto kept = std::pow(itemMemoryPerSecond, seconds(period));
+    estimate.inFlightSeconds = estimate.inFlightSeconds * kept + inFlight * seconds(period);
+    estimate.finished = estimate.finished * kept + static_cast<double>(finished);
+}
+
+Duration itemTimeOf(const ItemTimeEstimate& estimate)
+{
+    if (estimate.finished < minFinishedItems)
+        return Duration(0);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(estimate.inFlightSeconds / estimate.finished));
+}
+
 double concurrencyNeeded(const PoolObservation& seen)
 {
     struct ModelNeed {
@@ -453,7 +479,8 @@
             raise(plan, limits, withHeadroom);
             if (findLack(plan, goal).lack != Lack::None)
                 decision.reason = ScalingReason::NoneAvailable;
-        } else if (decision.reason == ScalingReason::Enough && applyExcess(state, plan, limits, now)) {
+        } else if (decision.reason == ScalingReason::Enough && mayGiveUpServers(seen)
+            && applyExcess(state, plan, limits, now)) {
             decision.reason = ScalingReason::Excess;
         }
         recordOrders(state, plan, seen, now);
--- a/tests/src/policy/unit-pool_scaling.cpp
+++ b/tests/src/policy/unit-pool_scaling.cpp
@@ -286,6 +286,18 @@
     LONGS_EQUAL(0, simulation.orders);
 }
 
+// A quarter of the VMs can't be asked and may be the busy ones.
+TEST(PoolScaling, NoServerIsGivenUpWhileSomeReportsAreMissing)
+{
+    Simulation simulation(limitsOf(1, 30), 8);
+    simulation.freshReports = 8;
+    simulation.run(120, constant(5));
+    LONGS_EQUAL(0, simulation.orders);
+    simulation.freshReports = 9;
+    simulation.run(20, constant(5));
+    CHECK_TRUE(simulation.orders > 0);
+}
+
 TEST(PoolScaling, AnOutageOfTheStoreChangesNoOrder)
 {
     Simulation simulation(limitsOf(1, 30), 8);
@@ -373,6 +385,16 @@
     DOUBLES_EQUAL(40, concurrencyNeeded(seen), 0.01);
 }
 
+// 20 items in flight of which 10 finish each second take 2 s each.
+TEST(PoolScaling, TheTimeOfAnItemFollowsFromThoseInFlight)
+{
+    ItemTimeEstimate estimate;
+    CHECK_TRUE(itemTimeOf(estimate) == 0s);
+    for (int second = 0; second < 10; ++second)
+        recordItems(estimate, 20, 10, 1s);
+    CHECK_TRUE(itemTimeOf(estimate) > 1990ms && itemTimeOf(estimate) < 2010ms);
+}
+
 TEST(PoolScaling, EachModelHasAServerThoughNothingIsRequested)
 {
     Simulation simulation(limitsOf(0, 30), 0);
