The holder of the lease for calls to the platform orders servers

It asks other VMs for the load of their callers, decides once a second, writes each order to the store before it sends it, and repeats an order of unknown outcome unchanged. Counts of servers that were never ordered are stored too, so that a data centre that is lost with its holder keeps its servers. Off unless the settings and the pool's configuration call for it.

--- a/include/topaztack/policy/pool_scaling.hpp
+++ b/include/topaztack/policy/pool_scaling.hpp
@@ -104,7 +104,8 @@
     TimePoint notBefore;
 };
 
-/// @brief The state of the decision for one pool. Only `groups` must outlive the deciding VM.
+/// @brief The state of the decision for one pool. `groups` must outlive the deciding VM, those included of which
+/// nothing was ordered: their servers may be lost when the next VM decides, and would count as none.
 struct PoolScalingState {
     std::map<ServerGroup, GroupOrder> groups;
     struct Need {
@@ -113,6 +114,9 @@
         double demand { 0 };
         double needed { 0 };
     };
+    /// Nothing is ordered before this time: the servers of a deployment that starts are not all listed yet. Empty
+    /// before the first decision.
+    std::optional<TimePoint> settlesAt;
     /// Needs of the last decisions, over the time that a lower need must hold.
     std::vector<Need> needs;
     /// When the decisions without a gap began; empty before the first.
@@ -125,6 +129,8 @@
 enum class ScalingReason : std::uint8_t {
     /// What is there is between what is needed and the most that is kept.
     Enough,
+    /// Nothing is known of earlier orders, and servers that are there may not be listed yet.
+    Settling,
     /// Too few of the inputs are recent.
     InputsMissing,
     BelowMinimum,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "job_store.hpp"
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
+#include "pool_scaler.hpp"
 #include "request_quota.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
@@ -116,6 +117,7 @@
     DutyLease lease;
     DutyLease platformDuties;
     WeightLoader weights;
+    PoolScaler scaler;
     PeerRelay peerRelay;
     JobCalls jobCalls;
     TableFollower operatorRows;
@@ -146,6 +148,8 @@
     , lease(this->context, orderLeaseOptions(this->context.settings))
     , platformDuties(this->context, platformDutyLeaseOptions(this->context.settings))
     , weights(this->context, this->servers, this->jobs, this->lease)
+    , scaler(this->context, this->servers, this->jobs, this->peers, this->reach, this->platformDuties,
+          [this] { return this->serverRows.answeredAt(); })
     , peerRelay(this->context, this->peers)
     , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch)
     , operatorRows(this->context, followOptions(protocol.storeLayout.operatorTable, configurationFeedWait, 0ms),
@@ -196,7 +200,7 @@
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
         { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
         { "lease", this->lease.dump() }, { "duty_lease", this->platformDuties.dump() },
-        { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "weights", this->weights.dump() }, { "scaling", this->scaler.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -286,6 +290,10 @@
         co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
         co_return;
     }
+    if (path == poolUsagePath) {
+        co_await exchange.respond(this->scaler.answer());
+        co_return;
+    }
     if (path == serverReachPath) {
         auto response = co_await this->reach.answer(exchange.request());
         co_await exchange.respond(std::move(response));
@@ -387,6 +395,7 @@
     parts.lease.start();
     parts.platformDuties.start();
     parts.weights.start();
+    parts.scaler.start();
     parts.peers.start();
     parts.crashes.start();
     parts.storeWatch.start();
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -60,8 +60,8 @@
     /// @brief The steps of the jobs whose route leads to a pool: open ones, and those that ended lately.
     std::vector<StepDemand> stepsOf(const PoolName& pool) const;
 
-    /// @brief Generations at engines and listed results of all jobs, as their heads state them. The number of results
-    /// never decreases while the job is known.
+    /// @brief Generations at engines, and listed results of all known jobs, as their heads state them. The number of
+    /// results decreases when a job is removed.
     std::pair<std::uint64_t, std::uint64_t> countItems(const PoolName& pool) const;
 
     boost::json::value dump() const;
--- a/src/policy/pool_scaling.cpp
+++ b/src/policy/pool_scaling.cpp
@@ -404,8 +404,8 @@
 
 std::string_view reasonName(ScalingReason reason)
 {
-    static constexpr std::array<std::string_view, 7> names { "enough", "inputs-missing", "below-minimum", "shortage",
-        "none-available", "reclaimed", "excess" };
+    static constexpr std::array<std::string_view, 8> names { "enough", "settling", "inputs-missing", "below-minimum",
+        "shortage", "none-available", "reclaimed", "excess" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -458,8 +458,12 @@
     PoolScalingState& state, const PoolScalingLimits& limits, const PoolObservation& seen, TimePoint now)
 {
     ScalingDecision decision;
+    if (!state.settlesAt)
+        state.settlesAt = state.groups.empty() ? now + Duration(limits.bootTime) + startMargin : now;
     updateGroups(state, limits, seen);
-    if (!hasRecentInputs(seen)) {
+    if (now < *state.settlesAt) {
+        decision.reason = ScalingReason::Settling;
+    } else if (!hasRecentInputs(seen)) {
         decision.reason = ScalingReason::InputsMissing;
     } else {
         auto plan = currentPlan(state, limits, seen, now);
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -47,7 +47,9 @@
 /// @brief One gateway and its addresses.
 struct RunningGateway {
     /// An outgoing connection may have taken a port since it was found free; other ports are tried then.
-    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation)
+    /// @param adjust changes the usual settings; may be empty.
+    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation,
+        const std::function<void(VmSettings&)>& adjust = {})
     {
         static constexpr int maxStartAttempts = 20;
         for (int attempt = 0; attempt < maxStartAttempts; ++attempt) {
@@ -55,7 +57,10 @@
             this->operators = freeEndpoint();
             this->peers = freeEndpoint();
             const VmIdentity identity { VmName(name), Incarnation(incarnation) };
-            this->gateway = std::make_unique<Gateway>(this->settings(store, name), identity, platform::protocol());
+            auto settings = this->settings(store, name);
+            if (adjust)
+                adjust(settings);
+            this->gateway = std::make_unique<Gateway>(std::move(settings), identity, platform::protocol());
             if (this->gateway->start())
                 return;
         }
@@ -162,7 +167,8 @@
 
     RunningGateway& startGatewayAt(const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation)
     {
-        this->gateways.push_back(std::make_unique<RunningGateway>(storeEndpoint, name, incarnation));
+        this->gateways.push_back(
+            std::make_unique<RunningGateway>(storeEndpoint, name, incarnation, this->adjustSettings));
         auto& gateway = *this->gateways.back();
         waitFor([&] { return this->call(gateway.operators, "GET", "/-/readyz").status == 200; });
         return gateway;
@@ -256,6 +262,8 @@
         });
     }
 
+    /// Changes the settings of gateways that are started from now on.
+    std::function<void(VmSettings&)> adjustSettings;
     IoThreads threads { 1 };
     HttpClient client { threads.at(0) };
     StoreStandin store { threads };
--- a/tests/src/policy/unit-pool_scaling.cpp
+++ b/tests/src/policy/unit-pool_scaling.cpp
@@ -35,6 +35,7 @@
     {
         for (const auto& [dataCentre, price] : this->limits.prices)
             this->servers[{ dataCentre, false }] = this->ordered[{ dataCentre, false }] = serversPerDataCentre;
+        this->state.settlesAt = this->now;
     }
 
     std::uint64_t total() const
@@ -308,6 +309,35 @@
         CHECK_TRUE(simulation.step(seen).orders.empty());
 }
 
+// A deployment starts, and its servers are listed one after the other: an order that states the few that are known
+// would make the platform drain the others.
+TEST(PoolScaling, NothingIsOrderedWhileTheServersOfADeploymentAreBeingListed)
+{
+    Simulation simulation(limitsOf(2, 30), 8);
+    simulation.state = PoolScalingState {};
+    for (std::uint64_t second = 0; second < 60; ++second) {
+        auto seen = simulation.observe(120);
+        for (auto& [group, count] : seen.servers)
+            count.usable = std::min(count.usable, second);
+        simulation.step(seen);
+    }
+    LONGS_EQUAL(0, simulation.orders);
+    LONGS_EQUAL(8, simulation.state.groups[groupOf("z2")].count);
+}
+
+// A data centre is lost together with the deciding VM before anything was ordered.
+TEST(PoolScaling, ServersThatWereNeverOrderedAreRememberedByTheNextHolder)
+{
+    Simulation simulation(limitsOf(2, 30), 8);
+    simulation.run(10, constant(120));
+    PoolScalingState taken;
+    taken.groups = simulation.state.groups;
+    simulation.state = taken;
+    simulation.lost.insert(DataCentre("z1"));
+    simulation.run(60, constant(120));
+    LONGS_EQUAL(8, simulation.ordered[groupOf("z1")]);
+}
+
 // The deciding VM changes every 4 s and takes over what was ordered: a burst is answered by the same orders as with one
 // holder, and nothing is given up.
 TEST(PoolScaling, ChangingHoldersDoNotOrderTwice)
