topaztack check reads the configuration of gateways and compares versions

control/config_check returns typed findings for both kinds of configuration; the platform library decodes the JSON.

--- a/apps/topaztack/commands.cpp
+++ b/apps/topaztack/commands.cpp
@@ -1,7 +1,9 @@
 #include "commands.hpp"
 
+#include <platform/records.hpp>
 #include <topaztack/base/ini.hpp>
 #include <topaztack/base/random.hpp>
+#include <topaztack/control/config_check.hpp>
 #include <topaztack/control/document.hpp>
 #include <topaztack/control/document_diff.hpp>
 
@@ -33,6 +35,77 @@
         return problems.empty();
     }
 
+    struct CheckReport {
+        std::vector<ConfigFinding> findings;
+        /// Differences from the configuration in force.
+        std::vector<DocumentChange> changes;
+    };
+
+    bool isPlatformConfiguration(std::string_view text)
+    {
+        const auto first = text.find_first_not_of(" \t\r\n");
+        return first != std::string_view::npos && text[first] == '{';
+    }
+
+    /// @return nothing if the file to compare with can't be read as a configuration.
+    std::optional<CheckReport> checkPlatformConfiguration(const std::string& text, const std::string& fileName,
+        const std::string& inForceText, const std::string& inForceName)
+    {
+        CheckReport report;
+        const auto table = platform::decodeConfiguration(text);
+        if (!table) {
+            report.findings.push_back(
+                { FindingSeverity::Error, fileName, table.error().message, "correct the configuration" });
+            return report;
+        }
+        report.findings = checkRouteTable(*table.value());
+        if (!inForceName.empty()) {
+            const auto inForce = platform::decodeConfiguration(inForceText);
+            if (!inForce) {
+                std::cerr << inForceName << ": " << inForce.error().message << "\n";
+                return std::nullopt;
+            }
+            for (auto& finding : checkReplacement(*inForce.value(), *table.value()))
+                report.findings.push_back(std::move(finding));
+            report.changes = diffRouteTables(*inForce.value(), *table.value());
+        }
+        for (auto& finding : report.findings)
+            finding.where = fileName + ": " + finding.where;
+        return report;
+    }
+
+    std::optional<CheckReport> checkNodeDocument(const std::string& text, const std::string& fileName,
+        const std::string& inForceText, const std::string& inForceName)
+    {
+        CheckReport report;
+        report.findings = topaztack::checkDocument(text, fileName);
+        if (inForceName.empty())
+            return report;
+        std::vector<IniProblem> problems;
+        parseIni(inForceText, inForceName, problems);
+        if (!problems.empty()) {
+            std::cerr << toText(problems);
+            return std::nullopt;
+        }
+        report.changes = diffDocuments(inForceText, text);
+        return report;
+    }
+
+    json::value toJson(const CheckReport& report)
+    {
+        json::array findings;
+        for (const auto& finding : report.findings)
+            findings.push_back(
+                json::object { { "severity", finding.severity == FindingSeverity::Error ? "error" : "warning" },
+                    { "where", finding.where }, { "what", finding.what }, { "remedy", finding.remedy } });
+        json::array changes;
+        for (const auto& change : report.changes)
+            changes.push_back(json::object { { "section", change.section }, { "key", change.key },
+                { "before", change.wasPresent ? json::value(change.before) : json::value() },
+                { "after", change.isPresent ? json::value(change.after) : json::value() } });
+        return json::object { { "findings", std::move(findings) }, { "changes", std::move(changes) } };
+    }
+
     HttpRequest makeGetRequest(std::string target)
     {
         HttpRequest request;
@@ -178,10 +251,24 @@
 
 } // namespace
 
-int check(const std::string& fileName)
+int check(const std::string& fileName, const std::string& against, bool isJson)
 {
     const auto text = readFile(fileName);
-    return text && checkDocument(*text, fileName) ? exitSuccess : exitBadInput;
+    const auto inForce = against.empty() ? std::optional<std::string>("") : readFile(against);
+    if (!text || !inForce)
+        return exitBadInput;
+    const auto report = isPlatformConfiguration(*text) ? checkPlatformConfiguration(*text, fileName, *inForce, against)
+                                                       : checkNodeDocument(*text, fileName, *inForce, against);
+    if (!report)
+        return exitBadInput;
+    if (isJson) {
+        std::cout << json::serialize(toJson(*report)) << "\n";
+    } else {
+        for (const auto& finding : report->findings)
+            std::cerr << toText(finding) << "\n";
+        std::cout << toText(report->changes);
+    }
+    return report->findings.empty() ? exitSuccess : exitFindings;
 }
 
 int acceptFile(const NodeAccess& access, const std::string& fileName, AcceptOptions options)
--- a/apps/topaztack/commands.hpp
+++ b/apps/topaztack/commands.hpp
@@ -14,6 +14,8 @@
 inline constexpr int exitSuccess = 0;
 /// The node refused the request or could not be reached.
 inline constexpr int exitRefused = 1;
+/// check() found something.
+inline constexpr int exitFindings = 1;
 /// An invalid document, file or option.
 inline constexpr int exitBadInput = 2;
 /// It could not be determined whether the change took effect.
@@ -29,7 +31,10 @@
     std::string author;
 };
 
-int check(const std::string& fileName);
+/// @brief Prints what is wrong with a configuration: a node's document, or the platform's configuration in JSON. With
+/// `against`, also the differences from that file.
+/// @return exitFindings if something is wrong, exitBadInput if a file can't be read.
+int check(const std::string& fileName, const std::string& against, bool isJson);
 int acceptFile(const NodeAccess& access, const std::string& fileName, AcceptOptions options);
 
 /// @brief Sends the document and, if the response is lost, asks every node for the state of the operation.
--- a/apps/topaztack/main.cpp
+++ b/apps/topaztack/main.cpp
@@ -11,10 +11,10 @@
 
 constexpr const char* description = R"(topaztack: the operators' command line.
 
-Exit codes: 0 success; 1 refused or unreachable; 2 invalid document, file or option; 3 outcome of a change unknown.
+Exit codes: 0 success; 1 refused, unreachable or (check) something is wrong; 2 invalid document, file or option; 3 outcome of a change unknown.
 
 Examples:
-  topaztack check rollout.ini
+  topaztack check rollout.ini --against in-force.ini
   topaztack accept rollout.ini --base 0 --node 127.0.0.1:17201 --node 127.0.0.1:17202
   topaztack status --node 127.0.0.1:17201
   topaztack diff rollout.ini --node 127.0.0.1:17201        (from the document in force to the file)
@@ -48,8 +48,10 @@
     bool isJson = false;
 
     auto* checkCommand
-        = app.add_subcommand("check", "check a document; print its problems and exit 2 if it is invalid");
-    checkCommand->add_option("document", argument, "INI file")->required();
+        = app.add_subcommand("check", "check a configuration; exit 1 if something is wrong, 2 if it can't be read");
+    checkCommand->add_option("document", argument, "INI document, or the platform's configuration in JSON")->required();
+    checkCommand->add_option("--against", rightDocument, "configuration in force; prints the differences from it");
+    checkCommand->add_flag("--json", isJson, "print findings and differences as JSON");
     auto* acceptCommand = app.add_subcommand("accept", "submit a document as the version after its base version");
     acceptCommand->add_option("document", argument, "INI file")->required();
     auto* revertCommand = app.add_subcommand("revert", "submit the document of an earlier version as a new version");
@@ -97,7 +99,7 @@
     if (explainCommand->parsed())
         return explain(argument, logFiles);
     if (checkCommand->parsed())
-        return check(argument);
+        return check(argument, rightDocument, isJson);
     if (settingsCommand->parsed()) {
         std::cout << topaztack::settingsPage();
         return exitSuccess;
--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -19,6 +19,6 @@
 topaztack_library(wire DEPENDS topaztack-base topaztack-control topaztack-samples OpenSSL::SSL OpenSSL::Crypto PkgConfig::THRIFT)
 topaztack_library(node DEPENDS topaztack-policy topaztack-samples topaztack-control topaztack-wire)
 topaztack_library(gateway DEPENDS topaztack-policy topaztack-samples topaztack-control topaztack-wire)
-# The users' platform: nothing else depends on it but the daemon.
+# The users' platform: nothing else depends on it but the daemon and the command that checks configurations.
 topaztack_library(platform FOLDER platform DEPENDS topaztack-gateway)
 target_include_directories(topaztack-platform PUBLIC "${PROJECT_SOURCE_DIR}")
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -14,7 +14,7 @@
 endfunction()
 
 topaztack_program(topaztackd DEPENDS topaztack-node topaztack-gateway topaztack-platform)
-topaztack_program(topaztack DEPENDS topaztack-wire)
+topaztack_program(topaztack DEPENDS topaztack-wire topaztack-platform)
 topaztack_program(topaztack-standin DEPENDS topaztack-wire topaztack-policy)
 topaztack_program(topaztack-bench DEPENDS topaztack-node)
 topaztack_program(topaztack-console DEPENDS topaztack-wire)
--- a/include/topaztack/control/document_diff.hpp
+++ b/include/topaztack/control/document_diff.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,12 @@
     bool operator==(const DocumentChange&) const = default;
 };
 
+/// @brief The entries of each section by key.
+using ConfigSections = std::map<std::string, std::map<std::string, std::string>>;
+
+/// @brief All changes from one set of sections to another, sorted by section and key.
+std::vector<DocumentChange> diffSections(const ConfigSections& before, const ConfigSections& after);
+
 /// @brief All changes from one document to another, sorted by section and key. Comments and the order of entries are
 /// ignored.
 /// @complexity n log n in the entries.
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -12,6 +12,7 @@
 #include <topaztack/base/rcu_cell.hpp>
 #include <topaztack/base/time.hpp>
 #include <topaztack/control/acceptance.hpp>
+#include <topaztack/control/config_check.hpp>
 #include <topaztack/control/config_sync.hpp>
 #include <topaztack/control/document.hpp>
 #include <topaztack/control/document_diff.hpp>
--- a/src/control/document_diff.cpp
+++ b/src/control/document_diff.cpp
@@ -10,12 +10,11 @@
 namespace {
 
     using Entries = std::map<std::string, std::string>;
-    using Sections = std::map<std::string, Entries>;
 
-    Sections readSections(std::string_view text)
+    ConfigSections readSections(std::string_view text)
     {
         std::vector<IniProblem> problems;
-        Sections sections;
+        ConfigSections sections;
         for (const auto& section : parseIni(text, "document", problems).sections) {
             const auto header = section.name.empty() ? section.kind : section.kind + " " + section.name;
             auto& entries = sections[header];
@@ -58,8 +57,11 @@
 
 std::vector<DocumentChange> diffDocuments(std::string_view before, std::string_view after)
 {
-    const auto previous = readSections(before);
-    const auto current = readSections(after);
+    return diffSections(readSections(before), readSections(after));
+}
+
+std::vector<DocumentChange> diffSections(const ConfigSections& previous, const ConfigSections& current)
+{
     const Entries none;
     std::vector<DocumentChange> changes;
     for (const auto& [section, unused] : allKeys(previous, current)) {
