--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -77,6 +77,8 @@
 #include <topaztack/policy/server_silence.hpp>
 #include <topaztack/policy/slot_share.hpp>
 #include <topaztack/policy/ticket_ledger.hpp>
+#include <topaztack/policy/true_time.hpp>
+#include <topaztack/policy/usage_windows.hpp>
 #include <topaztack/samples/item_length.hpp>
 #include <topaztack/samples/item_order.hpp>
 #include <topaztack/samples/job.hpp>
