Counts of requests by workspace and window, and their reports

Change: UsageCounter counts a request when a server answered or may have run it, a stream at its first event, by windows of true time, and sends changed counts to two other VMs. UsageReporter at the holder of the lease asks all VMs, takes the counts of ended VMs from those that keep them, fixes the report in the store and sends it until it is accepted or due. VMs state their clock's offset in their row. All of it runs only where [duties] has usage = yes.

--- a/include/topaztack/wire/store_client.hpp
+++ b/include/topaztack/wire/store_client.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -152,15 +153,20 @@
 
     const StoreContact& contact() const { return this->lastContact; }
 
+    /// @brief Has each statement of the store's steady clock passed on, 0 if an answer states none.
+    void onStoreTime(std::function<void(std::chrono::milliseconds)> handler) { this->handleTime = std::move(handler); }
+
 private:
     boost::asio::awaitable<Result<HttpResponse>> call(HttpRequest request, std::chrono::microseconds allowed);
     void noteCall(bool isAnswered);
+    template <typename Answer> Result<Answer> passTimeOn(Result<Answer> answer) const;
 
     HttpClient& client;
     const Endpoint endpoint;
     const std::chrono::microseconds timeout;
     const StoreProtocol& protocol;
     StoreContact lastContact;
+    std::function<void(std::chrono::milliseconds)> handleTime;
     bool isOutageLogged { false };
     Counter& calls;
     Counter& failures;
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,5 +1,7 @@
 #include "context.hpp"
 
+#include <topaztack/base/log.hpp>
+
 namespace topaztack {
 
 namespace {
@@ -27,6 +29,22 @@
     , store(this->storeHttpClient, this->settings.platform, this->settings.platformTimeout, *protocol.store,
           this->metrics)
 {
+    if (!this->settings.duties.reportsUsage)
+        return;
+    this->store.onStoreTime([this](std::chrono::milliseconds storeTime) {
+        if (!recordStoreTime(this->storeClock, storeTime, timeWithSuspension()))
+            return;
+        this->trueTime = {};
+        logEvent(LogLevel::Warning, "store-clock-set-back", { { "store_ms", std::to_string(storeTime.count()) } });
+    });
+}
+
+std::optional<std::chrono::milliseconds> GatewayContext::clockOffset() const
+{
+    const auto storeTime = storeTimeAt(this->storeClock, timeWithSuspension());
+    if (!storeTime)
+        return std::nullopt;
+    return unixTime() - *storeTime;
 }
 
 } // namespace topaztack
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,7 +1,5 @@
 #include "forwarder.hpp"
 
-#include "service_call.hpp"
-
 #include <topaztack/base/log.hpp>
 
 #include <algorithm>
@@ -26,6 +24,8 @@
     std::uint64_t unreached { 0 };
     /// Whether a server may have run the request.
     bool mayHaveRun { false };
+    /// Whether it was counted as begun by a server.
+    bool isCounted { false };
     /// A server's response that is to be delivered to the caller.
     std::optional<HttpResponse> answer;
     std::optional<Error> problem;
@@ -43,13 +43,14 @@
     }
 };
 
-Forwarder::Forwarder(
-    GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier)
+Forwarder::Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach,
+    CallCarrier& carrier, UsageCounter& usage)
     : context(context)
     , servers(servers)
     , suspects(suspects)
     , reach(reach)
     , carrier(carrier)
+    , usage(usage)
     , requests(context.metrics.counter("topaztack_requests_total", "Requests forwarded to pools"))
     , retries(context.metrics.counter("topaztack_request_repeats_total", "Attempts after a request's first one"))
     , refused(context.metrics.counter("topaztack_requests_refused_total", "Requests answered as not run"))
@@ -148,6 +149,18 @@
         forwarding.problem, forwarding.call.id, forwarding.pass.retryAfter);
 }
 
+/// Counts a request once, with the first server that ran it or may have.
+void Forwarder::recordUse(Forwarding& forwarding, ServiceCallOutcome outcome, TimePoint sentAt)
+{
+    if (forwarding.isCounted)
+        return;
+    if (outcome == ServiceCallOutcome::Answered)
+        this->usage.recordAnswer(forwarding.call.workspace, forwarding.requirements.pool, sentAt, Clock::now());
+    else if (outcome == ServiceCallOutcome::Unknown)
+        this->usage.recordBegin(forwarding.call.workspace, sentAt);
+    forwarding.isCounted = outcome == ServiceCallOutcome::Answered || outcome == ServiceCallOutcome::Unknown;
+}
+
 asio::awaitable<void> Forwarder::attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server)
 {
     const auto now = Clock::now();
@@ -162,6 +175,7 @@
     auto result = co_await callService(this->context, this->servers, std::move(request), forwarding.call.id, server,
         end, control, forwarding.requirements);
     exchange.onCallerGone({});
+    this->recordUse(forwarding, result.outcome, now);
     if (result.outcome == ServiceCallOutcome::NotReached) {
         --forwarding.attempts;
         ++forwarding.unreached;
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -4,7 +4,9 @@
 #include "context.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
+#include "service_call.hpp"
 #include "suspect_gate.hpp"
+#include "usage_counter.hpp"
 
 #include <topaztack/wire/http_server.hpp>
 
@@ -18,8 +20,8 @@
 
 class Forwarder {
 public:
-    Forwarder(
-        GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier);
+    Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach,
+        CallCarrier& carrier, UsageCounter& usage);
 
     boost::asio::awaitable<void> handle(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
@@ -31,6 +33,7 @@
     boost::asio::awaitable<void> attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server);
     boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<HttpResponse> carry(HttpExchange& exchange, Forwarding& forwarding);
+    void recordUse(Forwarding& forwarding, ServiceCallOutcome outcome, TimePoint sentAt);
     HttpResponse failureResponse(const Forwarding& forwarding) const;
 
     GatewayContext& context;
@@ -38,6 +41,7 @@
     SuspectGate& suspects;
     ServerReach& reach;
     CallCarrier& carrier;
+    UsageCounter& usage;
     Counter& requests;
     Counter& retries;
     Counter& refused;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,8 @@
 #include "stream_origins.hpp"
 #include "suspect_gate.hpp"
 #include "table_follower.hpp"
+#include "usage_counter.hpp"
+#include "usage_reporter.hpp"
 #include "weight_loader.hpp"
 
 #include <topaztack/base/log.hpp>
@@ -106,6 +108,7 @@
     ServerReach reach;
     CallCarrier carrier;
     StreamOrigins streamOrigins;
+    UsageCounter usage;
     StreamForwarder streams;
     JobStore jobStore;
     ItemDispatcher dispatcher;
@@ -115,6 +118,7 @@
     Forwarder forwarder;
     DutyLease lease;
     DutyLease platformDuties;
+    UsageReporter usageReporter;
     WeightLoader weights;
     PeerRelay peerRelay;
     JobCalls jobCalls;
@@ -136,15 +140,18 @@
     , reach(this->context, this->servers, this->peers)
     , carrier(this->context, this->reach)
     , streamOrigins(this->context, this->peers)
-    , streams(this->context, this->servers, this->streamOrigins, this->suspects, this->reach, this->carrier)
+    , usage(this->context, this->peers)
+    , streams(
+          this->context, this->servers, this->streamOrigins, this->suspects, this->reach, this->carrier, this->usage)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier)
+    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->usage)
     , lease(this->context, orderLeaseOptions(this->context.settings))
     , platformDuties(this->context, platformDutyLeaseOptions(this->context.settings))
+    , usageReporter(this->context, this->peers, this->usage, this->platformDuties)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , peerRelay(this->context, this->peers)
     , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch)
@@ -190,13 +197,17 @@
 
 json::value Gateway::Parts::dump() const
 {
-    return json::object { { "vm", this->context.identity.name.value() },
+    json::object dump { { "vm", this->context.identity.name.value() },
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
         { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "duty_lease", this->platformDuties.dump() },
-        { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+    const auto& duties = this->context.settings.duties;
+    if (duties.reportsUsage || duties.ordersServers)
+        dump["duties"] = json::object { { "lease", this->platformDuties.dump() }, { "counts", this->usage.dump() },
+            { "reports", this->usageReporter.dump() } };
+    return dump;
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -286,6 +297,10 @@
         co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
         co_return;
     }
+    if (path == usageCountsPath || path == usageQueryPath) {
+        co_await exchange.respond(this->usage.answer(exchange.request()));
+        co_return;
+    }
     if (path == serverReachPath) {
         auto response = co_await this->reach.answer(exchange.request());
         co_await exchange.respond(std::move(response));
@@ -386,6 +401,8 @@
     parts.jobs.start();
     parts.lease.start();
     parts.platformDuties.start();
+    parts.usage.start();
+    parts.usageReporter.start();
     parts.weights.start();
     parts.peers.start();
     parts.crashes.start();
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -26,6 +26,8 @@
     constexpr std::chrono::milliseconds feedPause { 1000 };
     constexpr Duration rewriteInterval = 60s;
     constexpr Duration publishRetryDelay = 500ms;
+    /// The store's clock is known after the first answer.
+    constexpr Duration offsetRewriteDelay = 300ms;
     /// Other VMs remove a row that its own VM has not rewritten for this long.
     constexpr std::chrono::milliseconds maxRowAge { 300'000 };
 
@@ -45,10 +47,12 @@
 
 std::string toText(const PeerRecord& record)
 {
-    return json::serialize(
-        json::object { { "vm", record.vm.name.value() }, { "incarnation", record.vm.incarnation.value() },
-            { "data_centre", record.dataCentre.value() }, { "address", toText(record.endpoint) },
-            { "processor", record.processor }, { "written_ms", record.writtenAt.count() } });
+    json::object object { { "vm", record.vm.name.value() }, { "incarnation", record.vm.incarnation.value() },
+        { "data_centre", record.dataCentre.value() }, { "address", toText(record.endpoint) },
+        { "processor", record.processor }, { "written_ms", record.writtenAt.count() } };
+    if (record.clockOffset)
+        object["clock_offset_ms"] = record.clockOffset->count();
+    return json::serialize(object);
 }
 
 Result<PeerRecord> parsePeerRecord(std::string_view text)
@@ -69,6 +73,8 @@
         if (!(record.processor > 0))
             return makeError(ErrorKind::BadFrame, "malformed row of a VM: `processor` is not above 0");
         record.writtenAt = std::chrono::milliseconds(value.at("written_ms").to_number<std::int64_t>());
+        if (const auto* offset = value.as_object().if_contains("clock_offset_ms"))
+            record.clockOffset = std::chrono::milliseconds(offset->to_number<std::int64_t>());
         return record;
     } catch (const std::exception& problem) {
         return makeError(ErrorKind::BadFrame, std::string("malformed row of a VM: ") + problem.what());
@@ -142,13 +148,24 @@
     return keepers;
 }
 
+PeerRecord PeerDirectory::ownRecord() const
+{
+    PeerRecord own;
+    own.vm = this->context.identity;
+    own.dataCentre = this->context.settings.dataCentre;
+    own.endpoint = this->context.settings.peers;
+    own.processor = this->context.settings.gateway.processor();
+    own.writtenAt = unixTime();
+    own.clockOffset = this->context.clockOffset();
+    return own;
+}
+
 /// Writes this VM's row and rewrites it periodically, so that rows of VMs that no longer exist can be recognised by
 /// their age.
 asio::awaitable<void> PeerDirectory::publish()
 {
     while (!this->isWithdrawn) {
-        PeerRecord own { this->context.identity, this->context.settings.dataCentre, this->context.settings.peers,
-            this->context.settings.gateway.processor(), unixTime() };
+        const auto own = this->ownRecord();
         StoreTransaction transaction;
         transaction.writes.push_back({ rowKeyOf(own.vm.name), toText(own) });
         const auto written = co_await this->context.store.commit(std::move(transaction));
@@ -158,6 +175,10 @@
         }
         if (!this->firstPublishedAt && !this->isWithdrawn)
             this->firstPublishedAt = Clock::now();
+        if (this->context.settings.duties.reportsUsage && !own.clockOffset) {
+            co_await pauseFor(offsetRewriteDelay);
+            continue;
+        }
         co_await pauseFor(rewriteInterval);
         co_await this->removeStaleRow();
     }
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -24,6 +24,9 @@
     double processor { 1 };
     /// When it last wrote its row, in milliseconds of Unix time by its own clock.
     std::chrono::milliseconds writtenAt { 0 };
+    /// Difference between its time of day and the store's clock when it wrote its row; empty if it didn't know it, or
+    /// use is not reported.
+    std::optional<std::chrono::milliseconds> clockOffset;
 };
 
 std::string toText(const PeerRecord& record);
@@ -59,6 +62,7 @@
     void applyRows(const std::vector<StoreRow>& rows, bool isFullTable);
     boost::asio::awaitable<void> publish();
     boost::asio::awaitable<void> removeStaleRow();
+    PeerRecord ownRecord() const;
 
     GatewayContext& context;
     TableFollower rows;
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -79,13 +79,14 @@
 };
 
 StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins,
-    SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier)
+    SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier, UsageCounter& usage)
     : context(context)
     , servers(servers)
     , origins(origins)
     , suspects(suspects)
     , reach(reach)
     , carrier(carrier)
+    , usage(usage)
     , resumes(context.metrics.counter(
           "topaztack_streams_resumed_total", "Callers' streams that went on at another server within an answer"))
     , takenUp(context.metrics.counter("topaztack_streams_taken_up_total", "Streams that callers took up again"))
@@ -380,6 +381,9 @@
 
 void StreamForwarder::recordFirstEvent(Forwarding& forwarding, const ServerRecord& server)
 {
+    // A stream that goes on was counted with its first event.
+    if (!forwarding.call.lastEvent && !forwarding.hasBegun)
+        this->usage.recordBegin(forwarding.call.workspace, Clock::now());
     if (!forwarding.call.lastEvent)
         this->firstEventTime.record(Clock::now() - forwarding.startedAt);
     forwarding.requirements.softwareVersion = server.softwareVersion;
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -6,6 +6,7 @@
 #include "server_table.hpp"
 #include "stream_origins.hpp"
 #include "suspect_gate.hpp"
+#include "usage_counter.hpp"
 
 #include <topaztack/wire/http_server.hpp>
 
@@ -23,7 +24,7 @@
 class StreamForwarder {
 public:
     StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SuspectGate& suspects,
-        ServerReach& reach, CallCarrier& carrier);
+        ServerReach& reach, CallCarrier& carrier, UsageCounter& usage);
 
     boost::asio::awaitable<void> handle(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
@@ -78,6 +79,7 @@
     SuspectGate& suspects;
     ServerReach& reach;
     CallCarrier& carrier;
+    UsageCounter& usage;
     OpenAttempts open;
     Counter& resumes;
     Counter& takenUp;
--- a/src/wire/store_client.cpp
+++ b/src/wire/store_client.cpp
@@ -90,6 +90,13 @@
     co_return error;
 }
 
+template <typename Answer> Result<Answer> StoreClient::passTimeOn(Result<Answer> answer) const
+{
+    if (answer && this->handleTime)
+        this->handleTime(answer.value().storeTime);
+    return answer;
+}
+
 asio::awaitable<Result<StoreCommit>> StoreClient::commit(StoreTransaction transaction)
 {
     const auto started = Clock::now();
@@ -97,7 +104,7 @@
     this->latency.record(Clock::now() - started);
     if (!response)
         co_return response.error();
-    co_return this->protocol.decodeCommit(response.value());
+    co_return this->passTimeOn(this->protocol.decodeCommit(response.value()));
 }
 
 asio::awaitable<Result<StoreRows>> StoreClient::readPage(StoreRange range)
@@ -107,7 +114,7 @@
     this->latency.record(Clock::now() - started);
     if (!response)
         co_return response.error();
-    co_return this->protocol.decodeRows(response.value());
+    co_return this->passTimeOn(this->protocol.decodeRows(response.value()));
 }
 
 asio::awaitable<Result<StoreRows>> StoreClient::read(StoreRange range)
@@ -135,7 +142,7 @@
     const auto response = co_await this->call(this->protocol.encodeFeed(query), this->timeout + query.wait);
     if (!response)
         co_return response.error();
-    co_return this->protocol.decodeRows(response.value());
+    co_return this->passTimeOn(this->protocol.decodeRows(response.value()));
 }
 
 asio::awaitable<Result<bool>> StoreClient::putObject(ObjectKey key, std::string bytes)
