Ended VMs are told from those that are cut off

Cause: a VM that doesn't answer may go on serving callers; without its counts a report would be too low.

--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -33,6 +33,11 @@
     /// Counts that are stated this long after the end of a window are complete.
     constexpr std::chrono::milliseconds completeAfter = 1500ms;
     constexpr std::size_t maxQueries = 16;
+    constexpr Duration probeTimeout = 200ms;
+    /// A VM of which no VM has heard for this long before a window is taken to have ended, if no more than one VM in
+    /// `vmsPerSilentOne` is silent. Where more are silent a data centre may be cut off, whose VMs go on serving.
+    constexpr std::chrono::milliseconds silenceBeforeWindow = 3s;
+    constexpr std::size_t vmsPerSilentOne = 10;
     constexpr Duration minBackoff = 200ms;
     constexpr unsigned maxDoublings = 3;
     /// A holder that can't connect to the platform for this long gives the lease up: another VM may reach it.
@@ -98,7 +103,7 @@
     Notifier changed;
 
     std::vector<PeerRecord> asked;
-    /// VMs that did not answer, and whether nothing listens there any more.
+    /// VMs that did not answer, and whether their process is known to have ended.
     std::map<VmName, bool> unanswered;
     std::map<VmIdentity, UsageCounts> counts;
     /// Processes that did not answer themselves, by what other VMs know of them.
@@ -266,7 +271,8 @@
 asio::awaitable<void> UsageReporter::askVms(std::shared_ptr<Collection> collection)
 {
     collection->next = 0;
-    const auto work = [](UsageCounter& counter, std::shared_ptr<Collection> shared) -> asio::awaitable<void> {
+    const auto work
+        = [](HttpClient& client, UsageCounter& counter, std::shared_ptr<Collection> shared) -> asio::awaitable<void> {
         while (shared->next < shared->queries.size()) {
             const auto query = shared->queries[shared->next++];
             auto answered = co_await counter.query(query.peer.endpoint, shared->window, query.origins);
@@ -276,7 +282,12 @@
                 for (const auto& [origin, counts] : answered.value().keptCounts)
                     mergeCounts(shared->counts[origin], counts);
             } else if (query.origins.empty()) {
-                shared->unanswered[query.peer.vm.name] = answered.error().progress == AttemptProgress::NothingWritten;
+                // A VM that doesn't answer may be cut off and go on serving; one that refuses connections has ended.
+                auto probe = ProbeResult::Unknown;
+                if (answered.error().progress == AttemptProgress::NothingWritten)
+                    probe = co_await client.probe(
+                        query.peer.endpoint, Clock::now() + probeTimeout, ProbeMode::NewConnection);
+                shared->unanswered[query.peer.vm.name] = probe == ProbeResult::Refused;
             }
         }
         --shared->running;
@@ -285,7 +296,7 @@
     const auto workers = std::min(maxQueries, collection->queries.size());
     collection->running = workers;
     for (std::size_t worker = 0; worker < workers; ++worker)
-        asio::co_spawn(this->context.loop(), work(this->counter, collection), asio::detached);
+        asio::co_spawn(this->context.loop(), work(this->context.httpClient, this->counter, collection), asio::detached);
     while (collection->running > 0)
         co_await collection->changed.waitUntil(Clock::now() + 1s);
 }
@@ -321,17 +332,19 @@
     const auto& duties = this->context.settings.duties;
     const auto end = windowStart(collection.window + 1, duties.window);
     const auto sum = sumUsage(collection.counts);
-    for (const auto& [name, isUnreached] : collection.unanswered) {
+    const auto silentBefore = windowStart(collection.window, duties.window) - silenceBeforeWindow;
+    const bool areFewSilent = collection.unanswered.size() * vmsPerSilentOne <= collection.asked.size() + 1;
+    for (const auto& [name, hasEnded] : collection.unanswered) {
         const auto record = this->peers.known().find(name);
         if (record == this->peers.known().end())
             continue;
         const auto& vm = record->second.vm;
         const auto through = collection.through.find(vm);
         const bool isHeardOf = through != collection.through.end();
-        // A VM to which no connection can be made has ended, or is cut off; it sent its counts until then.
         const bool isComplete = isHeardOf && through->second >= end + completeAfter;
-        const bool hasEnded = isUnreached && isHeardOf && through->second < end + completeAfter;
-        if (isComplete || hasEnded)
+        const bool isSilent = !isHeardOf || through->second < silentBefore;
+        // A VM that has ended sent its counts until shortly before.
+        if (isComplete || (hasEnded && isHeardOf) || (isSilent && areFewSilent))
             continue;
         const auto last = this->lastCounts.find(name);
         if (last != this->lastCounts.end()) {
@@ -401,9 +414,10 @@
     const auto fence = this->lease.fencingNumber();
     if (!fence || *fence != this->progress->fence)
         co_return;
-    const auto answered = co_await this->context.httpClient.call(duties.address,
-        this->context.protocol.encodeUsageReport(report, this->context.identity.name, *fence),
-        Clock::now() + dutyCallTimeout);
+    // A call that is not answered in time is abandoned and its connection reset, so that it doesn't arrive later.
+    auto request = this->context.protocol.encodeUsageReport(report, this->context.identity.name, *fence);
+    const auto answered
+        = co_await this->context.httpClient.call(duties.address, std::move(request), Clock::now() + dutyCallTimeout);
     const auto response = answered ? this->context.protocol.decodeDutyAnswer(answered.value()) : DutyResponse::Unknown;
     const auto now = this->counter.trueTime();
     const auto age = now ? *now - windowStart(window + 1, duties.window) : 0ms;
