--- a/src/gateway/usage_counter.cpp
+++ b/src/gateway/usage_counter.cpp
@@ -29,8 +29,8 @@
     constexpr Duration avoidanceTime = 5s;
     /// Counts are kept for this long after their report is due.
     constexpr Duration retentionMargin = 30s;
-    /// A process that has not been heard of for this long is forgotten, once its counts are.
-    constexpr Duration originRetention = 120s;
+    /// Longer than the rows of VMs that have ended are kept, so that these VMs are known to have been heard of.
+    constexpr Duration originRetention = 400s;
     constexpr std::size_t maxOrigins = 1000;
     /// Counts of later windows come from a VM whose true time is wrong; they would never expire.
     constexpr std::uint64_t maxWindowsAhead = 1;
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -47,7 +47,8 @@
 /// @brief One gateway and its addresses.
 struct RunningGateway {
     /// An outgoing connection may have taken a port since it was found free; other ports are tried then.
-    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation)
+    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation,
+        const std::function<void(VmSettings&)>& adjust = {})
     {
         static constexpr int maxStartAttempts = 20;
         for (int attempt = 0; attempt < maxStartAttempts; ++attempt) {
@@ -55,7 +56,10 @@
             this->operators = freeEndpoint();
             this->peers = freeEndpoint();
             const VmIdentity identity { VmName(name), Incarnation(incarnation) };
-            this->gateway = std::make_unique<Gateway>(this->settings(store, name), identity, platform::protocol());
+            auto settings = this->settings(store, name);
+            if (adjust)
+                adjust(settings);
+            this->gateway = std::make_unique<Gateway>(std::move(settings), identity, platform::protocol());
             if (this->gateway->start())
                 return;
         }
@@ -162,7 +166,8 @@
 
     RunningGateway& startGatewayAt(const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation)
     {
-        this->gateways.push_back(std::make_unique<RunningGateway>(storeEndpoint, name, incarnation));
+        this->gateways.push_back(
+            std::make_unique<RunningGateway>(storeEndpoint, name, incarnation, this->adjustSettings));
         auto& gateway = *this->gateways.back();
         waitFor([&] { return this->call(gateway.operators, "GET", "/-/readyz").status == 200; });
         return gateway;
@@ -263,6 +268,8 @@
     WorkerStandin engine { threads, "i-lm" };
     std::vector<std::unique_ptr<WorkerStandin>> workers;
     std::vector<std::unique_ptr<RunningGateway>> gateways;
+    /// Changes the settings of gateways that are started from then on; empty for none.
+    std::function<void(VmSettings&)> adjustSettings;
 };
 
 } // namespace topaztack::test
--- /dev/null
+++ b/tests/src/gateway/unit-usage.cpp
@@ -0,0 +1,249 @@
+#include "gateway/fixture.hpp"
+#include "standins/platform_api.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace topaztack;
+using namespace topaztack::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Counts = std::map<std::string, std::uint64_t>;
+
+constexpr auto windowLength = 1s;
+constexpr auto silence = 300ms;
+
+std::uint64_t currentWindow() { return static_cast<std::uint64_t>(unixTime() / windowLength); }
+
+/// Counts as another VM sends them.
+std::string countsOf(const std::string& vm, std::uint64_t window, const std::string& counts)
+{
+    return R"({"vm":")" + vm + R"(","incarnation":1,"through":)" + std::to_string(unixTime().count())
+        + R"(,"windows":{")" + std::to_string(window) + R"(":)" + counts + "}}";
+}
+
+struct UsageEnvironment : TestEnvironment {
+    UsageEnvironment()
+    {
+        this->adjustSettings = [this](VmSettings& settings) {
+            settings.duties.reportsUsage = true;
+            settings.duties.address = this->platform.endpoint();
+            settings.duties.callsPerSecond = 50;
+            settings.duties.window = windowLength;
+            settings.duties.reportDue = 10s;
+            settings.duties.tolerance = 0.05;
+            settings.duties.silence = silence;
+            settings.duties.thawTime = 300ms;
+        };
+    }
+
+    ~UsageEnvironment()
+    {
+        this->gateways.clear();
+        this->threads.stop();
+    }
+
+    boost::json::value duties(const RunningGateway& gateway, const std::string& part)
+    {
+        return this->state(gateway, "duties").at(part);
+    }
+
+    bool holdsLease(const RunningGateway& gateway) { return this->duties(gateway, "lease").at("held").as_bool(); }
+
+    /// Waits until all gateways know the time of day and each other, and one of them holds the lease.
+    void awaitHolder()
+    {
+        CHECK_TRUE(waitFor([&] {
+            bool isHeld = false;
+            for (const auto& gateway : this->gateways) {
+                if (this->duties(*gateway, "counts").at("true_time_ms").as_int64() == 0)
+                    return false;
+                if (this->state(*gateway, "peers").as_object().size() + 1 != this->gateways.size())
+                    return false;
+                isHeld = isHeld || this->holdsLease(*gateway);
+            }
+            return isHeld;
+        }));
+    }
+
+    std::size_t holder()
+    {
+        std::size_t index = 0;
+        while (!this->holdsLease(*this->gateways.at(index)))
+            ++index;
+        return index;
+    }
+
+    void sendCounts(
+        const RunningGateway& gateway, const std::string& vm, std::uint64_t window, const std::string& counts)
+    {
+        LONGS_EQUAL(200, this->call(gateway.peers, "POST", "/usage-counts", {}, countsOf(vm, window, counts)).status);
+    }
+
+    bool isReported(std::uint64_t window, std::chrono::milliseconds timeout = 15s)
+    {
+        return waitFor([&] { return this->platform.report(window).has_value(); }, timeout);
+    }
+
+    void checkReport(std::uint64_t window, const Counts& counts)
+    {
+        const auto report = this->platform.report(window);
+        CHECK_TRUE(report.has_value());
+        CHECK_TRUE(*report == counts);
+    }
+
+    void checkNoViolation()
+    {
+        for (const auto& violation : this->platform.violations())
+            FAIL(violation.c_str());
+    }
+
+    PlatformApiStandin platform { this->threads, silence };
+};
+
+} // namespace
+
+TEST_GROUP(Usage) { std::unique_ptr<UsageEnvironment> env = std::make_unique<UsageEnvironment>(); };
+
+// The counts of VMs that have ended are at those that keep them, some of them at both.
+TEST(Usage, EachWindowIsReportedOnceWithTheCountsThatAllVmsKeep)
+{
+    auto& one = this->env->startGateway("vm-1", 1);
+    auto& two = this->env->startGateway("vm-2", 2);
+    this->env->awaitHolder();
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(one, "vm-8", window, R"({"a":3})");
+    this->env->sendCounts(one, "vm-8", window, R"({"a":5,"b":1})");
+    this->env->sendCounts(two, "vm-8", window, R"({"a":4,"b":1})");
+    this->env->sendCounts(two, "vm-9", window, R"({"a":7})");
+    CHECK_TRUE(this->env->isReported(window + 2));
+    this->env->checkReport(window, { { "a", 12 }, { "b", 1 } });
+    this->env->checkReport(window + 1, {});
+    this->env->checkReport(window + 2, {});
+    LONGS_EQUAL(this->env->platform.reports(), this->env->platform.calls().size());
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, WindowsThatBeganBeforeTheFirstVmAreNotReported)
+{
+    const auto before = currentWindow();
+    this->env->startGateway();
+    this->env->awaitHolder();
+    CHECK_TRUE(this->env->isReported(before + 2));
+    CHECK_FALSE(this->env->platform.report(before).has_value());
+    CHECK_FALSE(this->env->platform.report(before - 1).has_value());
+}
+
+// A kill: the rest of the VMs see no release of the lease.
+TEST(Usage, AnotherVmReportsAfterTheHolderWasKilled)
+{
+    this->env->startGateway("vm-1", 1);
+    this->env->startGateway("vm-2", 2);
+    this->env->startGateway("vm-3", 3);
+    this->env->awaitHolder();
+    const auto killed = this->env->holder();
+    auto& other = *this->env->gateways.at((killed + 1) % 3);
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(other, "vm-9", window, R"({"a":7})");
+    std::this_thread::sleep_for(1500ms);
+    this->env->gateways.erase(this->env->gateways.begin() + static_cast<std::ptrdiff_t>(killed));
+    CHECK_TRUE(this->env->isReported(window + 6, 25s));
+    this->env->checkReport(window, { { "a", 7 } });
+    for (std::uint64_t later = window; later <= window + 6; ++later)
+        CHECK_TRUE(this->env->platform.report(later).has_value());
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, AnotherVmReportsAfterThePlannedStopOfTheHolder)
+{
+    this->env->startGateway("vm-1", 1);
+    this->env->startGateway("vm-2", 2);
+    this->env->awaitHolder();
+    const auto stopped = this->env->holder();
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(*this->env->gateways.at(1 - stopped), "vm-9", window, R"({"a":7})");
+    this->env->gateways.at(stopped)->gateway->shutDown();
+    CHECK_TRUE(this->env->isReported(window + 3, 20s));
+    this->env->checkReport(window, { { "a", 7 } });
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, ReportsWaitForAPlatformThatIsDownLimitedOrSlow)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->awaitHolder();
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":7})");
+    this->env->platform.faults.isDown = true;
+    std::this_thread::sleep_for(7s);
+    this->env->platform.faults.isDown = false;
+    this->env->platform.faults.isLimited = true;
+    std::this_thread::sleep_for(1s);
+    const auto attempts = this->env->platform.attempts();
+    CHECK_TRUE(attempts >= 2);
+    CHECK_TRUE(attempts < 20);
+    this->env->platform.faults.isLimited = false;
+    CHECK_TRUE(this->env->isReported(window, 3s));
+    this->env->checkReport(window, { { "a", 7 } });
+    this->env->platform.faults.answerDelay = 300ms;
+    CHECK_TRUE(this->env->isReported(window + 6));
+    this->env->checkNoViolation();
+}
+
+// The counts of a VM may arrive while a report whose answer was lost is repeated.
+TEST(Usage, AReportWhoseAnswerWasLostIsRepeatedUnchanged)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->awaitHolder();
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":7})");
+    this->env->platform.faults.answersToLose = 3;
+    CHECK_TRUE(this->env->isReported(window));
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":9})");
+    CHECK_TRUE(this->env->isReported(window + 2));
+    this->env->checkReport(window, { { "a", 7 } });
+    CHECK_TRUE(this->env->platform.calls().size() > this->env->platform.reports());
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, NothingIsSentWhileTheStoreIsDown)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->awaitHolder();
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":7})");
+    this->env->store.faults.isDown = true;
+    std::this_thread::sleep_for(1s);
+    const auto attempts = this->env->platform.attempts();
+    std::this_thread::sleep_for(5s);
+    LONGS_EQUAL(attempts, this->env->platform.attempts());
+    this->env->store.faults.isDown = false;
+    CHECK_TRUE(this->env->isReported(window, 5s));
+    this->env->checkReport(window, { { "a", 7 } });
+    this->env->checkNoViolation();
+}
+
+// A write whose answer is lost has taken effect; the report that was written counts.
+TEST(Usage, AReportIsFixedOnceThoughAnswersOfTheStoreAreLost)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->awaitHolder();
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":7})");
+    this->env->store.faults.answersToLose = 6;
+    CHECK_TRUE(this->env->isReported(window + 2));
+    this->env->checkReport(window, { { "a", 7 } });
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, WithoutDutiesNothingIsSentOrWritten)
+{
+    this->env->adjustSettings = {};
+    this->env->startGateway();
+    std::this_thread::sleep_for(1s);
+    LONGS_EQUAL(0, this->env->platform.attempts());
+    LONGS_EQUAL(0, this->env->store.rowsOf("usage-reports").size());
+    CHECK_FALSE(this->env->store.rowsOf("leases").contains("platform-duties"));
+    CHECK_TRUE(this->env->store.rowsOf("gateways").at("vm-1").find("clock_offset_ms") == std::string::npos);
+}
