--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 #include "stream_origins.hpp"
 #include "suspect_gate.hpp"
 #include "table_follower.hpp"
+#include "usage_counter.hpp"
+#include "usage_reporter.hpp"
 #include "weight_loader.hpp"
 
 #include <topaztack/base/log.hpp>
@@ -107,6 +109,7 @@
     ServerReach reach;
     CallCarrier carrier;
     StreamOrigins streamOrigins;
+    UsageCounter usage;
     StreamForwarder streams;
     JobStore jobStore;
     ItemDispatcher dispatcher;
@@ -116,6 +119,7 @@
     Forwarder forwarder;
     DutyLease lease;
     DutyLease platformDuties;
+    UsageReporter usageReporter;
     WeightLoader weights;
     PoolScaler scaler;
     PeerRelay peerRelay;
@@ -139,15 +143,18 @@
     , reach(this->context, this->servers, this->peers)
     , carrier(this->context, this->reach)
     , streamOrigins(this->context, this->peers)
-    , streams(this->context, this->servers, this->streamOrigins, this->suspects, this->reach, this->carrier)
+    , usage(this->context, this->peers)
+    , streams(
+          this->context, this->servers, this->streamOrigins, this->suspects, this->reach, this->carrier, this->usage)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
-    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier)
+    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->usage)
     , lease(this->context, orderLeaseOptions(this->context.settings))
     , platformDuties(this->context, platformDutyLeaseOptions(this->context.settings))
+    , usageReporter(this->context, this->peers, this->usage, this->platformDuties)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , scaler(this->context, this->servers, this->jobs, this->peers, this->reach, this->platformDuties,
           [this] { return this->serverRows.answeredAt(); })
@@ -195,13 +202,19 @@
 
 json::value Gateway::Parts::dump() const
 {
-    return json::object { { "vm", this->context.identity.name.value() },
+    json::object dump { { "vm", this->context.identity.name.value() },
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
         { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "duty_lease", this->platformDuties.dump() },
-        { "weights", this->weights.dump() }, { "scaling", this->scaler.dump() }, { "peers", this->peers.dump() } };
+        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+    const auto& duties = this->context.settings.duties;
+    if (duties.reportsUsage || duties.ordersServers)
+        dump["duties"] = json::object { { "lease", this->platformDuties.dump() }, { "counts", this->usage.dump() },
+            { "reports", this->usageReporter.dump() } };
+    if (duties.ordersServers)
+        dump["scaling"] = this->scaler.dump();
+    return dump;
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -309,6 +322,10 @@
         co_await exchange.respond(this->scaler.answer());
         co_return;
     }
+    if (path == usageCountsPath || path == usageQueryPath) {
+        co_await exchange.respond(this->usage.answer(exchange.request()));
+        co_return;
+    }
     if (path == serverReachPath) {
         auto response = co_await this->reach.answer(exchange.request());
         co_await exchange.respond(std::move(response));
@@ -419,6 +436,8 @@
     parts.jobs.start();
     parts.lease.start();
     parts.platformDuties.start();
+    parts.usage.start();
+    parts.usageReporter.start();
     parts.weights.start();
     parts.scaler.start();
     parts.peers.start();
--- a/tests/src/gateway/unit-pool_scaler.cpp
+++ b/tests/src/gateway/unit-pool_scaler.cpp
@@ -1,8 +1,9 @@
 #include "gateway/fixture.hpp"
+#include "standins/platform_api.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <mutex>
+#include <thread>
 
 using namespace topaztack;
 using namespace topaztack::test;
@@ -10,74 +11,14 @@
 
 namespace {
 
-/// An order as the platform received it.
+constexpr std::chrono::milliseconds leaseSilence { 500 };
+
+/// An order that took effect.
 struct SeenOrder {
     std::string dataCentre;
     std::uint64_t count { 0 };
     std::string holder;
     std::uint64_t fence { 0 };
-    TimePoint at;
-};
-
-/// The platform's call for servers on loopback.
-class ScaleApi {
-public:
-    explicit ScaleApi(IoThreads& threads)
-        : server(
-            threads, { "127.0.0.1", 0 }, [] { return HttpServerLimits {}; },
-            [this](HttpExchange& exchange) { return this->handle(exchange); }, this->metrics, "api")
-    {
-        if (!this->server.start())
-            throw std::runtime_error("stand-in of the platform's API can't listen");
-    }
-
-    Endpoint endpoint() const { return { "127.0.0.1", this->server.port() }; }
-
-    std::vector<SeenOrder> orders() const
-    {
-        const std::lock_guard guard(this->lock);
-        return this->seen;
-    }
-
-    /// The status of each answer; 0 for none.
-    std::atomic<unsigned> status { 200 };
-    /// A data centre that has no servers.
-    std::string without;
-
-private:
-    boost::asio::awaitable<void> handle(HttpExchange& exchange)
-    {
-        const auto& request = exchange.request();
-        const auto body = boost::json::parse(request.body);
-        SeenOrder order;
-        order.dataCentre = boost::json::value_to<std::string>(body.at("zone"));
-        order.count = body.at("desiredCount").to_number<std::uint64_t>();
-        order.holder = std::string(findHeader(request.headers, "Topaztack-Duty-Holder"));
-        order.fence = std::stoull(std::string(findHeader(request.headers, "Topaztack-Fencing-Token")));
-        order.at = Clock::now();
-        HttpResponse response;
-        response.status = order.dataCentre == this->without ? 409 : this->status.load();
-        {
-            const std::lock_guard guard(this->lock);
-            this->seen.push_back(std::move(order));
-        }
-        if (response.status != 0)
-            co_await exchange.respond(std::move(response));
-        else
-            co_await pause();
-    }
-
-    /// Longer than the gateway waits for an answer.
-    static boost::asio::awaitable<void> pause()
-    {
-        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, 2s);
-        co_await timer.async_wait(boost::asio::use_awaitable);
-    }
-
-    mutable std::mutex lock;
-    std::vector<SeenOrder> seen;
-    MetricsRegistry metrics;
-    HttpServer server;
 };
 
 } // namespace
@@ -86,7 +27,7 @@
 TEST_GROUP(PoolScaler)
 {
     std::unique_ptr<TestEnvironment> env = std::make_unique<TestEnvironment>();
-    std::unique_ptr<ScaleApi> api = std::make_unique<ScaleApi>(this->env->threads);
+    std::unique_ptr<PlatformApiStandin> api = std::make_unique<PlatformApiStandin>(this->env->threads, leaseSilence);
 
     void setup() override
     {
@@ -105,7 +46,7 @@
             settings.duties.ordersServers = true;
             settings.duties.address = this->api->endpoint();
             settings.duties.callsPerSecond = 50;
-            settings.duties.silence = 0ms;
+            settings.duties.silence = leaseSilence;
             settings.duties.thawTime = 100ms;
         };
     }
@@ -114,13 +55,19 @@
     {
         this->env->gateways.clear();
         this->env->threads.stop();
+        for (const auto& violation : this->api->violations())
+            FAIL(violation.c_str());
     }
 
-    std::vector<SeenOrder> ordersOf(const std::string& dataCentre) const
+    std::vector<SeenOrder> orders() const
     {
-        auto orders = this->api->orders();
-        std::erase_if(orders, [&dataCentre](const auto& order) { return order.dataCentre != dataCentre; });
-        return orders;
+        std::vector<SeenOrder> list;
+        for (const auto& call : this->api->calls()) {
+            const auto body = boost::json::parse(call.body);
+            list.push_back({ boost::json::value_to<std::string>(body.at("zone")),
+                body.at("desiredCount").to_number<std::uint64_t>(), call.holder, call.fencingNumber });
+        }
+        return list;
     }
 
     std::string storedOrder(const std::string& key) const
@@ -134,10 +81,10 @@
 TEST(PoolScaler, EachDataCentreIsBroughtToItsMinimumOnce)
 {
     this->env->startGateway();
-    CHECK_TRUE(waitFor([&] { return this->api->orders().size() >= 2; }));
+    CHECK_TRUE(waitFor([&] { return this->orders().size() >= 2; }));
     std::this_thread::sleep_for(2500ms);
-    LONGS_EQUAL(2, this->api->orders().size());
-    for (const auto& order : this->api->orders()) {
+    LONGS_EQUAL(2, this->orders().size());
+    for (const auto& order : this->orders()) {
         LONGS_EQUAL(2, order.count);
         STRCMP_EQUAL("vm-1", order.holder.c_str());
         CHECK_TRUE(order.fence > 0);
@@ -155,24 +102,24 @@
     };
     this->env->startGateway();
     std::this_thread::sleep_for(3s);
-    LONGS_EQUAL(0, this->api->orders().size());
+    LONGS_EQUAL(0, this->orders().size());
     LONGS_EQUAL(1, this->env->store.rowsOf("server-orders").size());
 }
 
 // The order may have taken effect, so that another one in its place could be carried out before or after it.
 TEST(PoolScaler, AnOrderWithoutAnAnswerIsRepeatedByTheNextHolderToo)
 {
-    this->api->status = 0;
+    this->api->faults.answersToLose = 1000;
     auto& first = this->env->startGateway("vm-1", 1);
-    CHECK_TRUE(waitFor([&] { return this->ordersOf("z1").size() >= 2; }));
+    CHECK_TRUE(waitFor([&] { return this->orders().size() >= 4; }));
     CHECK_TRUE(this->storedOrder("app/z1/regular").find("\"confirmed\":false") != std::string::npos);
     first.gateway->shutDown();
-    const auto before = this->api->orders();
-    this->api->status = 200;
+    const auto before = this->orders();
+    this->api->faults.answersToLose = 0;
     this->env->startGateway("vm-2", 2);
-    CHECK_TRUE(waitFor([&] { return this->api->orders().size() >= before.size() + 2; }));
+    CHECK_TRUE(waitFor([&] { return this->orders().size() >= before.size() + 2; }));
     std::this_thread::sleep_for(1500ms);
-    const auto all = this->api->orders();
+    const auto all = this->orders();
     LONGS_EQUAL(before.size() + 2, all.size());
     std::uint64_t fence = 0;
     for (std::size_t index = 0; index < all.size(); ++index) {
@@ -184,15 +131,31 @@
     CHECK_TRUE(all.back().fence > before.back().fence);
 }
 
-TEST(PoolScaler, ADataCentreWithoutServersIsNotAskedAgainForSeconds)
+TEST(PoolScaler, DataCentresWithoutServersAreNotAskedAgainForSeconds)
 {
-    this->api->without = "z2";
+    this->api->faults.hasNoServers = true;
     this->env->startGateway();
-    CHECK_TRUE(waitFor([&] { return this->ordersOf("z2").size() >= 2; }));
-    const auto asked = this->ordersOf("z2");
-    CHECK_TRUE(asked[1].at - asked[0].at >= 5s);
-    LONGS_EQUAL(1, this->ordersOf("z1").size());
+    CHECK_TRUE(waitFor([&] { return this->api->attempts() >= 2; }));
+    std::this_thread::sleep_for(4s);
+    LONGS_EQUAL(2, this->api->attempts());
     CHECK_TRUE(this->storedOrder("app/z2/regular").find("\"count\":0") != std::string::npos);
+    this->api->faults.hasNoServers = false;
+    CHECK_TRUE(waitFor([&] { return this->orders().size() >= 2; }));
+    LONGS_EQUAL(4, this->api->attempts());
+}
+
+// Each repetition counts against the calls that the platform takes from all VMs.
+TEST(PoolScaler, WhileThePlatformIsDownOrdersAreRepeatedWithGrowingPauses)
+{
+    this->api->faults.isDown = true;
+    this->env->startGateway();
+    CHECK_TRUE(waitFor([&] { return this->api->attempts() >= 2; }));
+    std::this_thread::sleep_for(6s);
+    CHECK_TRUE(this->api->attempts() <= 8);
+    this->api->faults.isDown = false;
+    CHECK_TRUE(waitFor([&] { return this->orders().size() >= 2; }, 25s));
+    for (const auto& order : this->orders())
+        LONGS_EQUAL(2, order.count);
 }
 
 // A second VM answers for its load and orders nothing.
@@ -200,10 +163,10 @@
 {
     this->env->startGateway("vm-1", 1);
     auto& second = this->env->startGateway("vm-2", 2);
-    CHECK_TRUE(waitFor([&] { return this->api->orders().size() >= 2; }));
+    CHECK_TRUE(waitFor([&] { return this->orders().size() >= 2; }));
     std::this_thread::sleep_for(2s);
-    LONGS_EQUAL(2, this->api->orders().size());
-    STRCMP_EQUAL(this->api->orders()[0].holder.c_str(), this->api->orders()[1].holder.c_str());
+    LONGS_EQUAL(2, this->orders().size());
+    STRCMP_EQUAL(this->orders()[0].holder.c_str(), this->orders()[1].holder.c_str());
     const auto usage = this->env->call(second.peers, "GET", "/pool-usage");
     LONGS_EQUAL(200, usage.status);
     CHECK_TRUE(boost::json::parse(usage.body).as_object().contains("app"));
