--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -12,6 +12,7 @@
 #include <topaztack/base/rcu_cell.hpp>
 #include <topaztack/base/time.hpp>
 #include <topaztack/control/acceptance.hpp>
+#include <topaztack/control/config_check.hpp>
 #include <topaztack/control/config_sync.hpp>
 #include <topaztack/control/document.hpp>
 #include <topaztack/control/document_diff.hpp>
@@ -69,6 +70,7 @@
 #include <topaztack/policy/outage_evidence.hpp>
 #include <topaztack/policy/outcome.hpp>
 #include <topaztack/policy/pool_reach.hpp>
+#include <topaztack/policy/pool_scaling.hpp>
 #include <topaztack/policy/pool_scheduler.hpp>
 #include <topaztack/policy/prefix.hpp>
 #include <topaztack/policy/prefix_view.hpp>
@@ -85,6 +87,8 @@
 #include <topaztack/policy/slot_share.hpp>
 #include <topaztack/policy/software_history.hpp>
 #include <topaztack/policy/ticket_ledger.hpp>
+#include <topaztack/policy/true_time.hpp>
+#include <topaztack/policy/usage_windows.hpp>
 #include <topaztack/samples/item_length.hpp>
 #include <topaztack/samples/item_order.hpp>
 #include <topaztack/samples/job.hpp>
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "caller_access.hpp"
 #include "context.hpp"
 #include "crash_records.hpp"
+#include "duty_lease.hpp"
 #include "error_responses.hpp"
 #include "forwarder.hpp"
 #include "item_dispatcher.hpp"
@@ -11,9 +12,9 @@
 #include "job_owner.hpp"
 #include "job_service.hpp"
 #include "job_store.hpp"
-#include "order_lease.hpp"
 #include "peer_directory.hpp"
 #include "peer_relay.hpp"
+#include "pool_scaler.hpp"
 #include "request_queue.hpp"
 #include "request_quota.hpp"
 #include "server_reach.hpp"
@@ -24,6 +25,8 @@
 #include "stream_origins.hpp"
 #include "suspect_gate.hpp"
 #include "table_follower.hpp"
+#include "usage_counter.hpp"
+#include "usage_reporter.hpp"
 #include "weight_loader.hpp"
 
 #include <topaztack/base/log.hpp>
@@ -109,6 +112,7 @@
     ServerReach reach;
     CallCarrier carrier;
     StreamOrigins streamOrigins;
+    UsageCounter usage;
     StreamForwarder streams;
     JobStore jobStore;
     ItemDispatcher dispatcher;
@@ -117,8 +121,11 @@
     JobService jobService;
     RequestQueue requestQueue;
     Forwarder forwarder;
-    OrderLease lease;
+    DutyLease lease;
+    DutyLease platformDuties;
+    UsageReporter usageReporter;
     WeightLoader weights;
+    PoolScaler scaler;
     PeerRelay peerRelay;
     JobCalls jobCalls;
     TableFollower operatorRows;
@@ -141,17 +148,23 @@
     , reach(this->context, this->servers, this->peers)
     , carrier(this->context, this->reach)
     , streamOrigins(this->context, this->peers)
-    , streams(
-          this->context, this->servers, this->streamOrigins, this->software, this->suspects, this->reach, this->carrier)
+    , usage(this->context, this->peers)
+    , streams(this->context, this->servers, this->streamOrigins, this->software, this->suspects, this->reach,
+          this->carrier, this->usage)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
     , jobs(this->context, this->servers, this->jobStore, this->dispatcher, this->peers, this->storeWatch)
     , jobService(this->context, this->jobStore, this->jobs)
     , requestQueue(this->context, this->servers, this->suspects, this->reach, this->peers)
-    , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->requestQueue)
-    , lease(this->context)
+    , forwarder(
+          this->context, this->servers, this->suspects, this->reach, this->carrier, this->requestQueue, this->usage)
+    , lease(this->context, orderLeaseOptions(this->context.settings))
+    , platformDuties(this->context, platformDutyLeaseOptions(this->context.settings))
+    , usageReporter(this->context, this->peers, this->usage, this->platformDuties)
     , weights(this->context, this->servers, this->jobs, this->lease)
+    , scaler(this->context, this->servers, this->jobs, this->peers, this->reach, this->platformDuties,
+          [this] { return this->serverRows.answeredAt(); })
     , peerRelay(this->context, this->peers)
     , jobCalls(this->context, this->jobService, this->peerRelay, this->storeWatch, this->access)
     , operatorRows(this->context, followOptions(protocol.storeLayout.operatorTable, configurationFeedWait, 0ms),
@@ -196,13 +209,20 @@
 
 json::value Gateway::Parts::dump() const
 {
-    return json::object { { "vm", this->context.identity.name.value() },
+    json::object dump { { "vm", this->context.identity.name.value() },
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
         { "queues", this->requestQueue.dump() }, { "suspects", this->crashes.dump() },
         { "software", this->software.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
         { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+    const auto& duties = this->context.settings.duties;
+    if (duties.reportsUsage || duties.ordersServers)
+        dump["duties"] = json::object { { "lease", this->platformDuties.dump() }, { "counts", this->usage.dump() },
+            { "reports", this->usageReporter.dump() } };
+    if (duties.ordersServers)
+        dump["scaling"] = this->scaler.dump();
+    return dump;
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
@@ -310,6 +330,14 @@
         co_await exchange.respond(this->streamOrigins.answer(exchange.request()));
         co_return;
     }
+    if (path == poolUsagePath) {
+        co_await exchange.respond(this->scaler.answer());
+        co_return;
+    }
+    if (path == usageCountsPath || path == usageQueryPath) {
+        co_await exchange.respond(this->usage.answer(exchange.request()));
+        co_return;
+    }
     if (path == serverReachPath) {
         auto response = co_await this->reach.answer(exchange.request());
         co_await exchange.respond(std::move(response));
@@ -397,6 +425,7 @@
 asio::awaitable<void> Gateway::Parts::handOver(TimePoint deadline)
 {
     co_await this->lease.release(deadline);
+    co_await this->platformDuties.release(deadline);
     co_await this->jobs.releaseAll(deadline);
     co_await this->peers.withdraw();
 }
@@ -419,7 +448,11 @@
     parts.dispatcher.start();
     parts.jobs.start();
     parts.lease.start();
+    parts.platformDuties.start();
+    parts.usage.start();
+    parts.usageReporter.start();
     parts.weights.start();
+    parts.scaler.start();
     parts.peers.start();
     parts.crashes.start();
     parts.storeWatch.start();
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -79,7 +79,7 @@
 };
 
 StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins,
-    SoftwareRecords& software, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier)
+    SoftwareRecords& software, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier, UsageCounter& usage)
     : context(context)
     , servers(servers)
     , origins(origins)
@@ -87,6 +87,7 @@
     , suspects(suspects)
     , reach(reach)
     , carrier(carrier)
+    , usage(usage)
     , resumes(context.metrics.counter(
           "topaztack_streams_resumed_total", "Callers' streams that went on at another server within an answer"))
     , takenUp(context.metrics.counter("topaztack_streams_taken_up_total", "Streams that callers took up again"))
@@ -390,6 +391,9 @@
 {
     const auto& server = attempt.server;
     this->servers.recordFirstEvent(server, Clock::now() - attempt.sentAt);
+    // A stream that goes on was counted with its first event.
+    if (!forwarding.call.lastEvent && !forwarding.hasBegun)
+        this->usage.recordBegin(forwarding.call.workspace, Clock::now());
     if (!forwarding.call.lastEvent)
         this->firstEventTime.record(Clock::now() - forwarding.startedAt);
     forwarding.requirements.softwareVersion = server.softwareVersion;
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -47,9 +47,9 @@
 /// @brief One gateway and its addresses.
 struct RunningGateway {
     /// An outgoing connection may have taken a port since it was found free; other ports are tried then.
-    RunningGateway(
-        const Endpoint& store, const std::string& name, std::uint64_t incarnation, bool hasServerPace = false)
-        : hasServerPace(hasServerPace)
+    /// @param adjust changes the usual settings; may be empty.
+    RunningGateway(const Endpoint& store, const std::string& name, std::uint64_t incarnation,
+        const std::function<void(VmSettings&)>& adjust = {})
     {
         static constexpr int maxStartAttempts = 20;
         for (int attempt = 0; attempt < maxStartAttempts; ++attempt) {
@@ -57,7 +57,10 @@
             this->operators = freeEndpoint();
             this->peers = freeEndpoint();
             const VmIdentity identity { VmName(name), Incarnation(incarnation) };
-            this->gateway = std::make_unique<Gateway>(this->settings(store, name), identity, platform::protocol());
+            auto settings = this->settings(store, name);
+            if (adjust)
+                adjust(settings);
+            this->gateway = std::make_unique<Gateway>(std::move(settings), identity, platform::protocol());
             if (this->gateway->start())
                 return;
         }
@@ -80,11 +83,9 @@
         settings.gateway.resultRetention = std::chrono::minutes(2);
         settings.gateway.rowBytes = 64 * 1024;
         settings.gateway.objectBytes = 1024;
-        settings.gateway.hasServerPace = this->hasServerPace;
         return settings;
     }
 
-    bool hasServerPace { false };
     Endpoint callers;
     Endpoint operators;
     Endpoint peers;
@@ -179,12 +180,16 @@
     }
 
     /// Starts a gateway with the setting `server_pace`.
-    RunningGateway& startPacedGateway() { return this->startGatewayAt(this->store.endpoint(), "vm-1", 1, true); }
+    RunningGateway& startPacedGateway()
+    {
+        this->adjustSettings = [](VmSettings& settings) { settings.gateway.hasServerPace = true; };
+        return this->startGateway();
+    }
 
-    RunningGateway& startGatewayAt(
-        const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation, bool hasServerPace = false)
+    RunningGateway& startGatewayAt(const Endpoint& storeEndpoint, const std::string& name, std::uint64_t incarnation)
     {
-        this->gateways.push_back(std::make_unique<RunningGateway>(storeEndpoint, name, incarnation, hasServerPace));
+        this->gateways.push_back(
+            std::make_unique<RunningGateway>(storeEndpoint, name, incarnation, this->adjustSettings));
         auto& gateway = *this->gateways.back();
         waitFor([&] { return this->call(gateway.operators, "GET", "/-/readyz").status == 200; });
         waitFor([&] { return this->isSoftwareRecorded(gateway); }, std::chrono::seconds(1));
@@ -291,6 +296,8 @@
         });
     }
 
+    /// Changes the settings of gateways that are started from now on.
+    std::function<void(VmSettings&)> adjustSettings;
     IoThreads threads { 1 };
     HttpClient client { threads.at(0) };
     StoreStandin store { threads };
