--- a/src/gateway/pool_scaler.cpp
+++ b/src/gateway/pool_scaler.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace topaztack {
@@ -174,7 +175,12 @@
         return std::clamp(static_cast<double>(pool.engines->cacheTokens) / meanTokens, 1.0, std::max(1.0, slots));
     }
 
-    std::string formatNumber(double value) { return std::to_string(static_cast<std::int64_t>(value * 10) / 10.0); }
+    /// With one decimal; the values are not negative.
+    std::string formatNumber(double value)
+    {
+        const auto tenths = std::lround(value * 10);
+        return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
+    }
 
 } // namespace
 
@@ -388,7 +394,7 @@
     const auto before = pool.decision.reason;
     pool.seen = this->observe(record, pool);
     pool.decision = decidePoolScaling(pool.state, *record.scaling, pool.seen, now);
-    pool.needed->set(static_cast<std::int64_t>(pool.decision.needed + 0.5));
+    pool.needed->set(std::lround(pool.decision.needed));
     pool.present->set(static_cast<std::int64_t>(pool.decision.present));
     this->logDecision(record, pool, before);
     for (const auto& [group, count] : pool.decision.orders) {
