--- a/include/topaztack/policy/admission.hpp
+++ b/include/topaztack/policy/admission.hpp
@@ -25,6 +25,8 @@
 /// @brief Moving average of the time in which servers answered requests; the default before the first one.
 struct ServiceTime {
     double seconds { 0 };
+    /// Moving average of the deviation from it.
+    double deviationSeconds { 0 };
 };
 
 void recordServiceTime(ServiceTime& known, Duration measured);
@@ -32,6 +34,10 @@
 /// @param latencyObjective of the route; its sixth is expected before an answer was measured.
 Duration expectedServiceTime(const ServiceTime& known, Duration latencyObjective);
 
+/// @brief Until when a request may wait: its objective less the time that most answers take. Under overload the requests
+/// that are served are those that waited longest, so half of them would be late with the expected time alone.
+TimePoint latestStart(const ServiceTime& known, Duration latencyObjective, TimePoint arrivedAt);
+
 /// @brief The work that a workspace asked for at this VM of late, in seconds of work per second.
 struct WorkspaceDemand {
     DrainRate arrived;
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -86,8 +86,9 @@
     request.workspace = call.workspace;
     request.rank = call.rank;
     const auto objective = objectiveOf(call.route);
-    request.work = expectedServiceTime(pool.serviceTimes[call.route.name], objective);
-    request.latestStart = std::min(call.arrivedAt + objective - request.work, call.deadline);
+    const auto& serviceTime = pool.serviceTimes[call.route.name];
+    request.work = expectedServiceTime(serviceTime, objective);
+    request.latestStart = std::min(latestStart(serviceTime, objective, call.arrivedAt), call.deadline);
     return request;
 }
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -61,6 +61,8 @@
 {
     const auto seconds = toSeconds(measured);
     const auto smoothing = seconds > known.seconds ? risingServiceTimeSmoothing : fallingServiceTimeSmoothing;
+    const auto deviation = known.seconds == 0 ? 0 : std::abs(seconds - known.seconds);
+    known.deviationSeconds += fallingServiceTimeSmoothing * (deviation - known.deviationSeconds);
     known.seconds = known.seconds == 0 ? seconds : known.seconds + smoothing * (seconds - known.seconds);
 }
 
@@ -109,6 +111,12 @@
 
 } // namespace
 
+TimePoint latestStart(const ServiceTime& known, Duration latencyObjective, TimePoint arrivedAt)
+{
+    return arrivedAt + latencyObjective - expectedServiceTime(known, latencyObjective)
+        - toDuration(known.deviationSeconds);
+}
+
 Admission decideAdmission(
     PoolQueue& pool, const WaitingRequest& arriving, bool hasServer, TimePoint now, Random& random)
 {
--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -42,13 +42,15 @@
 
     double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-    void recordFull(SendLimit& limit, std::uint32_t inFlight, TimePoint now)
+    void recordFull(SendLimit& limit, std::uint32_t inFlight, bool isUsedUp, TimePoint now)
     {
         const auto interval = limit.limit > 1 ? halvingInterval : singleHalvingInterval;
         if (limit.halvedAt && isLimited(limit, now) && now - *limit.halvedAt < interval)
             return;
         // A workspace with a single request at once is not what fills the servers.
-        limit.limit = isLimited(limit, now) ? std::max(std::min(limit.limit, minLimit), limit.limit / 2) : std::max(1.0, inFlight / 2.0);
+        const auto lowest = std::min(limit.limit, isUsedUp ? minLimit : 1);
+        limit.limit
+            = isLimited(limit, now) ? std::max(lowest, limit.limit / 2) : std::max(1.0, inFlight / 2.0);
         limit.halvedAt = now;
     }
 
@@ -102,7 +104,7 @@
     const auto elapsed = std::min(maxAnswerGapSeconds, toSeconds(now - limit.adjustedAt));
     limit.adjustedAt = now;
     if (result.outcome == SendOutcome::Full) {
-        recordFull(limit, inFlight, now);
+        recordFull(limit, inFlight, result.isUsedUp, now);
         limit.congestedAt = now;
         return;
     }
--- a/tests/src/policy/overload_world.hpp
+++ b/tests/src/policy/overload_world.hpp
@@ -179,7 +179,7 @@
         const auto work = expectedServiceTime(vm.serviceTime, this->options.objective);
         recordArrival(vm.pool, WorkspaceName(call.workspace), work, this->now);
         const WaitingRequest request { WorkspaceName(call.workspace), call.rank, work,
-            call.sentAt + this->options.objective - work };
+            latestStart(vm.serviceTime, this->options.objective, call.sentAt) };
         auto admission = decideAdmission(vm.pool, request, true, this->now, this->random);
         if (admission.verdict == AdmissionVerdict::Run) {
             if (const auto server = this->choose(vm)) {
