--- a/include/topaztack/policy/admission.hpp
+++ b/include/topaztack/policy/admission.hpp
@@ -34,8 +34,8 @@
 /// @param latencyObjective of the route; its sixth is expected before an answer was measured.
 Duration expectedServiceTime(const ServiceTime& known, Duration latencyObjective);
 
-/// @brief Until when a request may wait: its objective less the time that most answers take. Under overload the requests
-/// that are served are those that waited longest, so half of them would be late with the expected time alone.
+/// @brief Until when a request may wait: its objective less the time that most answers take. Under overload the
+/// requests that are served are those that waited longest, so half of them would be late with the expected time alone.
 TimePoint latestStart(const ServiceTime& known, Duration latencyObjective, TimePoint arrivedAt);
 
 /// @brief The work that a workspace asked for at this VM of late, in seconds of work per second.
--- a/include/topaztack/policy/send_limit.hpp
+++ b/include/topaztack/policy/send_limit.hpp
@@ -11,8 +11,8 @@
 
 namespace topaztack {
 
-/// @brief The limit of one workspace's requests to a pool at one VM. Off until a server says that it is full, and again some time after the last
-/// sign that servers are short of room.
+/// @brief The limit of one workspace's requests to a pool at one VM. Off until a server says that it is full, and again
+/// some time after the last sign that servers are short of room.
 struct SendLimit {
     /// Requests at once. Below 1: one at a time, with pauses in which the others' requests are served.
     double limit { 0 };
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -50,9 +50,8 @@
     }
 };
 
-Forwarder::Forwarder(
-    GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier,
-    RequestQueue& queue)
+Forwarder::Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach,
+    CallCarrier& carrier, RequestQueue& queue)
     : context(context)
     , servers(servers)
     , suspects(suspects)
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -19,9 +19,8 @@
 
 class Forwarder {
 public:
-    Forwarder(
-        GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier,
-        RequestQueue& queue);
+    Forwarder(GatewayContext& context, ServerTable& servers, SuspectGate& suspects, ServerReach& reach,
+        CallCarrier& carrier, RequestQueue& queue);
 
     boost::asio::awaitable<void> handle(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,9 +195,9 @@
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
         { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
-        { "queues", this->requestQueue.dump() },
-        { "suspects", this->crashes.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "queues", this->requestQueue.dump() }, { "suspects", this->crashes.dump() },
+        { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() },
+        { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
 }
 
 HttpServerLimits Gateway::Parts::callerLimits() const
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -206,9 +206,8 @@
 bool RequestQueue::chooseNext(Pool& pool)
 {
     const auto now = Clock::now();
-    const auto chosen = takeNext(pool.state.waiting, [&pool, now](const WaitingRequest& request) {
-        return nextSendAt(pool.state, request, now) <= now;
-    });
+    const auto chosen = takeNext(pool.state.waiting,
+        [&pool, now](const WaitingRequest& request) { return nextSendAt(pool.state, request, now) <= now; });
     if (!chosen)
         return false;
     pool.hasFoundServer = false;
@@ -310,8 +309,7 @@
     for (const auto& [name, pool] : this->pools)
         topaztack::expire(pool->state, now);
     for (const auto& [name, pool] : this->pools)
-        std::erase_if(
-            pool->ranks, [&pool](const auto& each) { return !pool->state.demands.contains(each.first); });
+        std::erase_if(pool->ranks, [&pool](const auto& each) { return !pool->state.demands.contains(each.first); });
     this->exchange.expire();
 }
 
--- a/src/gateway/usage_exchange.cpp
+++ b/src/gateway/usage_exchange.cpp
@@ -41,8 +41,8 @@
     {
         json::array list;
         for (const auto& [workspace, use] : uses)
-            list.push_back(json::array { workspace.value(), use.rank, toWire(use.demand), toWire(use.served),
-                toWire(use.level) });
+            list.push_back(
+                json::array { workspace.value(), use.rank, toWire(use.demand), toWire(use.served), toWire(use.level) });
         return list;
     }
 
@@ -160,8 +160,8 @@
     if (known.size() < maxVmsKept || known.contains(vm))
         known[vm] = { uses, now };
     Totals totals;
-    totals.interval = std::max<std::chrono::milliseconds>(
-        minReportInterval, static_cast<int>(known.size()) * reportIntervalPerVm);
+    totals.interval
+        = std::max<std::chrono::milliseconds>(minReportInterval, static_cast<int>(known.size()) * reportIntervalPerVm);
     std::erase_if(known, [&totals, now](const auto& each) {
         return now - each.second.receivedAt > reportLifetimeIntervals * totals.interval;
     });
--- a/src/gateway/usage_exchange.hpp
+++ b/src/gateway/usage_exchange.hpp
@@ -10,8 +10,8 @@
 #include <functional>
 
 /// @file
-/// Tells the VM that keeps a pool what each workspace asks this VM for while the pool lacks room, and learns what all VMs
-/// together know, so that no workspace gets a larger share by sending to many VMs.
+/// Tells the VM that keeps a pool what each workspace asks this VM for while the pool lacks room, and learns what all
+/// VMs together know, so that no workspace gets a larger share by sending to many VMs.
 
 namespace topaztack {
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -93,9 +93,8 @@
     {
         Duration wait {};
         const auto rate = drainPerSecond(pool.drain, now);
-        const auto ahead = workAhead(pool.waiting, arriving, [&pool, now](const WaitingRequest& request) {
-            return nextSendAt(pool, request, now) <= now;
-        });
+        const auto ahead = workAhead(pool.waiting, arriving,
+            [&pool, now](const WaitingRequest& request) { return nextSendAt(pool, request, now) <= now; });
         if (rate > 0)
             wait = toDuration(toSeconds(ahead) / rate);
         const auto* limit = limitOf(pool, arriving.workspace, now);
@@ -147,7 +146,8 @@
             expire(pool, now);
         auto& promised = pool.promisedUntil[refused.workspace];
         const auto servedAt = now + expectedWait(pool, refused, now);
-        promised = std::min(now + maxPromise, std::max(promised, servedAt) + toDuration(toSeconds(refused.work) / rate));
+        promised
+            = std::min(now + maxPromise, std::max(promised, servedAt) + toDuration(toSeconds(refused.work) / rate));
         wait = promised - now;
     }
     const auto base = std::max(minRefusalRetryAfter, toMilliseconds(wait));
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -14,8 +14,7 @@
         return toSeconds(request.work) * (factor == queue.costFactors.end() ? 1 : factor->second);
     }
 
-    const WaitingRequest& firstOf(
-        const FairQueue& queue, const FairQueue::Level& level, const WorkspaceName& workspace)
+    const WaitingRequest& firstOf(const FairQueue& queue, const FairQueue::Level& level, const WorkspaceName& workspace)
     {
         return queue.requests.at(level.flows.at(workspace).order.begin()->second);
     }
@@ -155,8 +154,8 @@
     return std::nullopt;
 }
 
-Duration workAhead(const FairQueue& queue, const WaitingRequest& arriving,
-    const std::function<bool(const WaitingRequest&)>& maySend)
+Duration workAhead(
+    const FairQueue& queue, const WaitingRequest& arriving, const std::function<bool(const WaitingRequest&)>& maySend)
 {
     const auto ownWork = waitingWork(queue, arriving.rank, arriving.workspace);
     Duration ahead = ownWork;
--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -21,8 +21,8 @@
     constexpr double maxShareStep = 1.7;
     /// Late answers alone don't take the limit below this: a server may be slow without being full.
     constexpr double minLimitWhenLate = 1.0 / 8;
-    /// Growth per second while answers are early, for one workspace and as a fraction of the limit. Both are by time and
-    /// not by answer, so that the limits of all VMs come to be in proportion to their weights.
+    /// Growth per second while answers are early, for one workspace and as a fraction of the limit. Both are by time
+    /// and not by answer, so that the limits of all VMs come to be in proportion to their weights.
     constexpr double growthPerWeight = 0.1;
     constexpr double growthFraction = 0.3;
     /// Answers within this part of the objective show servers with free slots; the limit then grows faster.
@@ -49,8 +49,7 @@
             return;
         // A workspace with a single request at once is not what fills the servers.
         const auto lowest = std::min(limit.limit, isUsedUp ? minLimit : 1);
-        limit.limit
-            = isLimited(limit, now) ? std::max(lowest, limit.limit / 2) : std::max(1.0, inFlight / 2.0);
+        limit.limit = isLimited(limit, now) ? std::max(lowest, limit.limit / 2) : std::max(1.0, inFlight / 2.0);
         limit.halvedAt = now;
     }
 
--- a/tests/src/policy/overload_world.hpp
+++ b/tests/src/policy/overload_world.hpp
@@ -64,8 +64,9 @@
         this->ranks[WorkspaceName(workspace)] = rank;
         for (auto time = from + this->gap(perSecond); time < until; time += this->gap(perSecond)) {
             const auto vm = at[this->random.below(at.size())];
-            this->schedule(this->start + time,
-                [this, workspace, vm, rank] { this->arrive({ workspace, rank, vm, this->now, this->now, false }); });
+            this->schedule(this->start + time, [this, workspace, vm, rank] {
+                this->arrive({ workspace, rank, vm, this->now, this->now, false });
+            });
         }
     }
 
@@ -265,8 +266,8 @@
     void serve(std::size_t server, const std::function<void()>& answer)
     {
         ++this->servers[server].running;
-        const auto time = std::chrono::duration_cast<Duration>(
-            this->options.serviceTime * (0.8 + 0.4 * this->random.unit()));
+        const auto time
+            = std::chrono::duration_cast<Duration>(this->options.serviceTime * (0.8 + 0.4 * this->random.unit()));
         this->schedule(this->now + time, [this, server, answer] {
             answer();
             auto& each = this->servers[server];
@@ -290,8 +291,7 @@
         request.workspace = WorkspaceName(call.workspace);
         request.rank = call.rank;
         request.work = expectedServiceTime(vm.serviceTime, this->options.objective);
-        recordResult(
-            vm.pool, request, SendOutcome::Answered, this->now - sentAt, this->options.objective, this->now);
+        recordResult(vm.pool, request, SendOutcome::Answered, this->now - sentAt, this->options.objective, this->now);
         recordServiceTime(vm.serviceTime, this->now - sentAt);
         this->pump(call.vm);
     }
@@ -358,9 +358,8 @@
                 wakeAt = this->now + 5ms;
                 break;
             }
-            const auto next = takeNext(vm.pool.waiting, [&](const WaitingRequest& request) {
-                return nextSendAt(vm.pool, request, this->now) <= this->now;
-            });
+            const auto next = takeNext(vm.pool.waiting,
+                [&](const WaitingRequest& request) { return nextSendAt(vm.pool, request, this->now) <= this->now; });
             if (!next) {
                 wakeAt = nextEventAt(vm.pool, this->now);
                 break;
--- a/tests/src/policy/unit-fair_queue.cpp
+++ b/tests/src/policy/unit-fair_queue.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-WaitingRequest makeRequest(const std::string& workspace, Duration latestStart = 1s, Duration work = 25ms,
-    std::uint64_t rank = 0)
+WaitingRequest makeRequest(
+    const std::string& workspace, Duration latestStart = 1s, Duration work = 25ms, std::uint64_t rank = 0)
 {
     return { WorkspaceName(workspace), rank, work, TimePoint(latestStart) };
 }
