--- a/include/topaztack/policy/fair_queue.hpp
+++ b/include/topaztack/policy/fair_queue.hpp
@@ -71,7 +71,7 @@
 /// @brief Adds a request.
 /// @return the number that identifies it in the queue.
 /// @complexity logarithmic in the requests and workspaces that wait.
-std::uint64_t enqueue(FairQueue& queue, WaitingRequest request);
+std::uint64_t enqueue(FairQueue& queue, const WaitingRequest& request);
 
 /// @brief Removes the request that is served next and counts its work towards its workspace's share.
 /// @param maySend whether a workspace's first request may be sent now; workspaces for which it may not are passed over.
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -306,10 +306,11 @@
 void RequestQueue::expire()
 {
     const auto now = Clock::now();
-    for (const auto& [name, pool] : this->pools)
-        topaztack::expire(pool->state, now);
-    for (const auto& [name, pool] : this->pools)
-        std::erase_if(pool->ranks, [&pool](const auto& each) { return !pool->state.demands.contains(each.first); });
+    for (const auto& each : this->pools) {
+        auto& pool = *each.second;
+        topaztack::expire(pool.state, now);
+        std::erase_if(pool.ranks, [&pool](const auto& known) { return !pool.state.demands.contains(known.first); });
+    }
     this->exchange.expire();
 }
 
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -69,7 +69,7 @@
 
 } // namespace
 
-std::uint64_t enqueue(FairQueue& queue, WaitingRequest request)
+std::uint64_t enqueue(FairQueue& queue, const WaitingRequest& request)
 {
     const auto number = ++queue.lastNumber;
     insert(queue, number, request);
@@ -78,9 +78,10 @@
 
 std::optional<QueuedRequest> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend)
 {
-    for (auto& [rank, level] : queue.levels) {
+    for (auto& each : queue.levels) {
+        auto& level = each.second;
         const auto chosen = std::find_if(level.waiting.begin(), level.waiting.end(),
-            [&](const auto& each) { return !maySend || maySend(firstOf(queue, level, each.second)); });
+            [&](const auto& flow) { return !maySend || maySend(firstOf(queue, level, flow.second)); });
         if (chosen == level.waiting.end())
             continue;
         const auto workspace = chosen->second;
--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -10,8 +10,6 @@
 
     /// Requests in flight together are refused together.
     constexpr Duration halvingInterval = 100ms;
-    /// A workspace with one request at a time may be refused several times in a row because of the others.
-    constexpr Duration singleHalvingInterval = 500ms;
     constexpr Duration limitRetention = 5s;
     constexpr double minLimit = 1.0 / 64;
     /// The limit of a workspace that shares a pool at hundreds of VMs with hundreds of others.
@@ -44,8 +42,7 @@
 
     void recordFull(SendLimit& limit, std::uint32_t inFlight, bool isUsedUp, TimePoint now)
     {
-        const auto interval = limit.limit > 1 ? halvingInterval : singleHalvingInterval;
-        if (limit.halvedAt && isLimited(limit, now) && now - *limit.halvedAt < interval)
+        if (limit.halvedAt && isLimited(limit, now) && now - *limit.halvedAt < halvingInterval)
             return;
         // A workspace with a single request at once is not what fills the servers.
         const auto lowest = std::min(limit.limit, isUsedUp ? minLimit : 1);
