--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -255,7 +255,9 @@
 SuspectGate::Entry RequestQueue::refuse(QueuedCall& call, const WaitingRequest& request, const Admission& admission)
 {
     auto& pool = this->poolOf(call.requirements.pool);
-    call.pass.retryAfter = admission.retryAfter;
+    // A server's limit of requests per second may allow the next one only later.
+    call.pass.retryAfter
+        = std::max(admission.retryAfter, toMilliseconds(this->servers.timeUntilAdmission(call.requirements.pool)));
     this->refusalsOf(call.workspace).add();
     SuspectGate::Entry entry;
     entry.refusal = makeError(ErrorKind::NoBackendServer,
@@ -272,7 +274,7 @@
             { "waited_ms", toText(call.waited) }, { "service_ms", toText(request.work) },
             { "share", std::to_string(admission.share) }, { "full", std::to_string(call.refusals) },
             { "waiting", std::to_string(pool.state.waiting.requests.size()) },
-            { "retry_after_ms", std::to_string(admission.retryAfter.count()) },
+            { "retry_after_ms", std::to_string(call.pass.retryAfter->count()) },
             { "not_logged", std::to_string(std::exchange(pool.refusalsNotLogged, 0)) } });
     return entry;
 }
