--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -86,8 +86,9 @@
     request.workspace = call.workspace;
     request.rank = call.rank;
     const auto objective = objectiveOf(call.route);
-    request.work = expectedServiceTime(pool.serviceTimes[call.route.name], objective);
-    request.latestStart = std::min(call.arrivedAt + objective - request.work, call.deadline);
+    const auto& serviceTime = pool.serviceTimes[call.route.name];
+    request.work = expectedServiceTime(serviceTime, objective);
+    request.latestStart = std::min(latestStart(serviceTime, objective, call.arrivedAt), call.deadline);
     return request;
 }
 
@@ -254,7 +255,9 @@
 SuspectGate::Entry RequestQueue::refuse(QueuedCall& call, const WaitingRequest& request, const Admission& admission)
 {
     auto& pool = this->poolOf(call.requirements.pool);
-    call.pass.retryAfter = admission.retryAfter;
+    // A server's limit of requests per second may allow the next one only later.
+    call.pass.retryAfter
+        = std::max(admission.retryAfter, toMilliseconds(this->servers.timeUntilAdmission(call.requirements.pool)));
     this->refusalsOf(call.workspace).add();
     SuspectGate::Entry entry;
     entry.refusal = makeError(ErrorKind::NoBackendServer,
@@ -271,7 +274,7 @@
             { "waited_ms", toText(call.waited) }, { "service_ms", toText(request.work) },
             { "share", std::to_string(admission.share) }, { "full", std::to_string(call.refusals) },
             { "waiting", std::to_string(pool.state.waiting.requests.size()) },
-            { "retry_after_ms", std::to_string(admission.retryAfter.count()) },
+            { "retry_after_ms", std::to_string(call.pass.retryAfter->count()) },
             { "not_logged", std::to_string(std::exchange(pool.refusalsNotLogged, 0)) } });
     return entry;
 }
@@ -305,10 +308,11 @@
 void RequestQueue::expire()
 {
     const auto now = Clock::now();
-    for (const auto& [name, pool] : this->pools)
-        topaztack::expire(pool->state, now);
-    for (const auto& [name, pool] : this->pools)
-        std::erase_if(pool->ranks, [&pool](const auto& each) { return !pool->state.demands.contains(each.first); });
+    for (const auto& each : this->pools) {
+        auto& pool = *each.second;
+        topaztack::expire(pool.state, now);
+        std::erase_if(pool.ranks, [&pool](const auto& known) { return !pool.state.demands.contains(known.first); });
+    }
     this->exchange.expire();
 }
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -61,6 +61,8 @@
 {
     const auto seconds = toSeconds(measured);
     const auto smoothing = seconds > known.seconds ? risingServiceTimeSmoothing : fallingServiceTimeSmoothing;
+    const auto deviation = known.seconds == 0 ? 0 : std::abs(seconds - known.seconds);
+    known.deviationSeconds += fallingServiceTimeSmoothing * (deviation - known.deviationSeconds);
     known.seconds = known.seconds == 0 ? seconds : known.seconds + smoothing * (seconds - known.seconds);
 }
 
@@ -91,9 +93,8 @@
     {
         Duration wait {};
         const auto rate = drainPerSecond(pool.drain, now);
-        const auto ahead = workAhead(pool.waiting, arriving, [&pool, now](const WaitingRequest& request) {
-            return nextSendAt(pool, request, now) <= now;
-        });
+        const auto ahead = workAhead(pool.waiting, arriving,
+            [&pool, now](const WaitingRequest& request) { return nextSendAt(pool, request, now) <= now; });
         if (rate > 0)
             wait = toDuration(toSeconds(ahead) / rate);
         const auto* limit = limitOf(pool, arriving.workspace, now);
@@ -109,6 +110,12 @@
 
 } // namespace
 
+TimePoint latestStart(const ServiceTime& known, Duration latencyObjective, TimePoint arrivedAt)
+{
+    return arrivedAt + latencyObjective - expectedServiceTime(known, latencyObjective)
+        - toDuration(known.deviationSeconds);
+}
+
 Admission decideAdmission(
     PoolQueue& pool, const WaitingRequest& arriving, bool hasServer, TimePoint now, Random& random)
 {
@@ -139,7 +146,8 @@
             expire(pool, now);
         auto& promised = pool.promisedUntil[refused.workspace];
         const auto servedAt = now + expectedWait(pool, refused, now);
-        promised = std::min(now + maxPromise, std::max(promised, servedAt) + toDuration(toSeconds(refused.work) / rate));
+        promised
+            = std::min(now + maxPromise, std::max(promised, servedAt) + toDuration(toSeconds(refused.work) / rate));
         wait = promised - now;
     }
     const auto base = std::max(minRefusalRetryAfter, toMilliseconds(wait));
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -14,8 +14,7 @@
         return toSeconds(request.work) * (factor == queue.costFactors.end() ? 1 : factor->second);
     }
 
-    const WaitingRequest& firstOf(
-        const FairQueue& queue, const FairQueue::Level& level, const WorkspaceName& workspace)
+    const WaitingRequest& firstOf(const FairQueue& queue, const FairQueue::Level& level, const WorkspaceName& workspace)
     {
         return queue.requests.at(level.flows.at(workspace).order.begin()->second);
     }
@@ -70,7 +69,7 @@
 
 } // namespace
 
-std::uint64_t enqueue(FairQueue& queue, WaitingRequest request)
+std::uint64_t enqueue(FairQueue& queue, const WaitingRequest& request)
 {
     const auto number = ++queue.lastNumber;
     insert(queue, number, request);
@@ -79,9 +78,10 @@
 
 std::optional<QueuedRequest> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend)
 {
-    for (auto& [rank, level] : queue.levels) {
+    for (auto& each : queue.levels) {
+        auto& level = each.second;
         const auto chosen = std::find_if(level.waiting.begin(), level.waiting.end(),
-            [&](const auto& each) { return !maySend || maySend(firstOf(queue, level, each.second)); });
+            [&](const auto& flow) { return !maySend || maySend(firstOf(queue, level, flow.second)); });
         if (chosen == level.waiting.end())
             continue;
         const auto workspace = chosen->second;
@@ -155,8 +155,8 @@
     return std::nullopt;
 }
 
-Duration workAhead(const FairQueue& queue, const WaitingRequest& arriving,
-    const std::function<bool(const WaitingRequest&)>& maySend)
+Duration workAhead(
+    const FairQueue& queue, const WaitingRequest& arriving, const std::function<bool(const WaitingRequest&)>& maySend)
 {
     const auto ownWork = waitingWork(queue, arriving.rank, arriving.workspace);
     Duration ahead = ownWork;
--- a/src/policy/send_limit.cpp
+++ b/src/policy/send_limit.cpp
@@ -10,8 +10,6 @@
 
     /// Requests in flight together are refused together.
     constexpr Duration halvingInterval = 100ms;
-    /// A workspace with one request at a time may be refused several times in a row because of the others.
-    constexpr Duration singleHalvingInterval = 500ms;
     constexpr Duration limitRetention = 5s;
     constexpr double minLimit = 1.0 / 64;
     /// The limit of a workspace that shares a pool at hundreds of VMs with hundreds of others.
@@ -21,8 +19,8 @@
     constexpr double maxShareStep = 1.7;
     /// Late answers alone don't take the limit below this: a server may be slow without being full.
     constexpr double minLimitWhenLate = 1.0 / 8;
-    /// Growth per second while answers are early, for one workspace and as a fraction of the limit. Both are by time and
-    /// not by answer, so that the limits of all VMs come to be in proportion to their weights.
+    /// Growth per second while answers are early, for one workspace and as a fraction of the limit. Both are by time
+    /// and not by answer, so that the limits of all VMs come to be in proportion to their weights.
     constexpr double growthPerWeight = 0.1;
     constexpr double growthFraction = 0.3;
     /// Answers within this part of the objective show servers with free slots; the limit then grows faster.
@@ -42,13 +40,13 @@
 
     double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-    void recordFull(SendLimit& limit, std::uint32_t inFlight, TimePoint now)
+    void recordFull(SendLimit& limit, std::uint32_t inFlight, bool isUsedUp, TimePoint now)
     {
-        const auto interval = limit.limit > 1 ? halvingInterval : singleHalvingInterval;
-        if (limit.halvedAt && isLimited(limit, now) && now - *limit.halvedAt < interval)
+        if (limit.halvedAt && isLimited(limit, now) && now - *limit.halvedAt < halvingInterval)
             return;
         // A workspace with a single request at once is not what fills the servers.
-        limit.limit = isLimited(limit, now) ? std::max(std::min(limit.limit, minLimit), limit.limit / 2) : std::max(1.0, inFlight / 2.0);
+        const auto lowest = std::min(limit.limit, isUsedUp ? minLimit : 1);
+        limit.limit = isLimited(limit, now) ? std::max(lowest, limit.limit / 2) : std::max(1.0, inFlight / 2.0);
         limit.halvedAt = now;
     }
 
@@ -102,7 +100,7 @@
     const auto elapsed = std::min(maxAnswerGapSeconds, toSeconds(now - limit.adjustedAt));
     limit.adjustedAt = now;
     if (result.outcome == SendOutcome::Full) {
-        recordFull(limit, inFlight, now);
+        recordFull(limit, inFlight, result.isUsedUp, now);
         limit.congestedAt = now;
         return;
     }
