Tests of counts by workspace and of counts that are missing

Cause: counts are the requests that servers began, once each, and a report without the counts of a VM that may go on serving would be wrong. Change: whole gateways with workspaces: plain requests, failures, refusals, repeats, streams, items, a killed VM, and a VM that answers nothing. A report is doubtful too where nothing is known of a VM beyond the tolerated share of VMs.

--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -113,6 +113,8 @@
     std::uint64_t unassigned { 0 };
     /// Estimates of what is missing.
     std::vector<UsageCounts> missing;
+    /// VMs of whose use nothing is known, not even in an earlier window.
+    std::size_t unknownVms { 0 };
 
     bool hasAnswered(const VmIdentity& vm) const { return this->answered.contains(vm); }
     void add(const UsageAnswer& answer);
@@ -235,7 +237,9 @@
         co_return false;
     }
     const auto counts = sumUsage(collection->counts);
-    if (mayExceedTolerance(counts, collection->missing, duties.tolerance)) {
+    const auto maxUnknownVms = duties.tolerance * static_cast<double>(collection->asked.size() + 1);
+    const bool areTooManyUnknown = static_cast<double>(collection->unknownVms) > maxUnknownVms;
+    if (areTooManyUnknown || mayExceedTolerance(counts, collection->missing, duties.tolerance)) {
         this->backOff("counts of " + std::to_string(collection->missing.size()) + " VMs are missing");
         logEvent(LogLevel::Info, "usage-counts-missing",
             { { "window", std::to_string(window) }, { "total", std::to_string(totalOf(counts)) },
@@ -351,6 +355,7 @@
             collection.missing.push_back(last->second);
             continue;
         }
+        ++collection.unknownVms;
         UsageCounts average;
         for (const auto& [workspace, count] : sum)
             average[workspace] = count / std::max<std::size_t>(1, collection.answered.size());
--- a/tests/src/gateway/unit-usage.cpp
+++ b/tests/src/gateway/unit-usage.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fixture.hpp"
+#include "gateway/stream_client.hpp"
 #include "standins/platform_api.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -93,6 +93,41 @@
         CHECK_TRUE(*report == counts);
     }
 
+    /// Waits for the reports from a window on until now, and adds them up.
+    Counts sumSince(std::uint64_t first)
+    {
+        const auto last = currentWindow();
+        Counts sum;
+        for (auto window = first; window <= last; ++window) {
+            CHECK_TRUE(this->isReported(window));
+            const auto report = this->platform.report(window).value_or(Counts {});
+            for (const auto& [workspace, count] : report)
+                sum[workspace] += count;
+        }
+        return sum;
+    }
+
+    HttpResponse bookAs(
+        const RunningGateway& gateway, const std::string& key, const std::string& id, const std::string& path = "/b/1")
+    {
+        return this->call(gateway.callers, "POST", path,
+            { { "Topaztack-Request-Id", id }, { "Topaztack-Deadline-Ms", "2000" },
+                { "Authorization", "Bearer " + key } },
+            "nine o clock");
+    }
+
+    /// Starts VMs for callers of two workspaces, and waits for the first window that they cover.
+    std::uint64_t startWithWorkspaces(int vms)
+    {
+        this->store.put("op", "", "config", configurationWithWorkspaces(2));
+        for (int vm = 1; vm <= vms; ++vm)
+            this->startGateway("vm-" + std::to_string(vm), static_cast<std::uint64_t>(vm));
+        this->awaitHolder();
+        const auto first = currentWindow() + 1;
+        CHECK_TRUE(waitFor([&] { return currentWindow() == first; }));
+        return first;
+    }
+
     void checkNoViolation()
     {
         for (const auto& violation : this->platform.violations())
@@ -237,6 +272,96 @@
     this->env->checkNoViolation();
 }
 
+TEST(Usage, RequestsThatServersBeganToRunAreCountedByWorkspace)
+{
+    const auto first = this->env->startWithWorkspaces(2);
+    auto& one = *this->env->gateways.at(0);
+    auto& two = *this->env->gateways.at(1);
+    for (int request = 0; request < 5; ++request) {
+        LONGS_EQUAL(200, this->env->bookAs(one, "secret-1a", "one-" + std::to_string(request)).status);
+        LONGS_EQUAL(200, this->env->bookAs(two, "secret-1b", "two-" + std::to_string(request)).status);
+    }
+    LONGS_EQUAL(200, this->env->bookAs(two, "secret-2", "three").status);
+    // Not of a workspace, or not admitted.
+    LONGS_EQUAL(200, this->env->call(one.callers, "POST", "/p/1", { { "Topaztack-Request-Id", "open" } }).status);
+    LONGS_EQUAL(401, this->env->bookAs(one, "wrong", "four").status);
+    // The server's own failure counts, a refusal as not run doesn't.
+    this->env->booking.faults.plainStatus = 500;
+    LONGS_EQUAL(500, this->env->bookAs(one, "secret-2", "five", "/u/1").status);
+    this->env->booking.faults.plainStatus = 200;
+    this->env->booking.faults.isFull = true;
+    LONGS_EQUAL(503, this->env->bookAs(one, "secret-2", "six").status);
+    this->env->booking.faults.isFull = false;
+    // A request that ran at two servers counts once.
+    auto& second = this->env->addWorker("i-app-2");
+    this->env->registerServer(second, "app");
+    std::this_thread::sleep_for(600ms);
+    this->env->booking.faults.answersToLose = 1;
+    second.faults.answersToLose = 1;
+    this->env->bookAs(one, "secret-2", "seven");
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 10 }, { "w2", 3 } }));
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, StreamsAreCountedAtTheirFirstEventAndItemsAreNot)
+{
+    const auto first = this->env->startWithWorkspaces(2);
+    auto& gateway = *this->env->gateways.at(0);
+    this->env->engine.faults.breakAfter = 2;
+    StreamCall call;
+    call.id = "s1";
+    call.headers.push_back({ "Authorization", "Bearer secret-1a" });
+    LONGS_EQUAL(200, openStream(gateway, call).status);
+    this->env->engine.faults.breakAfter = 0;
+    LONGS_EQUAL(202,
+        this->env
+            ->call(gateway.callers, "POST", "/j/j1",
+                { { "Topaztack-Request-Id", "j1" }, { "Authorization", "Bearer secret-2" } },
+                TestEnvironment::jobBody({ "i1", "i2" }))
+            .status);
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 1 } }));
+}
+
+// The counts of the last half second before a kill are those at stake.
+TEST(Usage, CountsOfAKilledVmAreReported)
+{
+    const auto first = this->env->startWithWorkspaces(3);
+    const auto killed = (this->env->holder() + 1) % 3;
+    for (int request = 0; request < 5; ++request)
+        this->env->bookAs(*this->env->gateways.at(killed), "secret-1a", "one-" + std::to_string(request));
+    std::this_thread::sleep_for(500ms);
+    this->env->gateways.erase(this->env->gateways.begin() + static_cast<std::ptrdiff_t>(killed));
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 5 } }));
+}
+
+// Nothing tells whether a VM that is cut off goes on serving: the platform wants no report rather than a wrong one.
+TEST(Usage, NoReportIsSentWhileCountsThatMatterAreMissing)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->awaitHolder();
+    // Listens and answers no message of VMs.
+    PlatformApiStandin silent(this->env->threads, silence);
+    silent.faults.isDown = true;
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":7})");
+    this->env->store.put("gateways", "", "vm-7",
+        R"({"vm":"vm-7","incarnation":1,"data_centre":"z2","address":")" + toText(silent.endpoint())
+            + R"(","processor":1,"written_ms":)" + std::to_string(unixTime().count()) + "}");
+    CHECK_TRUE(waitFor([&] { return this->env->duties(gateway, "reports").at("missed").to_number<int>() >= 1; }, 20s));
+    // Neither a window with counts of the others nor one without.
+    CHECK_FALSE(this->env->platform.report(window).has_value());
+    CHECK_FALSE(this->env->platform.report(window + 1).has_value());
+    // It has ended.
+    this->env->store.remove("gateways", "", "vm-7");
+    CHECK_TRUE(this->env->isReported(currentWindow()));
+    this->env->checkNoViolation();
+    this->env->gateways.clear();
+    this->env->threads.stop();
+}
+
 TEST(Usage, WithoutDutiesNothingIsSentOrWritten)
 {
     this->env->adjustSettings = {};
