--- a/tests/src/gateway/unit-usage.cpp
+++ b/tests/src/gateway/unit-usage.cpp
@@ -393,6 +393,27 @@
     CHECK_TRUE((sum == Counts { { "w1", 1 } }));
 }
 
+// The VM that sends a request to a server counts it; the one that has it carried knows no less of its workspace.
+TEST(Usage, RequestsThatAreCarriedAreCountedOnceByTheVmThatCarriesThem)
+{
+    const auto first = this->env->startWithWorkspaces(1);
+    StoreStandin cutView(this->env->threads);
+    cutView.put("op", "", "config", TestEnvironment::configurationWithWorkspaces(2));
+    auto record = boost::json::parse(this->env->booking.record("app")).as_object();
+    record["address"] = toText(freeEndpoint());
+    cutView.put("servers", "", "i-app", boost::json::serialize(record));
+    cutView.put("gateways", "", "vm-1", this->env->store.rowsOf("gateways").at("vm-1"));
+    this->env->adjustSettings = {};
+    auto& cut = this->env->startGatewayAt(cutView.endpoint(), "vm-cut", 2);
+    CHECK_TRUE(waitFor([&] { return !this->env->state(cut, "peers").as_object().empty(); }));
+    for (int request = 0; request < 3; ++request)
+        LONGS_EQUAL(200, this->env->bookAs(cut, "secret-1a", "carried-" + std::to_string(request)).status);
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 3 } }));
+    this->env->gateways.clear();
+    this->env->threads.stop();
+}
+
 // The counts of the last half second before a kill are those at stake.
 TEST(Usage, CountsOfAKilledVmAreReported)
 {
