--- a/src/gateway/duty_lease.cpp
+++ b/src/gateway/duty_lease.cpp
@@ -82,6 +82,7 @@
     options.silence = settings.duties.silence;
     options.transitTime = dutyCallTimeout;
     options.thawTime = settings.duties.thawTime;
+    options.competes = settings.duties.reportsUsage || settings.duties.ordersServers;
     return options;
 }
 
