--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,6 +37,7 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace topaztack {
@@ -99,6 +100,7 @@
     asio::awaitable<bool> handleCarried(HttpExchange& exchange);
     asio::awaitable<void> expire();
     asio::awaitable<void> handOver(TimePoint deadline);
+    DutyLeaseOptions platformDutyOptions() const;
     json::value dump() const;
 
     GatewayContext context;
@@ -160,7 +162,7 @@
     , forwarder(
           this->context, this->servers, this->suspects, this->reach, this->carrier, this->requestQueue, this->usage)
     , lease(this->context, orderLeaseOptions(this->context.settings))
-    , platformDuties(this->context, platformDutyLeaseOptions(this->context.settings))
+    , platformDuties(this->context, this->platformDutyOptions())
     , usageReporter(this->context, this->peers, this->usage, this->platformDuties)
     , weights(this->context, this->servers, this->jobs, this->lease)
     , scaler(this->context, this->servers, this->jobs, this->peers, this->reach, this->platformDuties,
@@ -207,6 +209,18 @@
     });
 }
 
+/// Few VMs, in different data centres, watch the lease closely.
+DutyLeaseOptions Gateway::Parts::platformDutyOptions() const
+{
+    auto options = platformDutyLeaseOptions(this->context.settings);
+    options.isPreferred = [this] {
+        const auto preferred = this->peers.keepersOf("platform-duties");
+        return std::any_of(preferred.begin(), preferred.end(),
+            [this](const auto& vm) { return vm.vm.name == this->context.identity.name; });
+    };
+    return options;
+}
+
 json::value Gateway::Parts::dump() const
 {
     json::object dump { { "vm", this->context.identity.name.value() },
--- a/tests/src/gateway/unit-usage.cpp
+++ b/tests/src/gateway/unit-usage.cpp
@@ -1,8 +1,15 @@
-#include "gateway/fixture.hpp"
+#include "gateway/stream_client.hpp"
 #include "standins/platform_api.hpp"
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 using namespace topaztack;
 using namespace topaztack::test;
 using namespace std::chrono_literals;
@@ -23,6 +30,48 @@
         + R"(,"windows":{")" + std::to_string(window) + R"(":)" + counts + "}}";
 }
 
+/// A gateway as a process of its own, which can be stopped and resumed.
+class GatewayProcess {
+public:
+    GatewayProcess(const std::string& name, const Endpoint& store, const Endpoint& platform)
+        : operators(freeEndpoint())
+        , settingsFile(std::filesystem::temp_directory_path() / (name + "-" + std::to_string(getpid()) + ".ini"))
+    {
+        std::ofstream(this->settingsFile)
+            << "[vm " << name << "]\ndata_centre = z2\nregion = r\ncallers = " << toText(freeEndpoint())
+            << "\noperators = " << toText(this->operators) << "\npeers = " << toText(freeEndpoint())
+            << "\nthreads = 1\n\n[platform]\naddress = " << toText(store) << "\ntimeout = 1s\n\n[gateway]\n"
+            << "shutdown_time = 8s\norder_silence = 0ms\nresult_retention = 2min\nrow_size = 64KiB\n"
+            << "object_size = 1KiB\n\n[duties]\naddress = " << toText(platform)
+            << "\nusage = yes\nrate = 50\nwindow = 1s\nreport_due = 10s\ntolerance = 0.05\nsilence = 300ms\n"
+            << "thaw_time = 300ms\n";
+        const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "topaztackd";
+        std::string path = program.string();
+        std::string option = "--settings";
+        std::string file = this->settingsFile.string();
+        std::vector<char*> arguments { path.data(), option.data(), file.data(), nullptr };
+        LONGS_EQUAL(0, posix_spawn(&this->process, path.c_str(), nullptr, nullptr, arguments.data(), environ));
+    }
+
+    ~GatewayProcess()
+    {
+        this->signal(SIGKILL);
+        waitpid(this->process, nullptr, 0);
+        std::filesystem::remove(this->settingsFile);
+    }
+
+    GatewayProcess(const GatewayProcess&) = delete;
+    GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+    void signal(int number) const { kill(this->process, number); }
+
+    const Endpoint operators;
+
+private:
+    const std::filesystem::path settingsFile;
+    pid_t process { 0 };
+};
+
 struct UsageEnvironment : TestEnvironment {
     UsageEnvironment()
     {
@@ -93,6 +142,41 @@
         CHECK_TRUE(*report == counts);
     }
 
+    /// Waits for the reports from a window on until now, and adds them up.
+    Counts sumSince(std::uint64_t first)
+    {
+        const auto last = currentWindow();
+        Counts sum;
+        for (auto window = first; window <= last; ++window) {
+            CHECK_TRUE(this->isReported(window));
+            const auto report = this->platform.report(window).value_or(Counts {});
+            for (const auto& [workspace, count] : report)
+                sum[workspace] += count;
+        }
+        return sum;
+    }
+
+    HttpResponse bookAs(
+        const RunningGateway& gateway, const std::string& key, const std::string& id, const std::string& path = "/b/1")
+    {
+        return this->call(gateway.callers, "POST", path,
+            { { "Topaztack-Request-Id", id }, { "Topaztack-Deadline-Ms", "2000" },
+                { "Authorization", "Bearer " + key } },
+            "nine o clock");
+    }
+
+    /// Starts VMs for callers of two workspaces, and waits for the first window that they cover.
+    std::uint64_t startWithWorkspaces(int vms)
+    {
+        this->store.put("op", "", "config", configurationWithWorkspaces(2));
+        for (int vm = 1; vm <= vms; ++vm)
+            this->startGateway("vm-" + std::to_string(vm), static_cast<std::uint64_t>(vm));
+        this->awaitHolder();
+        const auto first = currentWindow() + 1;
+        CHECK_TRUE(waitFor([&] { return currentWindow() == first; }));
+        return first;
+    }
+
     void checkNoViolation()
     {
         for (const auto& violation : this->platform.violations())
@@ -155,6 +239,26 @@
     this->env->checkNoViolation();
 }
 
+// A process that is stopped resumes with the lease as it remembers it, and with reports to send.
+TEST(Usage, AHolderThatWasStoppedAndResumedSendsNothingUnderItsOldLease)
+{
+    const GatewayProcess stopped("vm-0", this->env->store.endpoint(), this->env->platform.endpoint());
+    CHECK_TRUE(waitFor([&] { return this->env->platform.reports() > 0; }, 20s));
+    LONGS_EQUAL(1, this->env->platform.calls().back().fencingNumber);
+    this->env->startGateway("vm-1", 1);
+    std::this_thread::sleep_for(1500ms);
+    const auto window = currentWindow();
+    stopped.signal(SIGSTOP);
+    std::this_thread::sleep_for(4s);
+    stopped.signal(SIGCONT);
+    for (auto each = window; each <= window + 4; ++each)
+        CHECK_TRUE(this->env->isReported(each));
+    const auto last = this->env->platform.calls().back();
+    STRCMP_EQUAL("vm-1", last.holder.c_str());
+    LONGS_EQUAL(2, last.fencingNumber);
+    this->env->checkNoViolation();
+}
+
 TEST(Usage, AnotherVmReportsAfterThePlannedStopOfTheHolder)
 {
     this->env->startGateway("vm-1", 1);
@@ -237,6 +341,117 @@
     this->env->checkNoViolation();
 }
 
+TEST(Usage, RequestsThatServersBeganToRunAreCountedByWorkspace)
+{
+    const auto first = this->env->startWithWorkspaces(2);
+    auto& one = *this->env->gateways.at(0);
+    auto& two = *this->env->gateways.at(1);
+    for (int request = 0; request < 5; ++request) {
+        LONGS_EQUAL(200, this->env->bookAs(one, "secret-1a", "one-" + std::to_string(request)).status);
+        LONGS_EQUAL(200, this->env->bookAs(two, "secret-1b", "two-" + std::to_string(request)).status);
+    }
+    LONGS_EQUAL(200, this->env->bookAs(two, "secret-2", "three").status);
+    // Not of a workspace, or not admitted.
+    LONGS_EQUAL(200, this->env->call(one.callers, "POST", "/p/1", { { "Topaztack-Request-Id", "open" } }).status);
+    LONGS_EQUAL(401, this->env->bookAs(one, "wrong", "four").status);
+    // The server's own failure counts, a refusal as not run doesn't.
+    this->env->booking.faults.plainStatus = 500;
+    LONGS_EQUAL(500, this->env->bookAs(one, "secret-2", "five", "/u/1").status);
+    this->env->booking.faults.plainStatus = 200;
+    this->env->booking.faults.isFull = true;
+    LONGS_EQUAL(503, this->env->bookAs(one, "secret-2", "six").status);
+    this->env->booking.faults.isFull = false;
+    // A request that ran at two servers counts once.
+    auto& second = this->env->addWorker("i-app-2");
+    this->env->registerServer(second, "app");
+    std::this_thread::sleep_for(600ms);
+    this->env->booking.faults.answersToLose = 1;
+    second.faults.answersToLose = 1;
+    this->env->bookAs(one, "secret-2", "seven");
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 10 }, { "w2", 3 } }));
+    this->env->checkNoViolation();
+}
+
+TEST(Usage, StreamsAreCountedAtTheirFirstEventAndItemsAreNot)
+{
+    const auto first = this->env->startWithWorkspaces(2);
+    auto& gateway = *this->env->gateways.at(0);
+    this->env->engine.faults.breakAfter = 2;
+    StreamCall call;
+    call.id = "s1";
+    call.headers.push_back({ "Authorization", "Bearer secret-1a" });
+    LONGS_EQUAL(200, openStream(gateway, call).status);
+    this->env->engine.faults.breakAfter = 0;
+    LONGS_EQUAL(202,
+        this->env
+            ->call(gateway.callers, "POST", "/j/j1",
+                { { "Topaztack-Request-Id", "j1" }, { "Authorization", "Bearer secret-2" } },
+                TestEnvironment::jobBody({ "i1", "i2" }))
+            .status);
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 1 } }));
+}
+
+// The VM that sends a request to a server counts it; the one that has it carried knows no less of its workspace.
+TEST(Usage, RequestsThatAreCarriedAreCountedOnceByTheVmThatCarriesThem)
+{
+    const auto first = this->env->startWithWorkspaces(1);
+    StoreStandin cutView(this->env->threads);
+    cutView.put("op", "", "config", TestEnvironment::configurationWithWorkspaces(2));
+    auto record = boost::json::parse(this->env->booking.record("app")).as_object();
+    record["address"] = toText(freeEndpoint());
+    cutView.put("servers", "", "i-app", boost::json::serialize(record));
+    cutView.put("gateways", "", "vm-1", this->env->store.rowsOf("gateways").at("vm-1"));
+    this->env->adjustSettings = {};
+    auto& cut = this->env->startGatewayAt(cutView.endpoint(), "vm-cut", 2);
+    CHECK_TRUE(waitFor([&] { return !this->env->state(cut, "peers").as_object().empty(); }));
+    for (int request = 0; request < 3; ++request)
+        LONGS_EQUAL(200, this->env->bookAs(cut, "secret-1a", "carried-" + std::to_string(request)).status);
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 3 } }));
+    this->env->gateways.clear();
+    this->env->threads.stop();
+}
+
+// The counts of the last half second before a kill are those at stake.
+TEST(Usage, CountsOfAKilledVmAreReported)
+{
+    const auto first = this->env->startWithWorkspaces(3);
+    const auto killed = (this->env->holder() + 1) % 3;
+    for (int request = 0; request < 5; ++request)
+        this->env->bookAs(*this->env->gateways.at(killed), "secret-1a", "one-" + std::to_string(request));
+    std::this_thread::sleep_for(500ms);
+    this->env->gateways.erase(this->env->gateways.begin() + static_cast<std::ptrdiff_t>(killed));
+    const auto sum = this->env->sumSince(first);
+    CHECK_TRUE((sum == Counts { { "w1", 5 } }));
+}
+
+// Nothing tells whether a VM that is cut off goes on serving: the platform wants no report rather than a wrong one.
+TEST(Usage, NoReportIsSentWhileCountsThatMatterAreMissing)
+{
+    auto& gateway = this->env->startGateway();
+    this->env->awaitHolder();
+    // Listens and answers no message of VMs.
+    PlatformApiStandin silent(this->env->threads, silence);
+    silent.faults.isDown = true;
+    const auto window = currentWindow() + 1;
+    this->env->sendCounts(gateway, "vm-9", window, R"({"a":7})");
+    this->env->store.put("gateways", "", "vm-7",
+        R"({"vm":"vm-7","incarnation":1,"data_centre":"z2","address":")" + toText(silent.endpoint())
+            + R"(","processor":1,"written_ms":)" + std::to_string(unixTime().count()) + "}");
+    CHECK_TRUE(waitFor([&] { return this->env->duties(gateway, "reports").at("missed").to_number<int>() >= 1; }, 20s));
+    // Neither a window with counts of the others nor one without.
+    CHECK_FALSE(this->env->platform.report(window).has_value());
+    CHECK_FALSE(this->env->platform.report(window + 1).has_value());
+    // It has ended.
+    this->env->store.remove("gateways", "", "vm-7");
+    CHECK_TRUE(this->env->isReported(currentWindow()));
+    this->env->checkNoViolation();
+    this->env->gateways.clear();
+    this->env->threads.stop();
+}
+
 TEST(Usage, WithoutDutiesNothingIsSentOrWritten)
 {
     this->env->adjustSettings = {};
