--- a/include/topaztack/policy/admission.hpp
+++ b/include/topaztack/policy/admission.hpp
@@ -114,7 +114,7 @@
     Refuse,
 };
 
-struct Admission {
+struct AdmissionDecision {
     AdmissionVerdict verdict { AdmissionVerdict::Run };
     Duration expectedWait {};
     /// The part of the pool that the workspace gets while others wait.
@@ -132,7 +132,7 @@
 /// @brief Decides on a request that arrives.
 /// @param hasServer false if a server was asked and none took it.
 /// @complexity as workAhead().
-Admission decideAdmission(
+AdmissionDecision decideAdmission(
     PoolQueue& pool, const WaitingRequest& arriving, bool hasServer, TimePoint now, Random& random);
 
 /// @brief Time after which a refused request should come back: when the share of its workspace has served what waits
--- a/include/topaztack/policy/fair_queue.hpp
+++ b/include/topaztack/policy/fair_queue.hpp
@@ -60,7 +60,7 @@
 };
 
 /// @brief A request that left the queue, with its number.
-struct QueuedRequest {
+struct FairQueueEntry {
     std::uint64_t number { 0 };
     WaitingRequest request;
 };
@@ -77,7 +77,7 @@
 /// @param maySend whether a workspace's first request may be sent now; workspaces for which it may not are passed over.
 /// @return empty if none waits that may be sent.
 /// @complexity logarithmic in the requests that wait, linear in the workspaces that are passed over.
-std::optional<QueuedRequest> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend = {});
+std::optional<FairQueueEntry> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend = {});
 
 /// @brief The first waiting request of each workspace.
 /// @complexity linear in the workspaces that wait.
@@ -85,7 +85,7 @@
 
 /// @brief Puts back a request that takeNext() returned and no server ran. Its work no longer counts.
 /// @complexity logarithmic in the requests and workspaces that wait.
-void putBack(FairQueue& queue, const QueuedRequest& entry);
+void putBack(FairQueue& queue, const FairQueueEntry& entry);
 
 /// @brief Removes a request that is not to be served; its work doesn't count.
 /// @return false if it doesn't wait.
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -252,7 +252,8 @@
         pool.state, this->describe(call, pool), SendOutcome::Other, {}, objectiveOf(call.route), Clock::now());
 }
 
-SuspectGate::Entry RequestQueue::refuse(QueuedCall& call, const WaitingRequest& request, const Admission& admission)
+SuspectGate::Entry RequestQueue::refuse(
+    QueuedCall& call, const WaitingRequest& request, const AdmissionDecision& admission)
 {
     auto& pool = this->poolOf(call.requirements.pool);
     // A server's limit of requests per second may allow the next one only later.
@@ -285,7 +286,7 @@
     if (reason == WaiterState::CallerGone || reason == WaiterState::CutOff)
         return {};
     auto& pool = this->poolOf(call.requirements.pool);
-    Admission admission;
+    AdmissionDecision admission;
     admission.share = shareOf(pool.state.waiting, request.rank, request.workspace);
     admission.retryAfter = retryAfter(pool.state, request, Clock::now(), this->context.random);
     return this->refuse(call, request, admission);
--- a/src/gateway/request_queue.hpp
+++ b/src/gateway/request_queue.hpp
@@ -112,7 +112,7 @@
     boost::asio::awaitable<void> serve(PoolName name);
     bool chooseNext(Pool& pool);
     void endWaiters(Pool& pool, const std::vector<std::uint64_t>& numbers, WaiterState reason);
-    SuspectGate::Entry refuse(QueuedCall& call, const WaitingRequest& request, const Admission& admission);
+    SuspectGate::Entry refuse(QueuedCall& call, const WaitingRequest& request, const AdmissionDecision& admission);
     SuspectGate::Entry refuseWaiter(QueuedCall& call, const WaitingRequest& request, WaiterState reason);
     void recordSend(QueuedCall& call, Pool& pool);
     Counter& refusalsOf(const WorkspaceName& workspace);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -116,10 +116,10 @@
         - toDuration(known.deviationSeconds);
 }
 
-Admission decideAdmission(
+AdmissionDecision decideAdmission(
     PoolQueue& pool, const WaitingRequest& arriving, bool hasServer, TimePoint now, Random& random)
 {
-    Admission admission;
+    AdmissionDecision admission;
     admission.share = shareOf(pool.waiting, arriving.rank, arriving.workspace);
     const bool maySend = nextSendAt(pool, arriving, now) <= now;
     if (hasServer && pool.waiting.requests.empty() && maySend)
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -76,7 +76,7 @@
     return number;
 }
 
-std::optional<QueuedRequest> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend)
+std::optional<FairQueueEntry> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend)
 {
     for (auto& each : queue.levels) {
         auto& level = each.second;
@@ -88,7 +88,7 @@
         const auto number = level.flows.at(workspace).order.begin()->second;
         // Workspaces that were passed over keep their place: the virtual time is that of the first one.
         level.virtualTime = std::max(level.virtualTime, level.waiting.begin()->first);
-        QueuedRequest taken { number, erase(queue, number) };
+        FairQueueEntry taken { number, erase(queue, number) };
         moveStart(level, workspace, chargeFor(queue, taken.request));
         if (level.flows.size() > 2 * level.waiting.size() + 1)
             forgetIdleFlows(level);
@@ -107,7 +107,7 @@
     return requests;
 }
 
-void putBack(FairQueue& queue, const QueuedRequest& entry)
+void putBack(FairQueue& queue, const FairQueueEntry& entry)
 {
     auto& level = queue.levels[entry.request.rank];
     if (level.flows.contains(entry.request.workspace))
