--- a/tests/src/gateway/unit-request_queue.cpp
+++ b/tests/src/gateway/unit-request_queue.cpp
@@ -71,12 +71,14 @@
         , peers(this->context)
         , quota(this->context, this->peers)
         , crashes(this->context, [](const ServerStart&) {})
-        , servers(this->context, this->quota, this->crashes)
+        , software(this->context)
+        , servers(this->context, this->quota, this->crashes, this->software, this->peers)
         , suspects(this->context, this->servers, this->crashes)
         , reach(this->context, this->servers, this->peers)
         , carrier(this->context, this->reach)
         , queue(this->context, this->servers, this->suspects, this->reach, this->peers)
-        , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->queue)
+        , usage(this->context, this->peers)
+        , forwarder(this->context, this->servers, this->suspects, this->reach, this->carrier, this->queue, this->usage)
     {
         boost::intrusive_ptr<RouteTable> table(new RouteTable);
         table->hasWorkspaces = true;
@@ -125,11 +127,13 @@
     PeerDirectory peers;
     RequestQuota quota;
     CrashRecords crashes;
+    SoftwareRecords software;
     ServerTable servers;
     SuspectGate suspects;
     ServerReach reach;
     CallCarrier carrier;
     RequestQueue queue;
+    UsageCounter usage;
     Forwarder forwarder;
     Route route;
     int sent { 0 };
