A new holder begins with a window that can still be reported in time

Cause: the oldest window that was not due yet could be within the margin before it is due; it was logged as missed right after the takeover, though nothing was missed by this VM. Usage.NoReportIsSentWhileCountsThatMatterAreMissing saw that and failed once in a whole run of test-gateway. Change: the margin is part of the choice.

--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -183,7 +183,8 @@
     const auto& duties = this->context.settings.duties;
     Progress begun;
     begun.fence = fence;
-    begun.next = windowAt(now - toMilliseconds(duties.reportDue), duties.window);
+    // The oldest window that can still be reported in time.
+    begun.next = windowAt(now + dueMargin - toMilliseconds(duties.reportDue), duties.window);
     for (const auto& row : rows.value().rows) {
         const auto counts = parseUsageCounts(row.value);
         if (counts)
