--- a/src/control/config_check.cpp
+++ b/src/control/config_check.cpp
@@ -271,8 +271,8 @@
                 const auto before = keysOf(*other, workspace.name);
                 text += before.size() == keys.size() && before != keys ? " other keys" : "";
             }
-            sections["workspace " + workspace.name.value()]
-                = { { "keys", text }, { "rank", workspace.rank ? std::to_string(*workspace.rank) : "of the route" } };
+            sections["workspace " + workspace.name.value()] = { { "key count", text },
+                { "rank", workspace.rank ? std::to_string(*workspace.rank) : "of the route" } };
         }
         return sections;
     }
