Servers are ordered only on measured item times, and not given up while a step used them

Change: an item's time counts once as many items have finished as are in flight; without it nothing is ordered while steps are open; servers that were in use in the last 20 s count as needed for scale-in.

--- a/include/topaztack/policy/pool_scaling.hpp
+++ b/include/topaztack/policy/pool_scaling.hpp
@@ -63,8 +63,10 @@
     double refusedPerSecond { 0 };
     Duration requestTime { 0 };
     std::vector<StepDemand> steps;
-    /// Time that an item takes at an engine; 0 if unknown.
+    /// Time that an item takes at an engine; 0 if unknown. Nothing is ordered then while steps are open.
     Duration itemTime { 0 };
+    /// Items at the pool's engines now.
+    double itemsInFlight { 0 };
     /// Models whose weights the pool's engines must hold at the same time.
     std::uint64_t models { 0 };
     /// VMs whose reports are expected, and those whose report is recent.
@@ -78,12 +80,15 @@
 struct ItemTimeEstimate {
     double inFlightSeconds { 0 };
     double finished { 0 };
+    /// Items in flight when they were last recorded.
+    double inFlight { 0 };
 };
 
 /// @brief Records the items in flight during a period and those that finished in it.
 void recordItems(ItemTimeEstimate& estimate, double inFlight, std::uint64_t finished, Duration period);
 
-/// @return 0 until enough items have finished.
+/// @return 0 until enough items have finished: while a pool fills up, far more are in flight than have finished, which
+/// says nothing about their time.
 Duration itemTimeOf(const ItemTimeEstimate& estimate);
 
 /// @brief What was ordered of a group.
--- a/src/gateway/pool_scaler.cpp
+++ b/src/gateway/pool_scaler.cpp
@@ -379,6 +379,7 @@
     pool.listedItems = listed;
     pool.itemsCountedAt = now;
     seen.itemTime = itemTimeOf(pool.itemTime);
+    seen.itemsInFlight = static_cast<double>(inFlight);
     seen.steps = this->jobs.stepsOf(record.name);
     for (const auto& model : record.engines->models)
         seen.models += this->context.publishedVersions.contains(model) ? 1 : 0;
--- a/src/policy/pool_scaling.cpp
+++ b/src/policy/pool_scaling.cpp
@@ -365,6 +365,14 @@
             >= minReportsForScaleIn * static_cast<double>(seen.expectedReports);
     }
 
+    /// A guess would order servers that may not be needed, and loads of weights with them.
+    bool isItemTimeMissing(const PoolObservation& seen)
+    {
+        const bool hasOpenSteps
+            = std::any_of(seen.steps.begin(), seen.steps.end(), [](const StepDemand& step) { return step.isOpen; });
+        return hasOpenSteps && seen.itemTime <= Duration(0);
+    }
+
     bool hasRecentInputs(const PoolObservation& seen)
     {
         return seen.storeAge <= maxStoreAge && seen.freshReports * 2 >= seen.expectedReports;
@@ -419,11 +427,12 @@
     const auto kept = std::pow(itemMemoryPerSecond, seconds(period));
     estimate.inFlightSeconds = estimate.inFlightSeconds * kept + inFlight * seconds(period);
     estimate.finished = estimate.finished * kept + static_cast<double>(finished);
+    estimate.inFlight = inFlight;
 }
 
 Duration itemTimeOf(const ItemTimeEstimate& estimate)
 {
-    if (estimate.finished < minFinishedItems)
+    if (estimate.finished < std::max(minFinishedItems, estimate.inFlight))
         return Duration(0);
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(estimate.inFlightSeconds / estimate.finished));
@@ -439,7 +448,7 @@
     for (const auto& step : seen.steps) {
         auto& need = models[step.model];
         const auto target = seconds(step.target);
-        const auto itemTime = seen.itemTime > 0s ? seconds(seen.itemTime) : target / 2;
+        const auto itemTime = seconds(seen.itemTime);
         const auto remaining = static_cast<double>(step.remaining);
         if (target > 0)
             need.next = std::max(need.next, static_cast<double>(step.items) * itemTime / target);
@@ -463,7 +472,7 @@
     updateGroups(state, limits, seen);
     if (now < *state.settlesAt) {
         decision.reason = ScalingReason::Settling;
-    } else if (!hasRecentInputs(seen)) {
+    } else if (!hasRecentInputs(seen) || isItemTimeMissing(seen)) {
         decision.reason = ScalingReason::InputsMissing;
     } else {
         auto plan = currentPlan(state, limits, seen, now);
@@ -472,7 +481,10 @@
         const auto goal = goalFor(decision.demand, plan);
         decision.needed = serversFor(goal, dataCentresOf(plan).size());
         decision.present = totalCapacity(plan);
-        recordNeed(state, limits, decision.demand, decision.needed, now);
+        // The items of a step come at once. Servers that they used lately are not given up, whatever the mean need is.
+        const auto used = std::max(decision.demand, seen.itemsInFlight / std::max(1.0, seen.slotsPerServer));
+        const auto usedServers = serversFor(goalFor(used, plan), dataCentresOf(plan).size());
+        recordNeed(state, limits, used, usedServers, now);
         if (applyReclaims(state, plan, seen, now))
             decision.reason = ScalingReason::Reclaimed;
         if (applyMinimum(plan, limits))
