--- a/include/topaztack/policy/fair_queue.hpp
+++ b/include/topaztack/policy/fair_queue.hpp
@@ -77,7 +77,8 @@
 /// @param maySend whether a workspace's first request may be sent now; workspaces for which it may not are passed over.
 /// @return empty if none waits that may be sent.
 /// @complexity logarithmic in the requests that wait, linear in the workspaces that are passed over.
-std::optional<FairQueueEntry> takeNext(FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend = {});
+std::optional<FairQueueEntry> takeNext(
+    FairQueue& queue, const std::function<bool(const WaitingRequest&)>& maySend = {});
 
 /// @brief The first waiting request of each workspace.
 /// @complexity linear in the workspaces that wait.
