The soak plays two builds of VMs side by side

Cause: VMs are upgraded one after the other; old and new ones share the store's rows, leases, jobs and messages.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -79,7 +79,8 @@
 
 
 class World:
-    def __init__(self, directory, vm_count, ledger, generator):
+    def __init__(self, directory, vm_count, ledger, generator, other_build=None):
+        self.other_build = other_build
         self.directory = pathlib.Path(directory)
         self.ledger = ledger
         self.random = generator
@@ -133,7 +134,9 @@
         settings = self.directory / f"{vm.name}.ini"
         settings.write_text(settings_text(vm, vm.store_link.port))
         vm.incarnation += 1
-        vm.process = self.spawn(vm.name, "topaztackd", "--settings", settings)
+        # VMs of two builds serve side by side, and each changes its build with every restart.
+        is_other = self.other_build and (self.vms.index(vm) + vm.incarnation) % 2
+        vm.process = self.spawn(vm.name, self.other_build if is_other else "topaztackd", "--settings", settings)
         vm.is_expected_to_end = False
 
     def start_worker(self, worker):
