Test of a server's limit gives each VM a connection to that server first

Traced: no VM ever chose that server. Two servers are equal, a VM prefers the one to which it has a connection, and with the random draws as they come now all three VMs made their first connection to the other one. Ruled out: the limit itself (no line about a limit, since no answer named one). Change: the VMs connect to the limited server before the other one is listed. Both bounds are as they were.

--- a/tests/src/gateway/unit-request_limit.cpp
+++ b/tests/src/gateway/unit-request_limit.cpp
@@ -81,9 +81,13 @@
 // A server that named its limit got what all VMs together send, though each of them sent little.
 TEST(RequestLimit, AllVmsTogetherKeepToTheLimitThatAServerNames)
 {
+    this->startVms(3);
+    // A VM prefers a server to which it has a connection, so each makes one to the server with the limit first.
+    this->bookAtAll(100ms);
     const auto& other = this->env->addWorker("i-app-2");
     this->env->registerServer(other, "app");
-    this->startVms(3);
+    for (const auto& vm : this->env->gateways)
+        CHECK_TRUE(waitFor([&] { return this->env->state(*vm, "servers").as_array().size() >= 3; }));
     this->env->booking.faults.requestsPerSecond = 2;
     this->bookAtAll(500ms);
     const auto start = Clock::now();
