Software records no longer notify waiters that don't exist

Cause: found on reading the change; nothing waits for a recorded version but polls, so the notifier did nothing.

--- a/src/gateway/software_records.cpp
+++ b/src/gateway/software_records.cpp
@@ -83,7 +83,6 @@
 
 SoftwareRecords::SoftwareRecords(GatewayContext& context)
     : context(context)
-    , changeNotifier(context.loop())
     , recordings(context.metrics.counter(
           "topaztack_software_versions_recorded_total", "Software versions of servers that this VM wrote to the store"))
 {
@@ -222,8 +221,6 @@
     known.isBeingWritten = false;
     known.isRecorded = isInService;
     known.retryAt = Clock::now() + (isInService ? Duration(0) : retryDelay);
-    if (isInService)
-        this->changeNotifier.notify();
 }
 
 /// @return whether the store has the version as one that has left, or not at all.
--- a/src/gateway/software_records.hpp
+++ b/src/gateway/software_records.hpp
@@ -36,9 +36,6 @@
     /// @return empty if there are several, or the store doesn't answer.
     boost::asio::awaitable<std::optional<std::string>> findOnlyVersion(PoolName pool);
 
-    /// @brief Notified when a version has been recorded.
-    Notifier& changed() { return this->changeNotifier; }
-
     boost::json::value dump() const;
 
 private:
@@ -92,7 +89,6 @@
     std::map<PoolName, std::map<std::string, Version>> versions;
     std::shared_ptr<Read> nextRead;
     bool isReading { false };
-    Notifier changeNotifier;
     Counter& recordings;
 };
 
