--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import resource
 import signal
 import tempfile
 import traceback
@@ -34,7 +35,7 @@
             machine.start()
         for machine in self.machines:
             await until(machine.is_ready, machine.name)
-        # Machines take traffic 10 s after their start.
+        # Until every machine knows the others.
         await asyncio.sleep(4.0)
 
     def stop(self):
@@ -47,6 +48,10 @@
 
 def main(folder, play, max_fds=None):
     """Runs `play(deployment, record)`, which returns how often the rule was broken."""
+    # The stand-ins hold both ends of many connections.
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    enough = 16384 if most == resource.RLIM_INFINITY else min(most, 16384)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (enough, most))
     record = Record(folder)
 
     async def run():
