The state dump says for each open job why this VM does or doesn't claim it

Four causes could not be told apart: a runner that still counts as running, a feed of heads with a gap, claims that are refused, a claim that never ended.

--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -322,12 +322,28 @@
     });
 }
 
+/// The facts that decide whether this VM claims an open job.
+json::object JobOwner::dumpOpen(const JobId& id, const KnownJob& known, TimePoint now) const
+{
+    const auto& owner = known.stored.head.owner.name;
+    return { { "job", id.value() }, { "owner", owner.value() }, { "row_version", known.stored.version.value() },
+        { "unchanged_ms", toMilliseconds(this->timeUnchanged(known, now)).count() },
+        { "being_claimed", known.isBeingClaimed }, { "probed", known.probedVersion == known.stored.version },
+        { "running", this->runnerOf(id) != nullptr }, { "claimable", this->isClaimable(id, known, now) } };
+}
+
 json::value JobOwner::dump() const
 {
     json::array list;
     for (const auto& [id, runner] : this->runners)
         list.push_back(runner->dump());
-    return json::object { { "known", this->jobs.size() }, { "running", std::move(list) } };
+    json::array open;
+    const auto now = Clock::now();
+    for (const auto& [id, known] : this->jobs) {
+        if (isOpen(known.stored.head))
+            open.push_back(this->dumpOpen(id, known, now));
+    }
+    return json::object { { "known", this->jobs.size() }, { "open", std::move(open) }, { "running", std::move(list) } };
 }
 
 } // namespace topaztack
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -9,6 +9,7 @@
 #include <topaztack/policy/pool_scaling.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
 #include <list>
@@ -96,6 +97,7 @@
     boost::asio::awaitable<void> removeExpired(JobId id);
     void addEarlierWork(InitialJobState& initial) const;
     void dropStoppedRunners();
+    boost::json::object dumpOpen(const JobId& id, const KnownJob& known, TimePoint now) const;
 
     GatewayContext& context;
     ServerTable& servers;
