A job that was taken back after a failed handover can be claimed again

The accepting VM had taken the job back from an owner that didn't take it, then lost it to that VM, which was removed for good.

Cause: claim() marked the job as being claimed and only takeOver() removed the mark; watchHandover() starts the runner itself and left it. A VM with the mark neither claims the job, nor probes its owner, nor takes it when it is assigned to it.

Change: beginClaim() sets the mark, and claimAndRun() and runAssigned(), which all paths use, remove it. It also refuses while the VM shuts down, and two look-ups no longer bring back an entry that was removed.

Test: JobHandover.AJobTakenBackAfterAFailedHandoverIsTakenOverAgain failed before (no result within 15 s) and passes; the groups JobHandover, Jobs and StoreOutage pass.

--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -82,11 +82,9 @@
     const auto runner = this->runners.find(id);
     if (runner != this->runners.end()) {
         runner->second->observeHead(head);
-    } else if (head.head.owner == this->context.identity && isOpen(head.head) && !known.isBeingClaimed
-        && !this->context.isDraining) {
+    } else if (head.head.owner == this->context.identity && isOpen(head.head) && this->beginClaim(id)) {
         // Another VM accepted the job and assigned it to this one.
-        known.isBeingClaimed = true;
-        asio::co_spawn(this->context.loop(), this->takeOver(id, head, true), asio::detached);
+        asio::co_spawn(this->context.loop(), this->runAssigned(id, head), asio::detached);
     }
     this->changeNotifier.notify();
 }
@@ -185,18 +183,14 @@
 {
     const auto id = job.id;
     co_await pauseFor(handoverTimeout);
-    if (this->jobs[id].stored.version != head.version)
+    const auto known = this->jobs.find(id);
+    if (known == this->jobs.end() || known->second.stored.version != head.version)
         co_return;
     this->failedHandovers[head.head.owner.name] = Clock::now();
     logEvent(
         LogLevel::Info, "job-handover-failed", { { "job", id.value() }, { "owner", head.head.owner.name.value() } });
-    const auto claimed = co_await this->claim(id);
-    if (!claimed)
-        co_return;
-    InitialJobState initial;
-    initial.job = std::move(job);
-    initial.head = *claimed;
-    this->startRunner(std::move(initial));
+    if (this->beginClaim(id))
+        co_await this->claimAndRun(id, std::move(job));
 }
 
 asio::awaitable<void> JobOwner::watch()
@@ -205,9 +199,8 @@
         const auto now = Clock::now();
         this->dropStoppedRunners();
         for (auto& [id, known] : this->jobs) {
-            if (!this->context.isDraining && this->isClaimable(id, known, now)) {
-                known.isBeingClaimed = true;
-                asio::co_spawn(this->context.loop(), this->claimAndRun(id), asio::detached);
+            if (this->isClaimable(id, known, now) && this->beginClaim(id)) {
+                asio::co_spawn(this->context.loop(), this->claimAndRun(id, std::nullopt), asio::detached);
             } else if (!this->context.isDraining && this->isOwnerSuspected(id, known, now)) {
                 known.probedVersion = known.stored.version;
                 asio::co_spawn(this->context.loop(), this->probeOwner(id, known.stored), asio::detached);
@@ -252,7 +245,6 @@
     const auto texts = co_await this->store.readTexts(id, head.head.workspace, head.head.textObjects);
     if (!texts)
         logEvent(LogLevel::Warning, "texts-not-read", { { "job", id.value() }, { "error", texts.error().message } });
-    this->jobs[id].isBeingClaimed = false;
     if (!submission || !listed) {
         const auto& error = submission ? listed.error() : submission.error();
         logEvent(LogLevel::Warning, "job-not-read", { { "job", id.value() }, { "error", error.message } });
--- a/src/gateway/job_owner.hpp
+++ b/src/gateway/job_owner.hpp
@@ -72,6 +72,7 @@
         StoredHead stored;
         /// When this VM first saw this version of the head.
         TimePoint seenAt;
+        /// Set by beginClaim(). This VM then doesn't claim the job, probe its owner or start an assigned run.
         bool isBeingClaimed { false };
         bool isBeingRemoved { false };
         /// The version of the head at which its owner was last probed.
@@ -87,8 +88,11 @@
     bool isClaimable(const JobId& id, const KnownJob& known, TimePoint now) const;
     bool isExpired(const JobId& id, const KnownJob& known) const;
     void startRunner(InitialJobState initial);
-    boost::asio::awaitable<std::optional<StoredHead>> claim(JobId id);
-    boost::asio::awaitable<void> claimAndRun(JobId id);
+    bool beginClaim(const JobId& id);
+    void endClaim(const JobId& id);
+    boost::asio::awaitable<JobWriteResult> claim(JobId id);
+    boost::asio::awaitable<bool> claimAndRun(JobId id, std::optional<JobSpec> job);
+    boost::asio::awaitable<void> runAssigned(JobId id, StoredHead head);
     Duration timeUnchanged(const KnownJob& known, TimePoint now) const;
     bool isOwnerSuspected(const JobId& id, const KnownJob& known, TimePoint now) const;
     boost::asio::awaitable<void> probeOwner(JobId id, StoredHead head);
--- a/src/gateway/job_owner_claims.cpp
+++ b/src/gateway/job_owner_claims.cpp
@@ -157,51 +157,87 @@
         && Clock::now() - probeStartedAt < probeTimeout;
     const auto known = this->jobs.find(id);
     const bool isCurrent = known != this->jobs.end() && known->second.stored.version == head.version;
-    if (!isRefused || !isCurrent || known->second.isBeingClaimed || this->context.isDraining)
+    if (!isRefused || !isCurrent || !this->beginClaim(id))
         co_return;
     logEvent(LogLevel::Info, "job-owner-dead",
         { { "job", id.value() }, { "owner", head.head.owner.name.value() },
             { "error", answered.error().error.message } });
-    const auto claimed = co_await this->claim(id);
-    if (!claimed)
-        co_return;
-    this->deadOwners.add();
-    co_await this->takeOver(id, *claimed, false);
+    const bool isClaimed = co_await this->claimAndRun(id, std::nullopt);
+    if (isClaimed)
+        this->deadOwners.add();
+}
+
+/// Marks a known job as being claimed; claimAndRun() or runAssigned() must follow.
+/// @return false if it is being claimed already, or this VM is leaving.
+bool JobOwner::beginClaim(const JobId& id)
+{
+    const auto known = this->jobs.find(id);
+    if (known == this->jobs.end() || known->second.isBeingClaimed || this->context.isDraining)
+        return false;
+    known->second.isBeingClaimed = true;
+    return true;
+}
+
+void JobOwner::endClaim(const JobId& id)
+{
+    const auto known = this->jobs.find(id);
+    if (known != this->jobs.end())
+        known->second.isBeingClaimed = false;
 }
 
 /// Writes this VM into a job's head as its owner.
-/// @return the written head; nothing if it was not written.
-asio::awaitable<std::optional<StoredHead>> JobOwner::claim(JobId id)
+asio::awaitable<JobWriteResult> JobOwner::claim(JobId id)
 {
-    const auto before = this->jobs[id].stored;
-    const auto unchangedTime = Clock::now() - this->jobs[id].seenAt;
-    this->jobs[id].isBeingClaimed = true;
+    JobWriteResult write;
+    const auto known = this->jobs.find(id);
+    if (known == this->jobs.end())
+        co_return write;
+    const auto before = known->second.stored;
+    const auto unchangedTime = Clock::now() - known->second.seenAt;
     auto newHead = before.head;
     newHead.owner = this->context.identity;
     ++newHead.writes;
     std::vector<ItemResult> noResults;
-    const auto write = co_await this->store.write(id, before.version, newHead, newHead.listed, std::move(noResults));
-    auto& known = this->jobs[id];
-    if (write.outcome == JobWriteOutcome::Written) {
-        this->takeovers.add();
-        logEvent(LogLevel::Info, "job-taken-over",
-            { { "job", id.value() }, { "from", before.head.owner.name.value() },
-                { "silent_ms", std::to_string(toMilliseconds(unchangedTime).count()) } });
-        known.stored = *write.current;
-        known.seenAt = Clock::now();
-        co_return write.current;
+    write = co_await this->store.write(id, before.version, newHead, newHead.listed, std::move(noResults));
+    if (write.outcome != JobWriteOutcome::Written)
+        co_return write;
+    this->takeovers.add();
+    logEvent(LogLevel::Info, "job-taken-over",
+        { { "job", id.value() }, { "from", before.head.owner.name.value() },
+            { "silent_ms", std::to_string(toMilliseconds(unchangedTime).count()) } });
+    auto& claimed = this->jobs[id];
+    claimed.stored = *write.current;
+    claimed.seenAt = Clock::now();
+    co_return write;
+}
+
+/// Claims a job and starts its runner. Here and in runAssigned() the mark that beginClaim() set is removed, however the
+/// claim ends: a job that kept it would never be claimed by this VM again.
+/// @param job the submission, if it is at hand; otherwise it is read from the store.
+/// @return whether the job was claimed.
+asio::awaitable<bool> JobOwner::claimAndRun(JobId id, std::optional<JobSpec> job)
+{
+    const auto write = co_await this->claim(id);
+    const bool isClaimed = write.outcome == JobWriteOutcome::Written;
+    if (isClaimed && job) {
+        InitialJobState initial;
+        initial.job = std::move(*job);
+        initial.head = *write.current;
+        this->startRunner(std::move(initial));
+    } else if (isClaimed) {
+        co_await this->takeOver(id, *write.current, false);
     }
-    known.isBeingClaimed = false;
-    if (write.current)
+    this->endClaim(id);
+    if (!isClaimed && write.current)
         this->observeHead(id, *write.current);
-    co_return std::nullopt;
+    co_return isClaimed;
 }
 
-asio::awaitable<void> JobOwner::claimAndRun(JobId id)
+/// Runs a job that another VM accepted and assigned to this one.
+asio::awaitable<void> JobOwner::runAssigned(JobId id, StoredHead head)
 {
-    const auto claimed = co_await this->claim(id);
-    if (claimed)
-        co_await this->takeOver(id, *claimed, false);
+    co_await this->takeOver(id, std::move(head), true);
+    this->endClaim(id);
 }
 
 } // namespace topaztack
--- a/tests/src/gateway/unit-job_handover.cpp
+++ b/tests/src/gateway/unit-job_handover.cpp
@@ -71,6 +71,30 @@
     CHECK_TRUE(this->env->waitForResults(second, "j2", 2));
 }
 
+// A VM takes a job back from the owner that it had named, loses it to that VM while it stands still, and then that VM is
+// removed for good. A job whose claim never counted as ended was not claimed again, and its items were never run.
+TEST(JobHandover, AJobTakenBackAfterAFailedHandoverIsTakenOverAgain)
+{
+    {
+        auto& first = this->env->startGateway("vm-1", 1);
+        LONGS_EQUAL(202, this->env->submit(first, "j1", itemIds(2)).status);
+        CHECK_TRUE(this->env->waitForResults(first, "j1", 2));
+    }
+    auto& second = this->env->startGateway("vm-2", 2);
+    this->env->gateways.erase(this->env->gateways.begin());
+    this->env->engine.faults.eventTime = 2000ms;
+    LONGS_EQUAL(202, this->env->submit(second, "j2", { "k1" }).status);
+    const auto head = [this] { return parseJobHead(this->env->store.rowsOf("job-heads").at("j2")).value(); };
+    CHECK_TRUE(waitFor([&] { return head().owner.name == VmName("vm-2") && head().inFlight.size() == 1; }));
+    auto taken = head();
+    taken.owner = VmIdentity { VmName("vm-1"), Incarnation(3) };
+    ++taken.writes;
+    this->env->store.replace("job-heads", "j2", toText(taken));
+    this->env->engine.faults.eventTime = 1ms;
+    CHECK_TRUE(this->env->waitForResults(second, "j2", 1));
+    STRCMP_EQUAL("vm-2", head().owner.name.value().c_str());
+}
+
 // In a planned restart, text that engines have generated so far must not be generated again.
 TEST(JobHandover, AVmThatShutsDownSavesItsTextsForTheNextOwner)
 {
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -58,6 +58,15 @@
     this->rows[{ table, part, key }] = { ++this->version, value, false };
 }
 
+void StoreStandin::replace(const std::string& table, const std::string& key, const std::string& value)
+{
+    const std::lock_guard guard(this->lock);
+    for (auto& [place, row] : this->rows) {
+        if (std::get<0>(place) == table && std::get<2>(place) == key)
+            row = { ++this->version, value, false };
+    }
+}
+
 void StoreStandin::remove(const std::string& table, const std::string& part, const std::string& key)
 {
     const std::lock_guard guard(this->lock);
--- a/tests/src/standins/store.hpp
+++ b/tests/src/standins/store.hpp
@@ -45,6 +45,9 @@
 
     /// @brief Writes a row as the operator or a server does.
     void put(const std::string& table, const std::string& part, const std::string& key, const std::string& value);
+
+    /// @brief Writes a row of a table that has the key, whatever the part, as another VM does.
+    void replace(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& part, const std::string& key);
 
     /// @brief The values of a table by key, whatever the part.
