A planned stop cuts no request that it has taken

Cause, three parts, each of which cuts requests alone: the process reserved 1.5 s of the time that it is given; it told callers to leave only from 2.5 s on, so that an answer at 2.3 s kept its connection; and it took requests whatever time was left.

Change: answers say from SIGTERM on that their connection closes. Once the load balancer sends no new connections, a request is taken only if its time limit ends before the process does; others are answered 503, Retry-After 0. The times are policy/drain.

CutOff failed once in 64 runs of its 10 tests beside a build, in the last check of a test whose name was not kept; not traced yet.

--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -62,6 +62,7 @@
 #include <topaztack/policy/claim_history.hpp>
 #include <topaztack/policy/class_queue.hpp>
 #include <topaztack/policy/crash_evidence.hpp>
+#include <topaztack/policy/drain.hpp>
 #include <topaztack/policy/event_stream.hpp>
 #include <topaztack/policy/fair_queue.hpp>
 #include <topaztack/policy/home.hpp>
--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -73,6 +73,10 @@
     /// @return ErrorKind::BadSettings if the address can't be bound.
     Result<void> start();
 
+    /// @brief Makes each answer from now on say that its connection closes, and closes it then. Connections are still
+    /// accepted.
+    void announceClose();
+
     /// @brief Stops accepting. Each answer from now on says that its connection closes, and then closes it; a
     /// connection that brings no request for a while is closed. So no caller's request meets a closed connection.
     void stopAccepting();
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -4,6 +4,7 @@
 #include <topaztack/base/random.hpp>
 #include <topaztack/control/settings.hpp>
 #include <topaztack/gateway/protocol.hpp>
+#include <topaztack/policy/drain.hpp>
 #include <topaztack/policy/true_time.hpp>
 #include <topaztack/wire/http_client.hpp>
 #include <topaztack/wire/io_threads.hpp>
@@ -37,6 +38,8 @@
     /// The newest version that was published for each model.
     std::map<ModelName, WeightVersion> publishedVersions;
     bool isDraining { false };
+    /// Set while draining.
+    std::optional<DrainSchedule> drain;
 
     /// @brief The difference between this VM's time of day and the store's clock; empty if the latter isn't known.
     std::optional<std::chrono::milliseconds> clockOffset() const;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -100,7 +100,7 @@
 asio::awaitable<HttpResponse> Forwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
 {
     const auto& pool = forwarding.requirements.pool;
-    while (forwarding.mayAttempt() && Clock::now() < forwarding.deadline && !exchange.isCallerGone()
+    while (!this->isAbandoned && forwarding.mayAttempt() && Clock::now() < forwarding.deadline && !exchange.isCallerGone()
         && !this->reach.isCutOff(pool)) {
         const auto server = co_await this->chooseServer(exchange, forwarding);
         if (!server)
@@ -187,7 +187,9 @@
     const auto timeLeft = std::max(1ms, toMilliseconds(forwarding.deadline - now));
     auto request = this->context.protocol.encodeServiceRequest(
         exchange.request(), server, timeLeft, std::nullopt, forwarding.identity);
-    CallControl control;
+    Attempt attempt;
+    this->open.push_back(attempt);
+    auto& control = attempt.control;
     exchange.onCallerGone([&control] { control.cancel(); });
     auto result = co_await callService(this->context, this->servers, std::move(request), forwarding.call.id, server,
         end, control, forwarding.requirements);
@@ -217,6 +219,8 @@
         logBrokenAttempt(forwarding.call.id, forwarding.pass.content, server, this->servers, result.problem);
     if (!result.response) {
         forwarding.problem = std::move(result.problem);
+        if (this->isAbandoned)
+            forwarding.problem = makeError(ErrorKind::ShuttingDown, "this VM stopped before the server answered");
         co_return;
     }
     auto& response = *result.response;
@@ -229,4 +233,11 @@
     forwarding.answer = std::move(response);
 }
 
+void Forwarder::abandonAll()
+{
+    this->isAbandoned = true;
+    for (auto& attempt : this->open)
+        attempt.control.cancel();
+}
+
 } // namespace topaztack
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -12,6 +12,7 @@
 #include <topaztack/wire/http_server.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/intrusive/list.hpp>
 
 /// @file
 /// Forwards a caller's request to a backend server of its route's pool and retries it at another one where that is
@@ -27,9 +28,18 @@
     boost::asio::awaitable<void> handle(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
 
+    /// @brief Ends all attempts and makes no others: requests that were sent are answered as possibly run.
+    void abandonAll();
+
 private:
     struct Forwarding;
 
+    /// One attempt at a server; listed while it lives.
+    struct Attempt : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        CallControl control;
+    };
+    using OpenAttempts = boost::intrusive::list<Attempt, boost::intrusive::constant_time_size<false>>;
+
     boost::asio::awaitable<HttpResponse> forward(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<void> attempt(HttpExchange& exchange, Forwarding& forwarding, const ServerRecord& server);
     boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
@@ -44,6 +54,8 @@
     CallCarrier& carrier;
     RequestQueue& queue;
     UsageCounter& usage;
+    OpenAttempts open;
+    bool isAbandoned { false };
     Counter& requests;
     Counter& retries;
     Counter& refused;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,10 +57,6 @@
     constexpr std::chrono::milliseconds serversFeedPause { 200 };
     constexpr Duration expiryInterval = 100ms;
     constexpr unsigned statusUnauthorised = 401;
-    /// The load balancer takes a VM out of service after two failed readiness checks, one second apart.
-    constexpr Duration balancerRemovalTime = 2500ms;
-    /// Reserved from the time that the platform gives a process to stop.
-    constexpr Duration shutdownMargin = 1500ms;
     constexpr Duration shutdownCheckInterval = 10ms;
 
     FollowOptions followOptions(std::string table, std::chrono::milliseconds wait, std::chrono::milliseconds pause)
@@ -93,6 +89,7 @@
     HttpServerLimits callerLimits() const;
     asio::awaitable<void> handle(HttpExchange& exchange);
     asio::awaitable<void> handlePeer(HttpExchange& exchange);
+    std::optional<HttpResponse> refuseWhileDraining(const CallerRequest& call, const Route& route) const;
     asio::awaitable<void> handleRoute(HttpExchange& exchange, CallerRequest call);
     asio::awaitable<void> handleJobCall(HttpExchange& exchange, CallerRequest call);
     asio::awaitable<void> forward(
@@ -397,6 +394,17 @@
         co_await this->forwarder.handle(exchange, call, route, origin);
 }
 
+/// A response if the request might be cut off because this VM is about to end; its caller retries it at another one.
+std::optional<HttpResponse> Gateway::Parts::refuseWhileDraining(const CallerRequest& call, const Route& route) const
+{
+    const auto now = Clock::now();
+    const auto requestEnd = now + std::min(call.timeLimit.value_or(route.timeout), route.timeout);
+    if (!this->context.drain || mayTakeRequest(*this->context.drain, now, requestEnd))
+        return std::nullopt;
+    const auto error = makeError(ErrorKind::ShuttingDown, "this VM ends before the request's time limit");
+    return notRunResponse(error, call.id, 0ms);
+}
+
 asio::awaitable<void> Gateway::Parts::handleRoute(HttpExchange& exchange, CallerRequest call)
 {
     // Keeps the table alive for the whole request: a newer configuration may replace it meanwhile.
@@ -418,8 +426,13 @@
         co_await exchange.respond(std::move(*refusal));
         co_return;
     }
-    if (route->kind == RouteKind::Batch && exchange.request().method == "POST")
+    if (route->kind == RouteKind::Batch && exchange.request().method == "POST") {
         co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call, route));
+        co_return;
+    }
+    refusal = this->refuseWhileDraining(call, *route);
+    if (refusal)
+        co_await exchange.respond(std::move(*refusal));
     else
         co_await this->forward(exchange, call, *route, CallOrigin::Caller);
 }
@@ -483,20 +496,33 @@
 {
     auto& parts = *this->parts;
     auto& loop = parts.context.loop();
-    const auto startedAt = Clock::now();
-    const auto end = startedAt + parts.context.settings.gateway.shutdownTime - shutdownMargin;
+    const auto drain = planDrain(Clock::now(), parts.context.settings.gateway.shutdownTime);
     logEvent(LogLevel::Info, "draining", { { "in_flight", std::to_string(parts.callerServer.inFlight()) } });
-    asio::post(loop, [&parts] { parts.context.isDraining = true; });
-    asio::co_spawn(loop, parts.handOver(startedAt + balancerRemovalTime), asio::use_future).wait();
-    std::this_thread::sleep_until(startedAt + balancerRemovalTime);
+    asio::post(loop, [&parts, drain] {
+        parts.context.isDraining = true;
+        parts.context.drain = drain;
+    });
+    // Callers with kept connections leave with their next answer, before requests are refused here.
+    parts.callerServer.announceClose();
+    asio::co_spawn(loop, parts.handOver(drain.outOfRotationAt), asio::use_future).wait();
+    std::this_thread::sleep_until(drain.outOfRotationAt);
     parts.callerServer.stopAccepting();
-    const auto isServing = [&parts] {
-        return parts.callerServer.isAccepting() || parts.callerServer.openConnections() > 0
-            || parts.callerServer.inFlight() > 0 || parts.peerServer.inFlight() > 0;
+    const auto isAnswering
+        = [&parts] { return parts.callerServer.inFlight() > 0 || parts.peerServer.inFlight() > 0; };
+    const auto isServing = [&] {
+        return parts.callerServer.isAccepting() || parts.callerServer.openConnections() > 0 || isAnswering();
     };
-    while (isServing() && Clock::now() < end)
+    while (isServing() && Clock::now() < drain.abandonAt)
+        std::this_thread::sleep_for(shutdownCheckInterval);
+    const auto abandoned = parts.callerServer.inFlight() + parts.peerServer.inFlight();
+    asio::post(loop, [&parts] {
+        parts.forwarder.abandonAll();
+        parts.streams.abandonAll();
+    });
+    while (isAnswering() && Clock::now() < drain.endsAt)
         std::this_thread::sleep_for(shutdownCheckInterval);
-    logEvent(LogLevel::Info, "stopped", { { "cut_off", std::to_string(parts.callerServer.inFlight()) } });
+    logEvent(LogLevel::Info, "stopped",
+        { { "abandoned", std::to_string(abandoned) }, { "cut_off", std::to_string(parts.callerServer.inFlight()) } });
     parts.operatorServer.stopAccepting();
     parts.peerServer.stopAccepting();
     parts.context.threads.stop();
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -227,7 +227,8 @@
 
 bool StreamForwarder::mayContinue(const Forwarding& forwarding, AttemptEnd end) const
 {
-    return end != AttemptEnd::Complete && end != AttemptEnd::CallerGone && forwarding.mayAttempt();
+    return end != AttemptEnd::Complete && end != AttemptEnd::CallerGone && !this->isAbandoned
+        && forwarding.mayAttempt();
 }
 
 asio::awaitable<void> StreamForwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
@@ -477,6 +478,13 @@
     }
 }
 
+void StreamForwarder::abandonAll()
+{
+    this->isAbandoned = true;
+    for (auto& attempt : this->open)
+        attempt.control.cancel();
+}
+
 void StreamForwarder::finish(const HttpExchange& exchange, const Forwarding& forwarding)
 {
     const bool isCallerGone = forwarding.isCallerGone || exchange.isCallerGone();
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -32,6 +32,9 @@
     /// @brief Ends the attempts of streams that may be resumed at servers that stopped sending.
     void leaveServers(const std::set<BackendName>& silent);
 
+    /// @brief Ends all attempts and makes no others: streams that have not begun are answered as possibly run.
+    void abandonAll();
+
 private:
     struct Forwarding;
     enum class AttemptEnd : std::uint8_t;
@@ -83,6 +86,7 @@
     CallCarrier& carrier;
     UsageCounter& usage;
     OpenAttempts open;
+    bool isAbandoned { false };
     Counter& resumes;
     Counter& takenUp;
     Counter& originsUnknown;
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -34,9 +34,11 @@
 
 Result<void> HttpServer::start() { return this->state->listener->start(); }
 
+void HttpServer::announceClose() { this->state->isStopping = true; }
+
 void HttpServer::stopAccepting()
 {
-    this->state->isStopping = true;
+    this->announceClose();
     this->state->listener->stop();
     const auto state = this->state;
     for (std::size_t index = 0; index < state->threads.size(); ++index) {
