The error of a server is no part of a stream that another one began

A server that is to continue a stream answers with status 200 and an error: its text, if it ends with a blank line, was passed on after the last event, and the stream ended as complete, also after an empty body. Items of jobs were listed as completed with half of their text.

Cause: a status of 200 made an answer a stream of events, and a block without data counted as a comment.

Change: an answer is a stream only if its head says text/event-stream; text that is no part of an event breaks the attempt off before it is passed on. A handler that answers after it began a stream is logged and writes nothing.

--- a/include/topaztack/wire/sse.hpp
+++ b/include/topaztack/wire/sse.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <topaztack/wire/http.hpp>
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +43,10 @@
     /// @brief The data of the next whole event; nothing until more is fed.
     std::optional<std::string> next();
 
+    /// @brief Whether a whole block held text that no stream of events has: a line that is neither a field nor a
+    /// comment, or fields of an event that has no data.
+    bool hasForeignText() const { return this->isForeign; }
+
     /// @brief Bytes held that make no whole event yet.
     std::size_t pending() const { return this->buffer.size() - this->start; }
 
@@ -59,8 +65,12 @@
     std::size_t first { 0 };
     /// Whether bytes() ends with an event.
     bool hasEvent { false };
+    bool isForeign { false };
 };
 
+/// @brief Whether the head of a response announces events as they are: an error may have the status 200, too.
+bool isEventStream(const HttpResponse& head);
+
 /// @brief Prints one event with this data; the data must hold no line breaks.
 std::string sseEvent(std::string_view data);
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -100,8 +100,8 @@
 asio::awaitable<HttpResponse> Forwarder::forward(HttpExchange& exchange, Forwarding& forwarding)
 {
     const auto& pool = forwarding.requirements.pool;
-    while (!this->isAbandoned && forwarding.mayAttempt() && Clock::now() < forwarding.deadline && !exchange.isCallerGone()
-        && !this->reach.isCutOff(pool)) {
+    while (!this->isAbandoned && forwarding.mayAttempt() && Clock::now() < forwarding.deadline
+        && !exchange.isCallerGone() && !this->reach.isCutOff(pool)) {
         const auto server = co_await this->chooseServer(exchange, forwarding);
         if (!server)
             break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -507,11 +507,9 @@
     asio::co_spawn(loop, parts.handOver(drain.outOfRotationAt), asio::use_future).wait();
     std::this_thread::sleep_until(drain.outOfRotationAt);
     parts.callerServer.stopAccepting();
-    const auto isAnswering
-        = [&parts] { return parts.callerServer.inFlight() > 0 || parts.peerServer.inFlight() > 0; };
-    const auto isServing = [&] {
-        return parts.callerServer.isAccepting() || parts.callerServer.openConnections() > 0 || isAnswering();
-    };
+    const auto isAnswering = [&parts] { return parts.callerServer.inFlight() > 0 || parts.peerServer.inFlight() > 0; };
+    const auto isServing
+        = [&] { return parts.callerServer.isAccepting() || parts.callerServer.openConnections() > 0 || isAnswering(); };
     while (isServing() && Clock::now() < drain.abandonAt)
         std::this_thread::sleep_for(shutdownCheckInterval);
     const auto abandoned = parts.callerServer.inFlight() + parts.peerServer.inFlight();
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -21,7 +21,6 @@
     /// How long a generation stays at a server before it may be moved to a faster one, and how often this is checked.
     constexpr Duration moveCheckInterval = 300ms;
 
-    constexpr unsigned statusOk = 200;
     constexpr unsigned statusServerError = 500;
     constexpr unsigned statusUnprocessable = 422;
 
@@ -69,7 +68,7 @@
             return AttemptOutcome::NeverDone;
         if (head.status == statusServerError)
             return AttemptOutcome::Failed;
-        if (head.status != statusOk)
+        if (!isEventStream(head))
             return AttemptOutcome::Interrupted;
         // A resumed generation that has no events left states no version.
         const bool isTooOld = answer.version && *answer.version < attempt.job.oldestVersion;
@@ -117,7 +116,7 @@
                 stream.cancel();
                 co_return AttemptOutcome::Interrupted;
             }
-            if (reader.sinceLastEvent() > maxEventSize) {
+            if (reader.sinceLastEvent() > maxEventSize || reader.hasForeignText()) {
                 stream.cancel();
                 logInterruption(attempt, server, "item-broke-off", "its bytes make no event");
                 co_return AttemptOutcome::Interrupted;
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -20,12 +20,6 @@
     constexpr Duration serverCheckInterval = 50ms;
     constexpr std::size_t maxPlainAnswer = 1024 * 1024;
     constexpr std::uint64_t maxTokens = 1'000'000;
-    constexpr unsigned statusOk = 200;
-
-    bool isEventStream(const HttpResponse& head)
-    {
-        return head.status == statusOk && findHeader(head.headers, "Content-Encoding").empty();
-    }
 
 } // namespace
 
@@ -438,6 +432,8 @@
                 co_return broken(decoded.error().message);
             if (!isNextEvent(forwarding.lastEvent, decoded.value().number))
                 co_return broken("an event is out of order");
+            if (reader.hasForeignText())
+                break;
             if (++count == 1) {
                 this->recordFirstEvent(forwarding, attempt);
                 this->suspects.recordRun(forwarding.pass);
@@ -449,6 +445,9 @@
             if (!co_await this->passBytes(exchange, forwarding, stream, reader.bytes()))
                 co_return AttemptEnd::CallerGone;
         }
+        // Such as the text of an error; the caller would find it in the middle of the stream.
+        if (reader.hasForeignText())
+            co_return broken("it sent text that is no event");
         if (reader.sinceLastEvent() > maxEventSize)
             co_return broken("its bytes make no event");
         if (count > before) {
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -87,6 +87,7 @@
     void watchCaller();
     void startWriteTimer() { this->stream.tcp().expires_after(this->limits.idle); }
     bool settle(const boost::system::error_code& problem);
+    bool beginAnswer();
 
     std::shared_ptr<HttpServer::State> server;
     asio::io_context& loop;
@@ -150,7 +151,6 @@
         this->server->inFlight.fetch_add(1, std::memory_order_relaxed);
         this->isBusy = true;
         this->isAnswered = false;
-        this->hasBegunAnswer = false;
         this->watchCaller();
         co_await this->handle();
         this->notifyGone = nullptr;
@@ -186,6 +186,7 @@
 /// @return false if the connection is of no more use; what was wrong has then been answered.
 asio::awaitable<bool> HttpConnection::readRequest()
 {
+    this->hasBegunAnswer = false;
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(this->limits.maxHeader));
     parser.body_limit(this->limits.maxBody);
@@ -302,14 +303,26 @@
     return !problem;
 }
 
+/// @return false if the request has an answer already: the head of another one would become a part of its body.
+bool HttpConnection::beginAnswer()
+{
+    if (this->hasBegunAnswer) {
+        logEvent(LogLevel::Error, "second-answer", { { "target", this->current.target } });
+        return false;
+    }
+    this->hasBegunAnswer = true;
+    return true;
+}
+
 asio::awaitable<bool> HttpConnection::respond(HttpResponse response)
 {
+    if (!this->beginAnswer())
+        co_return false;
     auto message = this->makeHead(response);
     message.body() = std::move(response.body);
     message.prepare_payload();
     if (this->current.method == "HEAD")
         message.body().clear();
-    this->hasBegunAnswer = true;
     this->startWriteTimer();
     const auto [problem, size] = co_await http::async_write(this->stream, message, asTuple);
     this->isAnswered = !problem;
@@ -318,11 +331,12 @@
 
 asio::awaitable<bool> HttpConnection::beginStream(HttpResponse head)
 {
+    if (!this->beginAnswer())
+        co_return false;
     auto whole = this->makeHead(head);
     http::response<http::empty_body> message(whole.base());
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
-    this->hasBegunAnswer = true;
     this->startWriteTimer();
     const auto [problem, size] = co_await http::async_write_header(this->stream, serializer, asTuple);
     co_return this->settle(problem);
--- a/src/wire/sse.cpp
+++ b/src/wire/sse.cpp
@@ -1,5 +1,7 @@
 #include <topaztack/wire/sse.hpp>
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 
 namespace topaztack {
@@ -8,11 +10,14 @@
 
     constexpr std::size_t compactAbove = 16 * 1024;
 
-    void takeLine(std::string_view line, SseEvent& event, bool& hasData)
+    /// @return false if the line is neither a field nor a comment.
+    bool takeLine(std::string_view line, SseEvent& event, bool& hasData)
     {
         const auto colon = line.find(':');
-        if (colon == 0 || colon == std::string_view::npos)
-            return;
+        if (colon == 0 || line.empty())
+            return true;
+        if (colon == std::string_view::npos)
+            return false;
         const auto name = line.substr(0, colon);
         auto value = line.substr(colon + 1);
         if (value.starts_with(' '))
@@ -27,10 +32,12 @@
         } else {
             event.others.push_back({ std::string(name), std::string(value) });
         }
+        return true;
     }
 
     /// Nothing if the block has no data.
-    std::optional<SseEvent> toEvent(std::string_view block)
+    /// @param isForeign set if the block has text that is no part of an event.
+    std::optional<SseEvent> toEvent(std::string_view block, bool& isForeign)
     {
         SseEvent event;
         bool hasData = false;
@@ -39,14 +46,18 @@
             auto line = block.substr(0, end);
             if (line.ends_with('\r'))
                 line.remove_suffix(1);
-            takeLine(line, event, hasData);
+            if (!takeLine(line, event, hasData))
+                isForeign = true;
             if (end == std::string_view::npos)
                 break;
             block.remove_prefix(end + 1);
         }
-        if (!hasData)
-            return std::nullopt;
-        return event;
+        if (hasData)
+            return event;
+        isForeign = isForeign || std::any_of(event.others.begin(), event.others.end(), [](const SseField& field) {
+            return field.name != "event" && field.name != "retry";
+        });
+        return std::nullopt;
     }
 
 } // namespace
@@ -94,7 +105,7 @@
         this->first = this->start;
     this->hasEvent = false;
     while (const auto block = this->nextBlock()) {
-        auto event = toEvent(*block);
+        auto event = toEvent(*block, this->isForeign);
         this->hasEvent = event.has_value();
         if (event)
             return event;
@@ -115,6 +126,16 @@
     return std::move(event->data);
 }
 
+bool isEventStream(const HttpResponse& head)
+{
+    static constexpr std::string_view type = "text/event-stream";
+    static constexpr unsigned statusOk = 200;
+    const auto stated = findHeader(head.headers, "Content-Type");
+    const bool isTyped = boost::beast::iequals(stated.substr(0, type.size()), type)
+        && (stated.size() == type.size() || stated[type.size()] == ';' || stated[type.size()] == ' ');
+    return head.status == statusOk && isTyped && findHeader(head.headers, "Content-Encoding").empty();
+}
+
 std::string sseEvent(std::string_view data) { return "data: " + std::string(data) + "\n\n"; }
 
 } // namespace topaztack
--- a/tests/src/gateway/unit-job_handover.cpp
+++ b/tests/src/gateway/unit-job_handover.cpp
@@ -71,8 +71,8 @@
     CHECK_TRUE(this->env->waitForResults(second, "j2", 2));
 }
 
-// A VM takes a job back from the owner that it had named, loses it to that VM while it stands still, and then that VM is
-// removed for good. A job whose claim never counted as ended was not claimed again, and its items were never run.
+// A VM takes a job back from the owner that it had named, loses it to that VM while it stands still, and then that VM
+// is removed for good. A job whose claim never counted as ended was not claimed again, and its items were never run.
 TEST(JobHandover, AJobTakenBackAfterAFailedHandoverIsTakenOverAgain)
 {
     {
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -105,6 +105,23 @@
     LONGS_EQUAL(2, this->env->engine.seen().size());
 }
 
+// The engine that is to continue a text answers with success and no events: half of the text counted as the whole.
+TEST(Jobs, AnErrorWithStatus200DoesNotCompleteAText)
+{
+    auto& gateway = this->env->startGateway();
+    auto& other = this->env->addWorker("i-lm-2");
+    HttpResponse error;
+    error.headers.push_back({ "Content-Type", "application/json" });
+    other.faults.resumedAnswer = error;
+    this->env->registerServer(other, "lm");
+    this->env->engine.faults.breakAfter = 2;
+    LONGS_EQUAL(202, this->env->submit(gateway, "j1", itemIds(12)).status);
+    CHECK_TRUE(this->env->waitForResults(gateway, "j1", 12));
+    const auto page = this->env->read(gateway, "j1");
+    for (std::size_t index = 0; index < 12; ++index)
+        CHECK_TRUE(outputAt(page, index) == other.textOf(idAt(page, index)));
+}
+
 TEST(Jobs, AnItemThatCanNeverBeDoneIsAbortedAtOnce)
 {
     auto& gateway = this->env->startGateway();
--- a/tests/src/gateway/unit-streams.cpp
+++ b/tests/src/gateway/unit-streams.cpp
@@ -27,6 +27,15 @@
     return ids;
 }
 
+HttpResponse errorAnswer(unsigned status, std::string contentType, std::string body)
+{
+    HttpResponse answer;
+    answer.status = status;
+    answer.headers.push_back({ "Content-Type", std::move(contentType) });
+    answer.body = std::move(body);
+    return answer;
+}
+
 std::vector<std::string> allIds(int first = 1, int last = eventsPerStream)
 {
     std::vector<std::string> ids;
@@ -87,6 +96,34 @@
         std::any_of(seen.begin(), seen.end(), [](const SeenRequest& request) { return request.lastEvent == "2"; }));
 }
 
+// The server that is to continue a stream fails it, with any status. Callers found the error's text in the middle of
+// their streams, or took a stream that ended there for complete.
+TEST(Streams, AnErrorOfTheNextServerIsNoPartOfAStream)
+{
+    static constexpr int maxStreams = 40;
+    for (const auto& answer :
+        { errorAnswer(500, "text/plain", "out of memory\n\n"), errorAnswer(200, "text/plain", "out of memory\n\n"),
+            errorAnswer(200, "application/json", ""), errorAnswer(200, "text/event-stream", "out of memory\n\n"),
+            errorAnswer(200, "text/event-stream", "{\"error\":\"out of memory\"}\n\n") }) {
+        this->env = std::make_unique<TestEnvironment>();
+        this->env->engine.faults.breakAfter = 2;
+        this->addEngine("i-lm-2").faults.resumedAnswer = answer;
+        auto& gateway = this->env->startGateway();
+        this->waitForServers(gateway, 3);
+        bool isBrokenOff = false;
+        for (int stream = 0; stream < maxStreams && !isBrokenOff; ++stream) {
+            const auto received = openStream(gateway, { .id = "s" + std::to_string(stream) });
+            const auto count = static_cast<int>(received.events.size());
+            isBrokenOff = !received.isComplete;
+            LONGS_EQUAL(200, received.status);
+            CHECK_TRUE(idsOf(received) == allIds(1, count));
+            LONGS_EQUAL(count == eventsPerStream ? 1 : 0, received.isComplete ? 1 : 0);
+            CHECK_TRUE(received.body.find("out of memory") == std::string::npos);
+        }
+        CHECK_TRUE(isBrokenOff);
+    }
+}
+
 // Servers of two versions serve beside each other; none of the version that began the stream is left.
 TEST(Streams, AStreamThatNoServerOfItsVersionCanContinueBreaksOff)
 {
--- a/tests/src/policy/unit-drain.cpp
+++ b/tests/src/policy/unit-drain.cpp
@@ -7,7 +7,8 @@
 
 TEST_GROUP(Drain) {};
 
-// The load is 12 callers with kept connections; requests taken late in a planned stop need most of the time that is left.
+// The load is 12 callers with kept connections; requests taken late in a planned stop need most of the time that is
+// left.
 TEST(Drain, ARequestThatMightOutliveTheProcessIsTakenOnlyWhileCallersStillComeHere)
 {
     const TimePoint start {};
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -169,6 +169,14 @@
         co_await exchange.respond(signedAnswer(request, this->faults.generationStatus));
         co_return;
     }
+    if (!last.empty() && this->faults.resumedAnswer) {
+        auto response = signedAnswer(request, this->faults.resumedAnswer->status);
+        for (const auto& header : this->faults.resumedAnswer->headers)
+            response.headers.push_back(header);
+        response.body = this->faults.resumedAnswer->body;
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     auto head = signedAnswer(request, 200);
     head.headers.push_back({ "Content-Type", "text/event-stream" });
     // A change after the head was made is told at the next event.
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
     /// Plain requests are not answered for this long.
     std::atomic<std::chrono::milliseconds> plainTime { std::chrono::milliseconds(0) };
     std::atomic<std::chrono::milliseconds> eventTime { std::chrono::milliseconds(1) };
+    /// The answer to generations that are resumed, instead; set before the first request.
+    std::optional<HttpResponse> resumedAnswer;
     /// The process ends as soon as it begins to run a request with this body; set before the first request.
     std::string deadlyBody;
     /// A generation that takes 500 ms an event; set before the first request.
--- a/tests/src/wire/unit-sse.cpp
+++ b/tests/src/wire/unit-sse.cpp
@@ -43,6 +43,21 @@
     STRCMP_EQUAL("b", event->data.c_str());
 }
 
+// A server's error between events, which callers took for a part of the stream.
+TEST(Sse, TextThatBelongsToNoEventIsForeign)
+{
+    const auto isForeign = [](std::string_view text) {
+        SseReader reader;
+        reader.feed(text);
+        while (reader.nextEvent()) { }
+        return reader.hasForeignText();
+    };
+    CHECK_FALSE(isForeign(": note\n\nid: 1\n\nevent: x\nretry: 1000\n\nx-version: 4\nid: 2\r\ndata: b\r\n\r\n"));
+    CHECK_TRUE(isForeign("id: 1\ndata: a\n\nout of memory\n\n"));
+    CHECK_TRUE(isForeign("{\"error\":\"out of memory\"}\n\n"));
+    CHECK_TRUE(isForeign("out of memory\nid: 1\ndata: a\n\n"));
+}
+
 TEST(Sse, EventsAndTheirBytesAreTheSameWhereverAStreamIsCut)
 {
     rc::check("wherever a stream is cut", [] {
