A server's entry with a number that JSON can't carry, or a name that is no header value, is refused

That the process ends or stops following was not found: Forwarder.OddEntriesAmongTheServersDoNotEndTheirFollowing (deep nesting, numbers out of range, ports out of range) passed before the change and stays as a guard.

Cause of what was found: whole numbers in integer notation were taken up to 2^64, doubles below 2^53 only; a start of 2^64 - 1 became a time before 1970, slots overflowed a count. The key of an entry, any text, is written into a header of each request.

--- a/tests/src/gateway/unit-forwarder.cpp
+++ b/tests/src/gateway/unit-forwarder.cpp
@@ -174,6 +174,38 @@
     LONGS_EQUAL(200, this->env->book(gateway, "r1").status);
 }
 
+// Another writer leaves odd entries among those of the servers: VMs that read the list ended again and again, or stopped
+// following it.
+TEST(Forwarder, OddEntriesAmongTheServersDoNotEndTheirFollowing)
+{
+    auto& gateway = this->env->startGateway();
+    const auto put = [this](const std::string& key, const std::string& from, const std::string& to) {
+        auto record = this->env->booking.record("app");
+        record.replace(record.find(from), from.size(), to);
+        this->env->store.put("servers", "", key, record);
+    };
+    put("i-nested", "\"models\":[", "\"models\":[" + std::string(50'000, '[') + std::string(50'000, ']') + ",");
+    for (const std::string number : { "18446744073709551615", "1e400", "-9223372036854775809" }) {
+        put("i-slots-" + number, "\"slots\":4", "\"slots\":" + number);
+        put("i-born-" + number, "\"sequence\":1", "\"born\":" + number);
+    }
+    put("i-port", "127.0.0.1:", "127.0.0.1:9");
+    put("i-name\r\nX-Other: 1", "\"sequence\":1", "\"sequence\":2");
+    this->env->store.put("servers", "", "i-text", "\"" + std::string(60'000, 'x'));
+    const auto& later = this->env->addWorker("i-later");
+    this->env->registerServer(later, "app");
+    this->env->store.remove("servers", "", "i-app");
+    CHECK_TRUE(waitFor([&] {
+        const auto known = boost::json::serialize(this->env->state(gateway, "servers"));
+        return known.find("i-later") != std::string::npos && known.find("i-app") == std::string::npos;
+    }));
+    for (int request = 0; request < 10; ++request) {
+        const auto answer = this->env->book(gateway, "r" + std::to_string(request), "/u/1");
+        LONGS_EQUAL(200, answer.status);
+        STRCMP_EQUAL("served by i-later", answer.body.c_str());
+    }
+}
+
 // A zone is cut off from the network, so that half of the servers or more, here three of four, can't be reached.
 TEST(Forwarder, UnreachableServersDoNotCountAsAttempts)
 {
--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -112,6 +112,29 @@
         CHECK_FALSE(decodeServer("i-1", bytes).has_value());
 }
 
+// Another writer's entry among those of the servers. A number beyond what JSON carries exactly was taken as it came: a
+// start before 1970, slots that overflow a count, a weight version that no engine ever reaches.
+TEST(Records, ADeeplyNestedEntryOrANumberOutOfRangeNamesNoServer)
+{
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "[]", nested)).has_value());
+    CHECK_FALSE(decodeServer("i-1", nested).has_value());
+    for (const std::string number : { "18446744073709551615", "18446744073709551616", "1e400", "9007199254740993", "-1" }) {
+        CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "1800000000123", number)).has_value());
+        CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "\"slots\":12", "\"slots\":" + number)).has_value());
+        CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "\"version\":3", "\"version\":" + number)).has_value());
+    }
+    for (const std::string port : { "65536", "70000", "-1", "18446744073709551616" })
+        CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, ":8080", ":" + port)).has_value());
+}
+
+// The name is written into a header of each request.
+TEST(Records, AServerWhoseNameIsNoHeaderValueIsNotUsed)
+{
+    CHECK_FALSE(decodeServer("i-1\r\nTopaztack-Deadline-Ms: 1", wholeServer).has_value());
+    CHECK_FALSE(decodeServer("", wholeServer).has_value());
+}
+
 TEST(Records, ReclaimableServersAndTheTimeTheyHaveLeft)
 {
     CHECK_FALSE(decodeServer("i-1", wholeServer).value().isReclaimable);
