--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -46,7 +46,7 @@
 {
     unsigned failures = 0;
     while (true) {
-        const bool isRead = this->hasReadTable ? co_await this->readChanges() : co_await this->readTable();
+        const bool isRead = co_await this->readNext();
         const auto now = Clock::now();
         if (isRead) {
             failures = 0;
@@ -62,6 +62,23 @@
     }
 }
 
+/// Reads the table, or its changes. An exception of the handler must not end the following; the whole table is read
+/// again, since rows after the one that it failed at were not handled.
+asio::awaitable<bool> TableFollower::readNext()
+{
+    try {
+        if (this->hasReadTable)
+            co_return co_await this->readChanges();
+        co_return co_await this->readTable();
+    } catch (const std::exception& problem) {
+        logEvent(LogLevel::Error, "rows-not-handled",
+            { { "table", this->options.table }, { "version", std::to_string(this->position.value()) },
+                { "error", problem.what() } });
+        this->hasReadTable = false;
+        co_return false;
+    }
+}
+
 /// A replica of the store may lag behind; a read that is older than what was already seen is dropped.
 void TableFollower::logStaleRead(RowVersion version) const
 {
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -38,6 +38,7 @@
 
 private:
     boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<bool> readNext();
     boost::asio::awaitable<bool> readTable();
     boost::asio::awaitable<bool> readChanges();
     void logStaleRead(RowVersion version) const;
--- a/tests/src/platform/unit-store.cpp
+++ b/tests/src/platform/unit-store.cpp
@@ -76,6 +76,18 @@
     CHECK_FALSE(this->protocol.decodeRows(answerWith(200, R"({"rows":[]})")).has_value());
 }
 
+// The whole answer was refused for one row, and the table was not followed any more.
+TEST(Store, ARowThatCannotBeReadHidesNoOther)
+{
+    const auto rows = this->protocol.decodeRows(answerWith(200,
+        R"({"rows":[{"table":"t","part":"","key":"odd","ver":4,"value":"*"},{"table":"t","part":"","key":"bare","ver":5,)"
+        R"("value":7},{"table":"t","part":"","key":"k","ver":6,"value":"Ym9keQ=="}],"ver":6,"nowMs":1})"));
+    LONGS_EQUAL(3, rows.value().rows.size());
+    STRCMP_EQUAL("", rows.value().rows.at(0).value.c_str());
+    STRCMP_EQUAL("", rows.value().rows.at(1).value.c_str());
+    STRCMP_EQUAL("body", rows.value().rows.at(2).value.c_str());
+}
+
 TEST(Store, AnObjectIsStoredOnce)
 {
     const auto request = this->protocol.encodeObjectPut(ObjectKey("job-1"), "bytes");
