Nodes: a malformed entry of the platform's list of VMs hides no others

One entry with a port out of range, or a field of another type, made the whole list unreadable: nodes found neither new VMs nor new backend servers while it was there.

Change: such an entry is left out, with a line in the log (vm-entry-refused).

Test: PlatformClient.AnOddEntryDoesNotHideOtherVms failed before and passes.

--- a/src/wire/platform_client.cpp
+++ b/src/wire/platform_client.cpp
@@ -1,7 +1,11 @@
 #include <topaztack/wire/platform_client.hpp>
 
+#include <topaztack/base/log.hpp>
+
 #include <boost/json.hpp>
 
+#include <optional>
+
 namespace topaztack {
 
 namespace json = boost::json;
@@ -14,6 +18,7 @@
     constexpr unsigned statusConflict = 409;
     constexpr unsigned statusThrottled = 429;
     constexpr unsigned statusRefused = 503;
+    constexpr std::size_t maxLoggedEntry = 200;
 
     Error toPlatformError(const CallFailure& failure)
     {
@@ -52,6 +57,23 @@
         return rows;
     }
 
+    /// Nothing, with a line in the log, if the entry is malformed: it must not hide the others.
+    std::optional<ListedVm> understandVm(const json::value& entry)
+    {
+        try {
+            ListedVm vm;
+            vm.name = json::value_to<std::string>(entry.at("name"));
+            vm.endpoint = parseEndpoint(json::value_to<std::string>(entry.at("address"))).value();
+            vm.dataCentre = DataCentre(json::value_to<std::string>(entry.at("data_centre")));
+            vm.isLeaving = entry.at("state").as_string() == "leaving";
+            return vm;
+        } catch (const std::exception& problem) {
+            logEvent(LogLevel::Warning, "vm-entry-refused",
+                { { "entry", json::serialize(entry).substr(0, maxLoggedEntry) }, { "error", problem.what() } });
+            return std::nullopt;
+        }
+    }
+
     std::string commitBody(const TableCommit& commit)
     {
         json::array conditions;
@@ -164,12 +186,9 @@
     co_return understand<std::vector<ListedVm>>(response.value(), [](const json::value& value) {
         std::vector<ListedVm> list;
         for (const auto& entry : value.at("vms").as_array()) {
-            ListedVm vm;
-            vm.name = json::value_to<std::string>(entry.at("name"));
-            vm.endpoint = parseEndpoint(json::value_to<std::string>(entry.at("address"))).value();
-            vm.dataCentre = DataCentre(json::value_to<std::string>(entry.at("data_centre")));
-            vm.isLeaving = entry.at("state").as_string() == "leaving";
-            list.push_back(std::move(vm));
+            auto vm = understandVm(entry);
+            if (vm)
+                list.push_back(std::move(*vm));
         }
         return list;
     });
