A stream goes on only at a server that proves to be the process of its record

Cause: the software of a server is taken from its record, and nothing ties the record to the process that answers.

Change: servers whose record states their start are asked for their report, which states the start of the process: before a stream goes on, and after its first event, before its software is told.

Open: items of jobs, by reading.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -156,6 +156,8 @@
     /// Orders that it has accepted since its start.
     std::uint64_t orders { 0 };
     bool isBusy { false };
+    /// Start of its process in Unix time; 0 if it states none.
+    std::chrono::milliseconds startedAt { 0 };
 };
 
 /// @brief The newest weight version that a trainer published for a model.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 #include "pool_scaler.hpp"
 #include "request_queue.hpp"
 #include "request_quota.hpp"
+#include "server_identity.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
 #include "software_records.hpp"
@@ -111,6 +112,7 @@
     ServerReach reach;
     CallCarrier carrier;
     StreamOrigins streamOrigins;
+    ServerIdentity identity;
     UsageCounter usage;
     StreamForwarder streams;
     JobStore jobStore;
@@ -147,9 +149,10 @@
     , reach(this->context, this->servers, this->peers)
     , carrier(this->context, this->reach)
     , streamOrigins(this->context, this->peers)
+    , identity(this->context)
     , usage(this->context, this->peers)
-    , streams(this->context, this->servers, this->streamOrigins, this->software, this->suspects, this->reach,
-          this->carrier, this->usage)
+    , streams(this->context, this->servers, this->identity, this->streamOrigins, this->software, this->suspects,
+          this->reach, this->carrier, this->usage)
     , jobStore(this->context)
     , dispatcher(this->context, this->servers, this->streams)
     , storeWatch(this->context, this->peers)
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -6,6 +6,9 @@
 #include <topaztack/policy/event_stream.hpp>
 #include <topaztack/wire/sse.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 
 namespace topaztack {
@@ -59,6 +62,8 @@
     bool isComplete { false };
     std::optional<Error> problem;
     SuspectPass pass;
+    /// Whether the server that began it has proved to be the process of its record, and so of its software.
+    std::shared_ptr<bool> isOriginProven { std::make_shared<bool>(false) };
 
     bool isResumable() const { return this->route.isResumable; }
     CarriedCall carriedCall() const
@@ -68,14 +73,17 @@
     bool mayAttempt() const
     {
         return this->attempts < this->route.maxAttempts && this->unreached < maxUnreachedServers
-            && (this->isResumable() || !this->mayHaveRun) && Clock::now() < this->deadline;
+            && (this->isResumable() || !this->mayHaveRun) && (!this->hasBegun || *this->isOriginProven)
+            && Clock::now() < this->deadline;
     }
 };
 
-StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins,
-    SoftwareRecords& software, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier, UsageCounter& usage)
+StreamForwarder::StreamForwarder(GatewayContext& context, ServerTable& servers, ServerIdentity& identity,
+    StreamOrigins& origins, SoftwareRecords& software, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier,
+    UsageCounter& usage)
     : context(context)
     , servers(servers)
+    , identity(identity)
     , origins(origins)
     , software(software)
     , suspects(suspects)
@@ -87,6 +95,8 @@
     , takenUp(context.metrics.counter("topaztack_streams_taken_up_total", "Streams that callers took up again"))
     , originsUnknown(context.metrics.counter("topaztack_stream_origins_unknown_total",
           "Streams that callers took up and that were refused since nothing proves which software began them"))
+    , originsUnproven(context.metrics.counter("topaztack_stream_origins_unproven_total",
+          "Streams whose server did not prove to be the process of its record, so that no software is told for them"))
     , firstEventTime(context.metrics.latency("topaztack_stream_first_event_seconds", "Time to a stream's first event"))
     , eventGap(context.metrics.latency("topaztack_stream_event_gap_seconds", "Time between two events of a stream"))
 {
@@ -190,6 +200,29 @@
     co_return entry;
 }
 
+asio::awaitable<IdentityCheck> StreamForwarder::checkIdentity(ServerRecord server)
+{
+    const auto check = co_await this->identity.check(server);
+    if (check == IdentityCheck::Other)
+        this->servers.markEnded({ server.name, server.startedAt });
+    co_return check;
+}
+
+/// Tells other VMs which software began a stream, once its server has proved to be the process of its record.
+asio::awaitable<void> StreamForwarder::recordOrigin(
+    RequestId attempt, ServerRecord server, std::shared_ptr<bool> isProven)
+{
+    const auto check = co_await this->checkIdentity(server);
+    if (check == IdentityCheck::Same) {
+        *isProven = true;
+        this->origins.record(attempt, server.softwareVersion);
+        co_return;
+    }
+    this->originsUnproven.add();
+    logEvent(LogLevel::Info, "stream-origin-unproven",
+        { { "id", attempt.value() }, { "server", server.name.value() }, { "software", server.softwareVersion } });
+}
+
 asio::awaitable<std::optional<ServerRecord>> StreamForwarder::chooseServer(
     HttpExchange& exchange, Forwarding& forwarding)
 {
@@ -200,10 +233,15 @@
         auto entry = co_await this->enter(forwarding, end);
         auto& server = entry.server;
         const bool isAdmitted = server && co_await this->servers.admit(*server);
-        if (isAdmitted && !exchange.isCallerGone())
+        auto check = IdentityCheck::Same;
+        // A stream that goes on must do so with the software that began it.
+        if (isAdmitted && forwarding.requirements.softwareVersion)
+            check = co_await this->checkIdentity(*server);
+        if (isAdmitted && check == IdentityCheck::Same && !exchange.isCallerGone())
             co_return std::move(server);
         if (server) {
-            this->servers.finish(*server, ServerOutcome::Cancelled, forwarding.requirements);
+            const auto outcome = check == IdentityCheck::Unknown ? ServerOutcome::Failed : ServerOutcome::Cancelled;
+            this->servers.finish(*server, outcome, forwarding.requirements);
             this->suspects.release(forwarding.pass);
             continue;
         }
@@ -392,10 +430,13 @@
     if (!forwarding.call.lastEvent)
         this->firstEventTime.record(Clock::now() - forwarding.startedAt);
     forwarding.requirements.softwareVersion = server.softwareVersion;
+    if (!forwarding.isResumable())
+        return;
     const auto& resumed = forwarding.call.resumedAttempt;
     const bool isResumed = forwarding.call.lastEvent && !resumed.value().empty();
-    if (forwarding.isResumable())
-        this->origins.record(isResumed ? resumed : forwarding.call.id, server.softwareVersion);
+    asio::co_spawn(this->context.loop(),
+        this->recordOrigin(isResumed ? resumed : forwarding.call.id, server, forwarding.isOriginProven),
+        asio::detached);
 }
 
 asio::awaitable<StreamForwarder::AttemptEnd> StreamForwarder::passEvents(
--- a/src/gateway/stream_forwarder.hpp
+++ b/src/gateway/stream_forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include "call_carrier.hpp"
 #include "context.hpp"
+#include "server_identity.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
 #include "stream_origins.hpp"
@@ -13,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/intrusive/list.hpp>
 
+#include <memory>
 #include <set>
 
 /// @file
@@ -23,8 +25,9 @@
 
 class StreamForwarder {
 public:
-    StreamForwarder(GatewayContext& context, ServerTable& servers, StreamOrigins& origins, SoftwareRecords& software,
-        SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier, UsageCounter& usage);
+    StreamForwarder(GatewayContext& context, ServerTable& servers, ServerIdentity& identity, StreamOrigins& origins,
+        SoftwareRecords& software, SuspectGate& suspects, ServerReach& reach, CallCarrier& carrier,
+        UsageCounter& usage);
 
     boost::asio::awaitable<void> handle(
         HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin);
@@ -60,6 +63,8 @@
     boost::asio::awaitable<bool> findOrigin(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<void> forward(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<SuspectGate::Entry> enter(Forwarding& forwarding, TimePoint waitUntil);
+    boost::asio::awaitable<IdentityCheck> checkIdentity(ServerRecord server);
+    boost::asio::awaitable<void> recordOrigin(RequestId attempt, ServerRecord server, std::shared_ptr<bool> isProven);
     boost::asio::awaitable<std::optional<ServerRecord>> chooseServer(HttpExchange& exchange, Forwarding& forwarding);
     boost::asio::awaitable<AttemptEnd> attempt(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt);
     boost::asio::awaitable<AttemptEnd> receive(HttpExchange& exchange, Forwarding& forwarding, Attempt& attempt,
@@ -79,6 +84,7 @@
 
     GatewayContext& context;
     ServerTable& servers;
+    ServerIdentity& identity;
     StreamOrigins& origins;
     SoftwareRecords& software;
     SuspectGate& suspects;
@@ -90,6 +96,7 @@
     Counter& resumes;
     Counter& takenUp;
     Counter& originsUnknown;
+    Counter& originsUnproven;
     LatencyHistogram& firstEventTime;
     LatencyHistogram& eventGap;
 };
--- a/tests/src/gateway/unit-forwarder.cpp
+++ b/tests/src/gateway/unit-forwarder.cpp
@@ -174,8 +174,8 @@
     LONGS_EQUAL(200, this->env->book(gateway, "r1").status);
 }
 
-// Another writer leaves odd entries among those of the servers: VMs that read the list ended again and again, or stopped
-// following it.
+// Another writer leaves odd entries among those of the servers: VMs that read the list ended again and again, or
+// stopped following it.
 TEST(Forwarder, OddEntriesAmongTheServersDoNotEndTheirFollowing)
 {
     auto& gateway = this->env->startGateway();
--- a/tests/src/gateway/unit-software_versions.cpp
+++ b/tests/src/gateway/unit-software_versions.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <thread>
 
 using namespace topaztack;
 using namespace topaztack::test;
@@ -42,6 +43,86 @@
     }
 };
 
+/// Servers that start again under their name with newer software, while one of two VMs is out of step: the store turns
+/// it away, so that its list of servers is old.
+TEST_GROUP(RestartedServers)
+{
+    static constexpr int streams = 20;
+    std::unique_ptr<TestEnvironment> env = std::make_unique<TestEnvironment>();
+    RunningGateway* inStep { nullptr };
+    RunningGateway* outOfStep { nullptr };
+    /// Stays, with the old software.
+    WorkerStandin* older { nullptr };
+    /// Has started again, with the new software.
+    WorkerStandin* restarted { nullptr };
+
+    WorkerStandin& addEngine(const std::string& name, const std::string& softwareVersion, std::uint16_t port,
+        std::chrono::milliseconds start)
+    {
+        WorkerOptions options;
+        options.softwareVersion = softwareVersion;
+        options.port = port;
+        options.startedAt = start;
+        auto& engine = this->env->addWorker(name, std::move(options));
+        this->env->registerServer(engine, "lm");
+        return engine;
+    }
+
+    void setup() override
+    {
+        this->env->store.remove("servers", "", this->env->engine.name);
+        this->older = &this->addEngine("i-older", "v1", 0, 1'700'000'000'000ms);
+        auto& before = this->addEngine("i-restarted", "v1", 0, 1'700'000'000'000ms);
+        this->inStep = &this->env->startGateway("vm-1", 1);
+        this->outOfStep = &this->env->startGatewayAt(this->env->store.sideEndpoint(), "vm-2", 2);
+        for (auto* vm : { this->inStep, this->outOfStep })
+            CHECK_TRUE(waitFor([&] { return !this->env->state(*vm, "peers").as_object().empty(); }));
+        this->env->store.faults.turnsSideAway = true;
+        // A call that the store holds until there are changes would still be answered.
+        std::this_thread::sleep_for(1s);
+        const auto port = before.endpoint().port;
+        before.crash();
+        std::this_thread::sleep_for(100ms);
+        this->restarted = &this->addEngine("i-restarted", "v2", port, 1'700'000'060'000ms);
+        CHECK_TRUE(waitFor([&] {
+            const auto software = boost::json::serialize(this->env->state(*this->inStep, "software"));
+            return software.find("\"v2\":\"recorded\"") != std::string::npos;
+        }));
+    }
+
+    /// Begins streams at one VM, takes them up at the other one, and checks that no two versions make one of them.
+    void beginAndTakeUp(const RunningGateway& first, const RunningGateway& second, std::size_t minTakenUp)
+    {
+        std::size_t takenUp = 0;
+        for (int stream = 0; stream < streams; ++stream) {
+            const auto id = "s" + std::to_string(stream);
+            const auto begun = openStream(first, { .id = id, .leaveAfter = 2 });
+            if (begun.status != 200)
+                continue;
+            // The server reports its start, and other VMs are told what began the stream.
+            std::this_thread::sleep_for(300ms);
+            const auto again = id + "-again";
+            const auto rest = openStream(second, { .id = again, .lastEvent = begun.events.back().id, .resumes = id });
+            takenUp += rest.isComplete ? 1 : 0;
+            const bool wasNewer = countStarted(*this->restarted, id) > 0;
+            LONGS_EQUAL(0, countResumed(wasNewer ? *this->older : *this->restarted, again));
+        }
+        CHECK_TRUE(takenUp >= minTakenUp);
+    }
+};
+
+// A VM that took a restarted server for the process of its old record continued streams of the old software there.
+TEST(RestartedServers, AVmThatIsOutOfStepContinuesNoStreamAtAServerThatHasOtherSoftware)
+{
+    this->beginAndTakeUp(*this->inStep, *this->outOfStep, 1);
+}
+
+// It began streams there, and told others that the old software had begun them.
+TEST(RestartedServers, AVmThatIsOutOfStepTellsNoWrongSoftwareOfAStream)
+{
+    this->beginAndTakeUp(*this->outOfStep, *this->inStep, 1);
+}
+
 // Engines crash beside others of newer software, and texts that had begun went on there.
 TEST(SoftwareVersions, AnItemGoesOnOnlyAtAServerOfTheVersionThatBeganIt)
 {
--- a/tests/src/gateway/unit-table_follower.cpp
+++ b/tests/src/gateway/unit-table_follower.cpp
@@ -42,10 +42,12 @@
     follower.start();
     context.threads.start();
     const auto has = [&](const std::string& key) {
-        return waitFor([&] {
-            const std::lock_guard guard(lock);
-            return handled.contains(key);
-        }, 5s);
+        return waitFor(
+            [&] {
+                const std::lock_guard guard(lock);
+                return handled.contains(key);
+            },
+            5s);
     };
     CHECK_TRUE(has("a"));
     for (const std::string key : { "b", "c" })
--- a/tests/src/platform/unit-records.cpp
+++ b/tests/src/platform/unit-records.cpp
@@ -119,7 +119,8 @@
     const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
     CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "[]", nested)).has_value());
     CHECK_FALSE(decodeServer("i-1", nested).has_value());
-    for (const std::string number : { "18446744073709551615", "18446744073709551616", "1e400", "9007199254740993", "-1" }) {
+    for (const std::string number :
+        { "18446744073709551615", "18446744073709551616", "1e400", "9007199254740993", "-1" }) {
         CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "1800000000123", number)).has_value());
         CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "\"slots\":12", "\"slots\":" + number)).has_value());
         CHECK_FALSE(decodeServer("i-1", replaced(wholeServer, "\"version\":3", "\"version\":" + number)).has_value());
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -71,12 +71,14 @@
 
 std::string WorkerStandin::record(const std::string& pool, const std::string& state) const
 {
-    return json::serialize(json::object { { "service", pool },
-        { "address", "127.0.0.1:" + std::to_string(this->server.port()) }, { "zone", "z1" },
-        { "version", this->options.softwareVersion }, { "slots", 4 }, { "state", state }, { "coldRemainingMs", 0 },
-        { "sequence", 1 },
+    json::object record { { "service", pool }, { "address", "127.0.0.1:" + std::to_string(this->server.port()) },
+        { "zone", "z1" }, { "version", this->options.softwareVersion }, { "slots", 4 }, { "state", state },
+        { "coldRemainingMs", 0 }, { "sequence", 1 },
         { "models",
-            json::array { json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } });
+            json::array { json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } };
+    if (this->options.startedAt.count() > 0)
+        record["born"] = this->options.startedAt.count();
+    return json::serialize(record);
 }
 
 std::vector<SeenRequest> WorkerStandin::seen() const
@@ -217,11 +219,12 @@
     const auto& request = exchange.request();
     if (request.target == "/-/report") {
         auto response = answerTo(request, 200);
-        response.body = json::serialize(
-            json::object { { "busy", this->isLoading.load() }, { "sequence", this->orderCount.load() },
-                { "models",
-                    json::array {
-                        json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } });
+        json::object report { { "busy", this->isLoading.load() }, { "sequence", this->orderCount.load() },
+            { "models",
+                json::array { json::object { { "name", this->model }, { "version", this->weightVersion.load() } } } } };
+        if (this->options.startedAt.count() > 0)
+            report["born"] = this->options.startedAt.count();
+        response.body = json::serialize(report);
         co_await exchange.respond(std::move(response));
         co_return;
     }
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -72,6 +72,8 @@
     int events { 5 };
     std::uint64_t version { 1 };
     std::string softwareVersion { "v1" };
+    /// Start of the process in Unix time, which its record and its report state; 0 for none.
+    std::chrono::milliseconds startedAt { 0 };
     /// Time to load weights.
     std::chrono::milliseconds loadTime { 0 };
     /// Time for a request that is no generation.
