--- a/include/topaztack/policy/drain.hpp
+++ b/include/topaztack/policy/drain.hpp
@@ -15,8 +15,6 @@
     TimePoint abandonAt;
     /// The process ends.
     TimePoint endsAt;
-
-    bool operator==(const DrainSchedule&) const = default;
 };
 
 /// @brief Schedules a stop.
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -325,7 +325,9 @@
     // A caller may leave as soon as it has the whole answer.
     if (end != AttemptEnd::Complete && exchange.isCallerGone())
         end = AttemptEnd::CallerGone;
-    const bool hasBroken = end == AttemptEnd::Broken && forwarding.events == eventsBefore;
+    if (end == AttemptEnd::Broken && this->isAbandoned)
+        forwarding.problem = makeError(ErrorKind::ShuttingDown, "this VM stopped before the server answered");
+    const bool hasBroken = end == AttemptEnd::Broken && forwarding.events == eventsBefore && !this->isAbandoned;
     if (hasBroken && forwarding.problem->kind == ErrorKind::BackendBroke)
         co_await this->suspects.recordBreak(forwarding.pass, server);
     this->suspects.release(forwarding.pass);
