Tests: refused addresses keep their ports; the soak's workers report their start

Traced: the address that should refuse connections was one whose port had been free; the gateways that the test starts next, or those of a test beside it, were given that port, and the request went round in a VM that forwarded it to itself (request-answered some hundred times for one id within a millisecond). The port now stays bound, without a listener, as long as the test needs it refused; what is checked is unchanged.

The soak's workers state in their reports when they started, as their records do, so that streams are checked against it.

--- a/tests/soak/standin.cpp
+++ b/tests/soak/standin.cpp
@@ -31,6 +31,7 @@
     std::int64_t eventMs = 20;
     std::int64_t loadMs = 200;
     std::int64_t workMs = 20;
+    std::int64_t bornMs = 0;
     worker->add_option("--listen", options.port, "Port of loopback")->required();
     worker->add_option("--name", name, "Its id")->required();
     worker->add_option("--log", options.runLog, "File for a line for each run and order")->required();
@@ -39,9 +40,11 @@
     worker->add_option("--event-ms", eventMs, "Time of an event");
     worker->add_option("--load-ms", loadMs, "Time to load weights");
     worker->add_option("--work-ms", workMs, "Time of another request");
+    worker->add_option("--born-ms", bornMs, "Start of its process in Unix time, which its report states; 0 for none");
     CLI11_PARSE(app, count, arguments);
     options.loadTime = std::chrono::milliseconds(loadMs);
     options.workTime = std::chrono::milliseconds(workMs);
+    options.startedAt = std::chrono::milliseconds(bornMs);
 
     sigset_t ends;
     sigemptyset(&ends);
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -145,7 +145,8 @@
         worker.born_ms = int(time.time() * 1000)
         worker.state = "ready"
         worker.process = self.spawn(worker.name, "soak-standin", "worker", "--listen", worker.port, "--name", worker.name,
-                                    "--log", log, "--events", self.ledger.events, "--version", worker.version)
+                                    "--log", log, "--events", self.ledger.events, "--version", worker.version,
+                                    "--born-ms", worker.born_ms)
 
     # The operator and the workers write into the store by themselves, past the proxies.
 
--- a/tests/src/gateway/fixture.hpp
+++ b/tests/src/gateway/fixture.hpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <thread>
 
@@ -44,6 +45,25 @@
     return { "127.0.0.1", acceptor.local_endpoint().port() };
 }
 
+/// @brief Addresses at which connections are refused. Their ports stay bound, since a gateway that is started later
+/// would otherwise be given one of them, and answer there itself.
+class RefusingEndpoints {
+public:
+    Endpoint add()
+    {
+        using boost::asio::ip::tcp;
+        this->sockets.emplace_back(this->loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        return { "127.0.0.1", this->sockets.back().local_endpoint().port() };
+    }
+
+    /// @brief Lets other sockets have the ports.
+    void release() { this->sockets.clear(); }
+
+private:
+    boost::asio::io_context loop;
+    std::list<boost::asio::ip::tcp::socket> sockets;
+};
+
 /// @brief One gateway and its addresses.
 struct RunningGateway {
     /// An outgoing connection may have taken a port since it was found free; other ports are tried then.
@@ -301,6 +321,7 @@
     IoThreads threads { 1 };
     HttpClient client { threads.at(0) };
     StoreStandin store { threads };
+    RefusingEndpoints refusing;
     WorkerStandin booking { threads, "i-app" };
     WorkerStandin engine { threads, "i-lm" };
     std::vector<std::unique_ptr<WorkerStandin>> workers;
--- a/tests/src/gateway/unit-cut_off.cpp
+++ b/tests/src/gateway/unit-cut_off.cpp
@@ -91,7 +91,7 @@
 // served theirs.
 TEST(CutOff, CallersOfAVmThatReachesNoServerAreServedThroughAnother)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     for (const std::string path : { "/b/1", "/u/1" }) {
         const auto answer = this->env->book(*this->cut, "r" + path, path);
         LONGS_EQUAL(200, answer.status);
@@ -119,7 +119,7 @@
 
 TEST(CutOff, StreamsArePassedOnEventByEventAndTakenUp)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->env->engine.faults.eventTime = 60ms;
     const auto whole = openStream(*this->cut, { .id = "s1" });
     LONGS_EQUAL(200, whole.status);
@@ -136,7 +136,7 @@
 // A stream that its carrier can't end must not look complete.
 TEST(CutOff, AStreamThatBreaksAtItsCarrierDoesNotLookComplete)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->env->engine.faults.breakAfter = 2;
     const auto broken = openStream(*this->cut, { .id = "s1", .path = "/o/1" });
     CHECK_FALSE(broken.isComplete);
@@ -146,7 +146,7 @@
 // A caller that leaves leaves no work behind at the server.
 TEST(CutOff, AStreamWhoseCallerLeavesEndsAtItsServer)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->env->engine.faults.eventTime = 50ms;
     openStream(*this->cut, { .id = "s1", .leaveAfter = 1 });
     CHECK_TRUE(waitFor(
@@ -161,7 +161,7 @@
 // Requests were passed to and fro between VMs, or waited, when the servers were gone for all of them.
 TEST(CutOff, RequestsAreRejectedAtOnceWhenNoVmReachesAServer)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->env->booking.crash();
     std::this_thread::sleep_for(50ms);
     LONGS_EQUAL(503, this->env->book(*this->cut, "r1").status);
@@ -177,7 +177,7 @@
 // "Not run" is said only of what no VM sent to a server.
 TEST(CutOff, ARequestWhoseAnswerIsLostAtTheCarrierIsNotSaidNotToHaveRun)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->env->booking.faults.answersToLose = 10;
     LONGS_EQUAL(502, this->env->book(*this->cut, "r1", "/u/1").status);
     LONGS_EQUAL(1, this->env->booking.seen().size());
@@ -185,9 +185,10 @@
 
 TEST(CutOff, ALinkThatHealsIsUsedAtOnce)
 {
-    const auto address = freeEndpoint();
+    const auto address = this->env->refusing.add();
     this->startVms(address);
     LONGS_EQUAL(200, this->env->book(*this->cut, "r1").status);
+    this->env->refusing.release();
     WorkerOptions options;
     options.port = address.port;
     this->env->addWorker("i-app", options);
@@ -202,7 +203,7 @@
 {
     auto& reset = this->env->addWorker("i-app");
     reset.faults.deadlyBody = "nine o clock";
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->cutView->put("servers", "", "i-app", recordAt(reset, "app", reset.endpoint()));
     CHECK_TRUE(waitFor([&] {
         const auto known = boost::json::serialize(this->env->state(*this->cut, "servers"));
@@ -216,7 +217,7 @@
 // A VM that was stopped on purpose cut the streams that it carried for others.
 TEST(CutOff, AVmThatStopsEndsWhatItCarriesAndTakesNothingMore)
 {
-    this->startVms(freeEndpoint());
+    this->startVms(this->env->refusing.add());
     this->env->engine.faults.eventTime = 800ms;
     ReceivedStream stream;
     std::thread caller([&] { stream = openStream(*this->cut, { .id = "s1" }); });
--- a/tests/src/gateway/unit-forwarder.cpp
+++ b/tests/src/gateway/unit-forwarder.cpp
@@ -213,7 +213,7 @@
     const auto address = toText(this->env->booking.endpoint());
     for (int server = 0; server < 3; ++server) {
         auto unreachable = record;
-        unreachable.replace(unreachable.find(address), address.size(), toText(freeEndpoint()));
+        unreachable.replace(unreachable.find(address), address.size(), toText(this->env->refusing.add()));
         this->env->store.put("servers", "", "i-cut-" + std::to_string(server), unreachable);
     }
     auto& gateway = this->env->startGateway();
--- a/tests/src/gateway/unit-jobs.cpp
+++ b/tests/src/gateway/unit-jobs.cpp
@@ -215,7 +215,7 @@
 {
     auto record = this->env->engine.record("lm");
     const auto address = "127.0.0.1:" + std::to_string(this->env->engine.endpoint().port);
-    record.replace(record.find(address), address.size(), toText(freeEndpoint()));
+    record.replace(record.find(address), address.size(), toText(this->env->refusing.add()));
     this->env->store.put("servers", "", "i-lm", record);
     auto& gateway = this->env->startGateway();
     LONGS_EQUAL(202, this->env->submit(gateway, "j1", itemIds(10)).status);
--- a/tests/src/gateway/unit-usage.cpp
+++ b/tests/src/gateway/unit-usage.cpp
@@ -400,7 +400,7 @@
     StoreStandin cutView(this->env->threads);
     cutView.put("op", "", "config", TestEnvironment::configurationWithWorkspaces(2));
     auto record = boost::json::parse(this->env->booking.record("app")).as_object();
-    record["address"] = toText(freeEndpoint());
+    record["address"] = toText(this->env->refusing.add());
     cutView.put("servers", "", "i-app", boost::json::serialize(record));
     cutView.put("gateways", "", "vm-1", this->env->store.rowsOf("gateways").at("vm-1"));
     this->env->adjustSettings = {};
--- a/tests/src/gateway/unit-workspaces.cpp
+++ b/tests/src/gateway/unit-workspaces.cpp
@@ -423,7 +423,7 @@
     cutView.put("op", "", "config", TestEnvironment::configurationWithWorkspaces(2));
     for (const auto* server : { &this->env->booking, &this->env->engine }) {
         auto record = boost::json::parse(server->record(server == &this->env->booking ? "app" : "lm")).as_object();
-        record["address"] = toText(freeEndpoint());
+        record["address"] = toText(this->env->refusing.add());
         cutView.put("servers", "", server->name, boost::json::serialize(record));
     }
     CHECK_TRUE(waitFor([&] { return this->env->store.rowsOf("gateways").contains("vm-sound"); }));
