--- a/src/gateway/job_owner_claims.cpp
+++ b/src/gateway/job_owner_claims.cpp
@@ -211,8 +211,8 @@
     co_return write;
 }
 
-/// Claims a job and starts its runner. Here and in runAssigned() the mark that beginClaim() set is removed, however the
-/// claim ends: a job that kept it would never be claimed by this VM again.
+/// Claims a job and starts its runner. Here and in runAssigned() the mark that beginClaim() set is removed on every
+/// return: a job that kept it would never be claimed by this VM again.
 /// @param job the submission, if it is at hand; otherwise it is read from the store.
 /// @return whether the job was claimed.
 asio::awaitable<bool> JobOwner::claimAndRun(JobId id, std::optional<JobSpec> job)
