--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,8 @@
 
     async def generate(self, target, headers, writer):
         self.answers += 1
-        if self.spoils and self.answers % round(1 / SPOILED_SHARE) == 0:
+        each = round(1 / SPOILED_SHARE)
+        if self.spoils and self.answers % each == each // 2:
             self.spoiled = headers["topaztack-request-id"]
             self.log("spoils a few bytes of event 5 of", self.spoiled)
         return await super().generate(target, headers, writer)
