An answer whose status HTTP doesn't define is no answer

What callers saw: a server in trouble answered with the status 000; the caller got it as an answer, with the server's stamp.

Cause: the HTTP library takes any three digits for a status, and nothing after it looked at the number. A plain request, a stream and a request that another VM carries all passed on what had been read.

Change: HttpClient checks the status of each head that it reads, below 100 and above 599 it fails as BackendAnswerMalformed. It reads all answers: of backend servers, of other VMs and of the platform, whole or streamed, for gateways and for nodes. The request has been written by then, so it counts as possibly run: it is repeated if its route allows that, and gets 502 otherwise.

--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -1,5 +1,7 @@
 #include <topaztack/wire/http_client.hpp>
 
+#include "http_head.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -311,12 +313,40 @@
         return !options.accepts || options.accepts(response);
     }
 
-    CallFailure notAccepted(const Endpoint& endpoint)
+    CallFailure malformed(const Endpoint& endpoint, const std::string& what)
     {
-        return { makeError(ErrorKind::BackendAnswerMalformed, toText(endpoint) + ": answered another request"),
+        return { makeError(ErrorKind::BackendAnswerMalformed, toText(endpoint) + ": " + what),
             AttemptProgress::Written };
     }
 
+    CallFailure notAccepted(const Endpoint& endpoint) { return malformed(endpoint, "answered another request"); }
+
+    /// Reads the head of an answer.
+    template <typename Body>
+    asio::awaitable<std::optional<CallFailure>> readHead(
+        Link& link, http::response_parser<Body>& parser, const Endpoint& endpoint)
+    {
+        const auto [problem, size] = co_await http::async_read_header(link.stream, link.buffer, parser, asTuple);
+        if (problem)
+            co_return failure(problem, endpoint, AttemptProgress::Written);
+        const auto wrong = checkStatus(parser.get().result_int());
+        if (wrong)
+            co_return malformed(endpoint, wrong->message);
+        co_return std::nullopt;
+    }
+
+    /// Reads the rest of an answer whose head has been read.
+    asio::awaitable<std::optional<CallFailure>> readBody(
+        Link& link, http::response_parser<http::string_body>& parser, const Endpoint& endpoint)
+    {
+        if (parser.is_done())
+            co_return std::nullopt;
+        const auto [problem, size] = co_await http::async_read(link.stream, link.buffer, parser, asTuple);
+        if (problem)
+            co_return failure(problem, endpoint, AttemptProgress::Written);
+        co_return std::nullopt;
+    }
+
 } // namespace
 
 asio::awaitable<CallResult<HttpResponse>> HttpClient::call(
@@ -332,10 +362,12 @@
     parser.header_limit(longestAnswerHeader);
     parser.body_limit(client->limits.maxAnswer);
     parser.skip(isHead);
-    const auto [problem, size] = co_await http::async_read(link->stream, link->buffer, parser, asTuple);
+    auto wrong = co_await readHead(*link, parser, endpoint);
+    if (!wrong)
+        wrong = co_await readBody(*link, parser, endpoint);
     guard(options.control);
-    if (problem)
-        co_return failure(problem, endpoint, AttemptProgress::Written);
+    if (wrong)
+        co_return std::move(*wrong);
     auto response = toResponse(parser.get());
     response.body = std::move(parser.get().body());
     if (!isAccepted(options, response))
@@ -391,10 +423,10 @@
     auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
     parser->header_limit(longestAnswerHeader);
     parser->body_limit(boost::none);
-    const auto [problem, size] = co_await http::async_read_header(link->stream, link->buffer, *parser, asTuple);
-    if (problem) {
+    auto wrong = co_await readHead(*link, *parser, endpoint);
+    if (wrong) {
         guard(options.control);
-        co_return failure(problem, endpoint, AttemptProgress::Written);
+        co_return std::move(*wrong);
     }
     if (!isAccepted(options, toResponse(parser->get()))) {
         guard(options.control);
--- a/src/wire/http_head.cpp
+++ b/src/wire/http_head.cpp
@@ -8,6 +8,8 @@
 
     constexpr std::size_t mostFields = 100;
     constexpr unsigned oldVersion = 10;
+    constexpr unsigned minStatus = 100;
+    constexpr unsigned maxStatus = 599;
 
     Error refused(std::string_view what)
     {
@@ -66,4 +68,11 @@
     return std::nullopt;
 }
 
+std::optional<Error> checkStatus(unsigned status)
+{
+    if (status >= minStatus && status <= maxStatus)
+        return std::nullopt;
+    return makeError(ErrorKind::BackendAnswerMalformed, "answered with the status " + std::to_string(status));
+}
+
 } // namespace topaztack
--- a/src/wire/http_head.hpp
+++ b/src/wire/http_head.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 /// @file
-/// What a request's head must be beyond the library's checks, so that no two parties can read it differently.
+/// What the head of a message must be beyond the library's checks, so that no two parties can read it differently.
 
 namespace topaztack {
 
@@ -45,6 +45,10 @@
 /// @param version 10 or 11.
 std::optional<Error> checkFields(const std::vector<HttpHeader>& headers, unsigned version);
 
+/// @brief Checks the status of an answer, which the library accepts if it has three digits.
+/// @return what is wrong; nothing if HTTP defines its class.
+std::optional<Error> checkStatus(unsigned status);
+
 } // namespace topaztack
 
 template <> struct boost::asio::is_match_condition<topaztack::HeadEnd> : public std::true_type {
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -152,6 +152,56 @@
     }
 }
 
+namespace {
+
+/// What a caller gets that is sent these bytes, before the connection is closed.
+CallResult<HttpResponse> callAnsweredWith(const std::string& bytes)
+{
+    ScriptedServer server("127.0.0.1", { [&bytes](tcp::socket& socket) {
+        ScriptedServer::readHead(socket);
+        asio::write(socket, asio::buffer(bytes));
+    } });
+    Caller caller;
+    return caller.call(server.endpoint());
+}
+
+/// The same of a caller that reads the head first.
+CallResult<std::unique_ptr<HttpStream>> openAnsweredWith(const std::string& bytes)
+{
+    ScriptedServer server("127.0.0.1", { [&bytes](tcp::socket& socket) {
+        ScriptedServer::readHead(socket);
+        asio::write(socket, asio::buffer(bytes));
+    } });
+    Caller caller;
+    return test::runOn(
+        caller.threads.at(0), caller.client.open(server.endpoint(), HttpRequest { "POST", "/x" }, Clock::now() + 20s));
+}
+
+void checkIsMalformed(const std::string& bytes)
+{
+    const auto called = callAnsweredWith(bytes);
+    CHECK_TEXT(!called, bytes.c_str());
+    CHECK_TRUE(called.error().error.kind == ErrorKind::BackendAnswerMalformed);
+    CHECK_TRUE(called.error().progress == AttemptProgress::Written);
+    const auto opened = openAnsweredWith(bytes);
+    CHECK_TEXT(!opened, bytes.c_str());
+    CHECK_TRUE(opened.error().error.kind == ErrorKind::BackendAnswerMalformed);
+    CHECK_TRUE(opened.error().progress == AttemptProgress::Written);
+}
+
+} // namespace
+
+TEST(HttpClient, StatusOutsideOfTheProtocolIsNoAnswer)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999" })
+        checkIsMalformed("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+    for (const unsigned status : { 200U, 299U, 404U, 599U })
+        LONGS_EQUAL(status,
+            callAnsweredWith("HTTP/1.1 " + std::to_string(status) + " Odd\r\nContent-Length: 2\r\n\r\nok")
+                .value()
+                .status);
+}
+
 TEST(HttpClient, SpeaksIpv6)
 {
     ScriptedServer server("::1", { ScriptedServer::answerOnce });
