An interim answer is not taken for the final one

What callers saw: a server that sends an interim answer (100, 103) before its own was taken to have answered with that. Its callers got a 502, or the 100 itself if it bore the server's stamp, though the server had run the request and its answer followed.

Cause: as with the status 000, nothing looked at the status of a head. An interim answer ends with its head, so the connection was kept, and the final answer stood where the next one was expected.

Evidence: three new tests failed before: HttpClient.FinalAnswerIsTakenAfterInterimOnes got a 100, HttpClient.InterimAnswersWithoutFinalOneAreNoAnswer an answer, BrokenAnswers.FinalAnswerIsPassedOnAfterAnInterimOne a 502.

Change: the client reads heads until the final one, at most 16 interim ones; 101 is refused, since no request asks for another protocol. RFC 9110, section 15.2, has a client read interim answers that it does not expect. A server that sends nothing after them runs into the deadline or the end of the connection like one that sends nothing at all.

--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -27,6 +27,8 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::size_t pieceSize = 16 * 1024;
     constexpr std::uint32_t longestAnswerHeader = 64 * 1024;
+    constexpr unsigned minFinalStatus = 200;
+    constexpr int maxInterimAnswers = 16;
 
     /// A connection to a backend server and what was read beyond the last answer.
     struct Link {
@@ -41,6 +43,8 @@
 
     using LinkPtr = std::unique_ptr<Link>;
 
+    template <typename Body> using ParserPtr = std::unique_ptr<http::response_parser<Body>>;
+
     struct IdleLink {
         LinkPtr link;
         /// Not to be used again after this.
@@ -219,7 +223,7 @@
     class Stream final : public HttpStream {
     public:
         Stream(std::shared_ptr<HttpClient::State> client, Endpoint endpoint, LinkPtr link,
-            std::unique_ptr<http::response_parser<http::buffer_body>> parser, CallControl* control)
+            ParserPtr<http::buffer_body> parser, CallControl* control)
             : client(std::move(client))
             , endpoint(std::move(endpoint))
             , link(std::move(link))
@@ -283,7 +287,7 @@
         std::shared_ptr<HttpClient::State> client;
         Endpoint endpoint;
         LinkPtr link;
-        std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+        ParserPtr<http::buffer_body> parser;
         CallControl* control;
         HttpResponse answer;
     };
@@ -321,18 +325,40 @@
 
     CallFailure notAccepted(const Endpoint& endpoint) { return malformed(endpoint, "answered another request"); }
 
-    /// Reads the head of an answer.
+    /// What an answer's body may be.
+    struct BodyRules {
+        /// Nothing for no limit.
+        boost::optional<std::uint64_t> limit;
+        /// Whether there is none, whatever the head says.
+        bool isSkipped { false };
+    };
+
+    template <typename Body> ParserPtr<Body> makeParser(const BodyRules& rules)
+    {
+        auto parser = std::make_unique<http::response_parser<Body>>();
+        parser->header_limit(longestAnswerHeader);
+        parser->body_limit(rules.limit);
+        parser->skip(rules.isSkipped);
+        return parser;
+    }
+
+    /// Reads the head of the final answer. Servers may send interim ones before it, unasked.
     template <typename Body>
-    asio::awaitable<std::optional<CallFailure>> readHead(
-        Link& link, http::response_parser<Body>& parser, const Endpoint& endpoint)
+    asio::awaitable<CallResult<ParserPtr<Body>>> readHead(Link& link, const Endpoint& endpoint, BodyRules rules)
     {
-        const auto [problem, size] = co_await http::async_read_header(link.stream, link.buffer, parser, asTuple);
-        if (problem)
-            co_return failure(problem, endpoint, AttemptProgress::Written);
-        const auto wrong = checkStatus(parser.get().result_int());
-        if (wrong)
-            co_return malformed(endpoint, wrong->message);
-        co_return std::nullopt;
+        for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+            auto parser = makeParser<Body>(rules);
+            const auto [problem, size] = co_await http::async_read_header(link.stream, link.buffer, *parser, asTuple);
+            if (problem)
+                co_return failure(problem, endpoint, AttemptProgress::Written);
+            const auto status = parser->get().result_int();
+            const auto wrong = checkStatus(status);
+            if (wrong)
+                co_return malformed(endpoint, wrong->message);
+            if (status >= minFinalStatus)
+                co_return std::move(parser);
+        }
+        co_return malformed(endpoint, "sent interim answers only");
     }
 
     /// Reads the rest of an answer whose head has been read.
@@ -358,21 +384,23 @@
     if (!sent)
         co_return std::move(sent).error();
     auto link = std::move(sent).value();
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(longestAnswerHeader);
-    parser.body_limit(client->limits.maxAnswer);
-    parser.skip(isHead);
-    auto wrong = co_await readHead(*link, parser, endpoint);
-    if (!wrong)
-        wrong = co_await readBody(*link, parser, endpoint);
+    const BodyRules rules { client->limits.maxAnswer, isHead };
+    auto read = co_await readHead<http::string_body>(*link, endpoint, rules);
+    if (!read) {
+        guard(options.control);
+        co_return std::move(read).error();
+    }
+    const auto parser = std::move(read).value();
+    auto wrong = co_await readBody(*link, *parser, endpoint);
     guard(options.control);
     if (wrong)
         co_return std::move(*wrong);
-    auto response = toResponse(parser.get());
-    response.body = std::move(parser.get().body());
+    auto& message = parser->get();
+    auto response = toResponse(message);
+    response.body = std::move(message.body());
     if (!isAccepted(options, response))
         co_return notAccepted(endpoint);
-    if (parser.get().keep_alive())
+    if (message.keep_alive())
         client->keep(endpoint, std::move(link), response);
     co_return std::move(response);
 }
@@ -420,14 +448,13 @@
     if (!sent)
         co_return std::move(sent).error();
     auto link = std::move(sent).value();
-    auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
-    parser->header_limit(longestAnswerHeader);
-    parser->body_limit(boost::none);
-    auto wrong = co_await readHead(*link, *parser, endpoint);
-    if (wrong) {
+    const BodyRules rules { boost::none };
+    auto read = co_await readHead<http::buffer_body>(*link, endpoint, rules);
+    if (!read) {
         guard(options.control);
-        co_return std::move(*wrong);
+        co_return std::move(read).error();
     }
+    auto parser = std::move(read).value();
     if (!isAccepted(options, toResponse(parser->get()))) {
         guard(options.control);
         co_return notAccepted(endpoint);
--- a/src/wire/http_head.cpp
+++ b/src/wire/http_head.cpp
@@ -10,6 +10,7 @@
     constexpr unsigned oldVersion = 10;
     constexpr unsigned minStatus = 100;
     constexpr unsigned maxStatus = 599;
+    constexpr unsigned statusSwitchingProtocols = 101;
 
     Error refused(std::string_view what)
     {
@@ -70,7 +71,7 @@
 
 std::optional<Error> checkStatus(unsigned status)
 {
-    if (status >= minStatus && status <= maxStatus)
+    if (status >= minStatus && status <= maxStatus && status != statusSwitchingProtocols)
         return std::nullopt;
     return makeError(ErrorKind::BackendAnswerMalformed, "answered with the status " + std::to_string(status));
 }
--- a/src/wire/http_head.hpp
+++ b/src/wire/http_head.hpp
@@ -46,7 +46,8 @@
 std::optional<Error> checkFields(const std::vector<HttpHeader>& headers, unsigned version);
 
 /// @brief Checks the status of an answer, which the library accepts if it has three digits.
-/// @return what is wrong; nothing if HTTP defines its class.
+/// @return what is wrong; nothing if HTTP defines its class, and it doesn't switch to another protocol, which no
+/// request asks for.
 std::optional<Error> checkStatus(unsigned status);
 
 } // namespace topaztack
--- a/tests/src/gateway/unit-broken_answers.cpp
+++ b/tests/src/gateway/unit-broken_answers.cpp
@@ -69,3 +69,17 @@
     for (const std::string status : { "000", "600" })
         this->checkNotPassedOn(gateway, status);
 }
+
+// An interim answer was passed on as the answer itself.
+TEST(BrokenAnswers, FinalAnswerIsPassedOnAfterAnInterimOne)
+{
+    auto& gateway = this->startGateway([](const std::string& id) {
+        return RawAnswer { "HTTP/1.1 100 Continue\r\n\r\n" + headOf("HTTP/1.1 200 OK", id, "Content-Length: 2\r\n")
+            + "ok" };
+    });
+    for (int request = 0; request < 2; ++request) {
+        const auto answer = this->env->book(gateway, "r" + std::to_string(request), "/u/1");
+        LONGS_EQUAL(200, answer.status);
+        STRCMP_EQUAL("ok", answer.body.c_str());
+    }
+}
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -202,6 +202,28 @@
                 .status);
 }
 
+// The interim answer was taken for the final one, which then stood where the connection's next answer was expected.
+TEST(HttpClient, FinalAnswerIsTakenAfterInterimOnes)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    const auto called = callAnsweredWith(interim + wholeAnswer);
+    LONGS_EQUAL(200, called.value().status);
+    STRCMP_EQUAL("ok", called.value().body.c_str());
+    CHECK_TRUE(findHeader(called.value().headers, "Link").empty());
+    LONGS_EQUAL(200, openAnsweredWith(interim + wholeAnswer).value()->head().status);
+}
+
+TEST(HttpClient, InterimAnswersWithoutFinalOneAreNoAnswer)
+{
+    CHECK_FALSE(callAnsweredWith("HTTP/1.1 100 Continue\r\n\r\n").has_value());
+    // Nothing asks the server to switch to another protocol.
+    checkIsMalformed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+    std::string many;
+    for (int interim = 0; interim < 100; ++interim)
+        many += "HTTP/1.1 102 Processing\r\n\r\n";
+    checkIsMalformed(many + wholeAnswer);
+}
+
 TEST(HttpClient, SpeaksIpv6)
 {
     ScriptedServer server("::1", { ScriptedServer::answerOnce });
