Answers without end are given up in the header of a chunk and in a trailer, too

What callers saw: a server in trouble sent bytes without end where the header of a chunk was expected, until the VM closed the connection. The VM kept them all; once its memory is used up, the process and the requests of all its callers end with it.

Cause: the client limits a head (64 KiB) and a body (HttpClientLimits::maxAnswer), but the HTTP library has no limit for the header of a chunk with its extensions, nor for a trailer: both are kept in the connection's buffer until their line ends, and that buffer had no limit.

Evidence: the first test is extended by five starts (a chunk of 1 TiB, and an extension or a trailer without end), the second one is new and reads a stream.

Change: a connection's buffer holds 80 KiB at most. Bodies are taken from it as they arrive, so it is no limit for them; a line that doesn't end within it fails like any broken answer. Heads and bodies without end were covered before; their tests stay as they were.

--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -27,6 +27,9 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::size_t pieceSize = 16 * 1024;
     constexpr std::uint32_t longestAnswerHeader = 64 * 1024;
+    /// What a connection holds unparsed: a whole head, the header of a chunk or a trailer, and bytes that follow it.
+    /// The library limits only the first of these.
+    constexpr std::size_t maxBuffered = longestAnswerHeader + 16UL * 1024;
     constexpr unsigned minFinalStatus = 200;
     constexpr int maxInterimAnswers = 16;
 
@@ -34,6 +37,7 @@
     struct Link {
         explicit Link(asio::io_context& loop)
             : stream(loop)
+            , buffer(maxBuffered)
         {
         }
 
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -123,32 +123,66 @@
     CHECK_TRUE(answer.error().progress == AttemptProgress::Written);
 }
 
+namespace {
+
+/// Sends a start, and then bytes until its caller closes the connection or 128 MiB are written.
+class EndlessServer {
+public:
+    explicit EndlessServer(const std::string& start)
+        : server("127.0.0.1", { [this, start](tcp::socket& socket) {
+            ScriptedServer::readHead(socket);
+            asio::write(socket, asio::buffer(start));
+            const std::string piece(64 * 1024, 'x');
+            boost::system::error_code problem;
+            while (!problem && this->taken < 8 * maxTaken)
+                this->taken += asio::write(socket, asio::buffer(piece), problem);
+        } })
+    {
+    }
+
+    /// Sixteen times the longest answer that the tests allow: what the sockets hold comes on top.
+    static constexpr std::size_t maxTaken = 16UL * 1024 * 1024;
+
+    std::atomic<std::size_t> taken { 0 };
+    ScriptedServer server;
+};
+
+} // namespace
+
 // A server in trouble sends bytes that are no answer, in a head or a body, until its caller closes. Held whole, a few
 // of them were more than the memory of a VM.
 TEST(HttpClient, AnswersWithoutEndAreGivenUpAtTheLimit)
 {
     static constexpr std::size_t maxAnswer = 1024 * 1024;
-    // What the sockets hold comes on top.
-    static constexpr std::size_t maxTaken = 16 * maxAnswer;
-    for (const std::string start : { "HTTP/1.1 200 OK\r\nX-A: ", "HTTP/1.1 200 OK\r\n\r\n",
-             "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n" }) {
-        std::atomic<std::size_t> taken { 0 };
-        ScriptedServer server("127.0.0.1", { [&](tcp::socket& socket) {
-            ScriptedServer::readHead(socket);
-            asio::write(socket, asio::buffer(start));
-            const std::string piece(64 * 1024, 'x');
-            boost::system::error_code problem;
-            while (!problem && taken < 8 * maxTaken)
-                taken += asio::write(socket, asio::buffer(piece), problem);
-        } });
+    static const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& start : { std::string("HTTP/1.1 200 OK\r\nX-A: "), std::string("HTTP/1.1 200 OK\r\n\r\n"),
+             std::string("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n"), chunked + "ffffffffff\r\n",
+             chunked + "1;", chunked + "2\r\nok\r\n1;", chunked + "0;", chunked + "0\r\nX-A: " }) {
+        EndlessServer endless(start);
         IoThreads threads { 1 };
         threads.start();
         HttpClient client { threads.at(0), { .maxAnswer = maxAnswer } };
         const auto answer = test::runOn(
-            threads.at(0), client.call(server.endpoint(), HttpRequest { "POST", "/x" }, Clock::now() + 20s));
+            threads.at(0), client.call(endless.server.endpoint(), HttpRequest { "POST", "/x" }, Clock::now() + 20s));
         CHECK_FALSE(answer.has_value());
         CHECK_TRUE(answer.error().progress == AttemptProgress::Written);
-        CHECK_TRUE(taken < maxTaken);
+        CHECK_TEXT(endless.taken < EndlessServer::maxTaken, start.c_str());
+    }
+}
+
+// The header of a chunk and a trailer had no limit: the client held whatever came until the end of the line.
+TEST(HttpClient, StreamsWhoseChunksNeverBeginAreGivenUpAtTheLimit)
+{
+    static const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+    for (const std::string& start : { chunked + "1;", chunked + "0;", chunked + "0\r\nX-A: " }) {
+        EndlessServer endless(start);
+        Caller caller;
+        const auto opened = test::runOn(caller.threads.at(0),
+            caller.client.open(endless.server.endpoint(), HttpRequest { "POST", "/x" }, Clock::now() + 20s));
+        auto& stream = *opened.value();
+        STRCMP_EQUAL("ok", test::runOn(caller.threads.at(0), stream.read(Clock::now() + 20s)).value().c_str());
+        CHECK_FALSE(test::runOn(caller.threads.at(0), stream.read(Clock::now() + 20s)).has_value());
+        CHECK_TEXT(endless.taken < EndlessServer::maxTaken, start.c_str());
     }
 }
 
