The head of an answer is checked like that of a request, so no line of it is read in two ways

What callers saw: a server in trouble sent a head with a line that begins with a blank (' Content-Length: 1'). The caller got the answer, with that line added to the value of the field before it; a reader that takes it for a field finds another length of the body.

Cause: the HTTP library joins a line that begins with a blank or a tab to the one before it. Requests have been refused for this since they were first read (checkHead), answers were not checked.

Evidence: HttpClient.FieldNamesWithBlanksOrControlBytesAreNoAnswer tries 15 lines at two places of the head. All names with a blank, a tab or a control byte inside or at the end were refused before, by the library; a line that begins with a blank or a tab and follows a field was accepted, and the test failed there. BrokenAnswers.OddFieldNamesAreNotPassedOn, behind a gateway, failed for the same line: the caller got the answer with the server's stamp. Both pass now.

Change: the client reads a whole head, as the server side does, checks its bytes with checkHead, and parses it then. RFC 9112, section 5.2, lets a gateway refuse such an answer with a 502. What of the body came with the head is parsed at once, so this costs no further turn of the event loop.

--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffer_ref.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -13,6 +15,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace topaztack {
@@ -346,15 +349,30 @@
         return parser;
     }
 
+    /// Parses what the connection holds, as far as that goes.
+    template <typename Body> boost::system::error_code parseBuffered(Link& link, http::response_parser<Body>& parser)
+    {
+        boost::system::error_code problem;
+        link.buffer.consume(parser.put(link.buffer.data(), problem));
+        return problem;
+    }
+
     /// Reads the head of the final answer. Servers may send interim ones before it, unasked.
     template <typename Body>
     asio::awaitable<CallResult<ParserPtr<Body>>> readHead(Link& link, const Endpoint& endpoint, BodyRules rules)
     {
         for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
-            auto parser = makeParser<Body>(rules);
-            const auto [problem, size] = co_await http::async_read_header(link.stream, link.buffer, *parser, asTuple);
+            const auto [problem, size]
+                = co_await asio::async_read_until(link.stream, beast::ref(link.buffer), HeadEnd {}, asTuple);
             if (problem)
                 co_return failure(problem, endpoint, AttemptProgress::Written);
+            const auto ambiguous = checkHead({ static_cast<const char*>(link.buffer.data().data()), size });
+            if (ambiguous)
+                co_return malformed(endpoint, "answer not understood: " + std::string(*ambiguous));
+            auto parser = makeParser<Body>(rules);
+            const auto parseProblem = parseBuffered(link, *parser);
+            if (parseProblem)
+                co_return failure(parseProblem, endpoint, AttemptProgress::Written);
             const auto status = parser->get().result_int();
             const auto wrong = checkStatus(status);
             if (wrong)
@@ -369,9 +387,13 @@
     asio::awaitable<std::optional<CallFailure>> readBody(
         Link& link, http::response_parser<http::string_body>& parser, const Endpoint& endpoint)
     {
-        if (parser.is_done())
-            co_return std::nullopt;
-        const auto [problem, size] = co_await http::async_read(link.stream, link.buffer, parser, asTuple);
+        boost::system::error_code problem;
+        parser.eager(true);
+        if (!parser.is_done() && link.buffer.size() > 0)
+            problem = parseBuffered(link, parser);
+        const bool isPartial = !parser.is_done() && (!problem || problem == http::error::need_more);
+        if (isPartial)
+            std::tie(problem, std::ignore) = co_await http::async_read(link.stream, link.buffer, parser, asTuple);
         if (problem)
             co_return failure(problem, endpoint, AttemptProgress::Written);
         co_return std::nullopt;
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -211,9 +211,9 @@
     if (problem)
         co_return this->understood(problem);
     const auto* bytes = static_cast<const char*>(this->buffer.data().data());
-    auto wrong = checkHead({ bytes, size });
+    const auto wrong = checkHead({ bytes, size });
     if (wrong)
-        co_return wrong;
+        co_return makeError(ErrorKind::BadRequest, "request not understood: " + std::string(*wrong));
     const auto [parseProblem, parsed] = co_await http::async_read_header(this->stream, this->buffer, parser, asTuple);
     if (parseProblem)
         co_return this->understood(parseProblem);
--- a/src/wire/http_head.cpp
+++ b/src/wire/http_head.cpp
@@ -34,20 +34,20 @@
 
 } // namespace
 
-std::optional<Error> checkHead(std::string_view head)
+std::optional<std::string_view> checkHead(std::string_view head)
 {
     for (std::size_t place = 0; place < head.size(); ++place) {
         const char character = head[place];
         const char next = place + 1 < head.size() ? head[place + 1] : '\0';
         const bool isFirst = place == 0;
         if (character == '\n' && (isFirst || head[place - 1] != '\r'))
-            return refused("a line ends with a bare line feed");
+            return "a line ends with a bare line feed";
         if (character == '\r' && next != '\n')
-            return refused("a bare carriage return");
+            return "a bare carriage return";
         if (character == '\n' && (next == ' ' || next == '\t'))
-            return refused("a field continues on another line");
+            return "a field continues on another line";
         if (isForbiddenControl(character))
-            return refused("a control character");
+            return "a control character";
     }
     return std::nullopt;
 }
--- a/src/wire/http_head.hpp
+++ b/src/wire/http_head.hpp
@@ -39,7 +39,7 @@
 
 /// @brief Checks the bytes of a head: bare line feeds and carriage returns, continuation lines, control characters.
 /// @return what is wrong; nothing if it may be parsed.
-std::optional<Error> checkHead(std::string_view head);
+std::optional<std::string_view> checkHead(std::string_view head);
 
 /// @brief Checks parsed fields: transfer codings, repeated lengths and hosts, number of fields.
 /// @param version 10 or 11.
--- a/tests/src/gateway/unit-broken_answers.cpp
+++ b/tests/src/gateway/unit-broken_answers.cpp
@@ -70,6 +70,17 @@
         this->checkNotPassedOn(gateway, status);
 }
 
+// A line that begins with a blank was passed on as a part of the field before it.
+TEST(BrokenAnswers, OddFieldNamesAreNotPassedOn)
+{
+    auto& gateway = this->startGateway([](const std::string& id) {
+        const std::string odd = id.starts_with("blank") ? " Content-Length: 1" : "X\x01Y: z";
+        return RawAnswer { headOf("HTTP/1.1 200 OK", id, "Content-Length: 2\r\nA: b\r\n" + odd + "\r\n") + "ok" };
+    });
+    for (const std::string name : { "blank", "control" })
+        this->checkNotPassedOn(gateway, name);
+}
+
 // An interim answer was passed on as the answer itself.
 TEST(BrokenAnswers, FinalAnswerIsPassedOnAfterAnInterimOne)
 {
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <functional>
+#include <set>
 #include <thread>
 
 using namespace topaztack;
@@ -211,16 +212,21 @@
         caller.threads.at(0), caller.client.open(server.endpoint(), HttpRequest { "POST", "/x" }, Clock::now() + 20s));
 }
 
-void checkIsMalformed(const std::string& bytes)
+/// @return the kinds of the errors that call() and open() give.
+std::set<ErrorKind> checkIsNoAnswer(const std::string& bytes)
 {
     const auto called = callAnsweredWith(bytes);
     CHECK_TEXT(!called, bytes.c_str());
-    CHECK_TRUE(called.error().error.kind == ErrorKind::BackendAnswerMalformed);
     CHECK_TRUE(called.error().progress == AttemptProgress::Written);
     const auto opened = openAnsweredWith(bytes);
     CHECK_TEXT(!opened, bytes.c_str());
-    CHECK_TRUE(opened.error().error.kind == ErrorKind::BackendAnswerMalformed);
     CHECK_TRUE(opened.error().progress == AttemptProgress::Written);
+    return { called.error().error.kind, opened.error().error.kind };
+}
+
+void checkIsMalformed(const std::string& bytes)
+{
+    CHECK_TRUE(checkIsNoAnswer(bytes) == std::set<ErrorKind> { ErrorKind::BackendAnswerMalformed });
 }
 
 } // namespace
@@ -258,6 +264,20 @@
     checkIsMalformed(many + wholeAnswer);
 }
 
+// A line that begins with a blank was added to the value of the field before it.
+TEST(HttpClient, FieldNamesWithBlanksOrControlBytesAreNoAnswer)
+{
+    const std::string fields[] = { "X Y: z", "X\tY: z", "X : z", "X\t: z", " X: z", "\tX: z", ": z", "X\x01Y: z",
+        "X\x7fY: z", "X\x0bY: z", std::string("X\0Y: z", 6), "X\rY: z", "X\nY: z", "\x80X: z", "no colon" };
+    for (const auto& field : fields) {
+        checkIsNoAnswer("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok");
+        checkIsNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\r\n" + field + "\r\n\r\nok");
+    }
+    // The line that states the length of the body is no field.
+    checkIsNoAnswer("HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok");
+    checkIsNoAnswer("HTTP/1.1 200 OK\r\nA: b\r\nContent-Length : 2\r\n\r\nok");
+}
+
 TEST(HttpClient, SpeaksIpv6)
 {
     ScriptedServer server("::1", { ScriptedServer::answerOnce });
