Answers that are being read share a budget of memory

What callers saw: servers in trouble sent bodies without end to many requests at once. Each answer is given up at its limit (8 MiB, an event of a stream 1 MiB), but a VM reads many at a time, and some VMs have 160 MB: the process ended, and with it the requests of other callers.

Cause: the limits are for one answer each; nothing bounded their sum.

Evidence: BrokenAnswers.ManyBodiesWithoutEndFitIntoTheMemoryOfASmallVm (3 servers, 24 requests) and BrokenAnswers.ManyStreamsOfBytesThatMakeNoEventFitIntoTheMemoryOfASmallVm (24 engines, 200 streams) are new and failed before: the gateway took more than 160 MB in each. Ruled out: heads (64 KiB each), and pieces of streams that are passed on as they come.

Change: MemoryBudget, with a decision by what is left: an answer may hold as much as stays free for others, so one alone gets half of the budget, as much as its own limit allowed, and n that grow without end are given up at an (n+1)th part each while small answers still find room (unit-memory_budget.cpp). HttpClient::call takes shares for bodies; streams, items and carried requests for what they have collected and not yet passed on. 16 MiB for a gateway, 128 MiB for other clients. An answer that finds no room fails like one that is too long. A carried request whose failure is longer than 1 MiB fails now; it was passed on cut short, as whole, had one arrived.

--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -106,6 +106,7 @@
 #include <topaztack/wire/http_router.hpp>
 #include <topaztack/wire/http_server.hpp>
 #include <topaztack/wire/io_threads.hpp>
+#include <topaztack/wire/memory_budget.hpp>
 #include <topaztack/wire/messages.hpp>
 #include <topaztack/wire/peer_link.hpp>
 #include <topaztack/wire/platform_client.hpp>
--- a/include/topaztack/wire/http_client.hpp
+++ b/include/topaztack/wire/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include <topaztack/base/time.hpp>
 #include <topaztack/wire/http.hpp>
+#include <topaztack/wire/memory_budget.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -90,6 +91,8 @@
     /// Size of the body of an answer that call() reads whole; a longer one fails. A server in trouble may send bytes
     /// without end.
     std::uint64_t maxAnswer { 64ULL * 1024 * 1024 };
+    /// Bytes of all answers that are being read; one answer gets half of it at most (MemoryBudget).
+    std::size_t maxHeld { 128UL * 1024 * 1024 };
     /// Time to establish a connection.
     std::chrono::milliseconds connectTime { 60'000 };
 };
@@ -121,6 +124,10 @@
     /// @brief Connections made so far.
     std::uint64_t connectionsMade() const;
 
+    /// @brief The memory of the answers that are being read. Who collects the pieces of a stream takes a share for what
+    /// is not yet understood.
+    const std::shared_ptr<MemoryBudget>& answerBudget() const;
+
     /// What its connections share; defined in the source file.
     struct State;
 
--- a/src/gateway/call_carrier.cpp
+++ b/src/gateway/call_carrier.cpp
@@ -26,6 +26,12 @@
         std::erase_if(response.headers, [](const HttpHeader& header) { return isConnectionHeader(header.name); });
     }
 
+    CallFailure answerTooLong(const PeerRecord& peer)
+    {
+        return { makeError(ErrorKind::BackendBroke, peer.vm.name.value() + ": the answer is too long"),
+            AttemptProgress::Written };
+    }
+
     /// Whether an answer without a server's stamp says that the request did not run. A VM with an older configuration
     /// may not know the route.
     bool saysNotRun(const HttpResponse& response)
@@ -155,13 +161,16 @@
     }
     // A failure is short.
     auto response = stream.head();
-    while (response.body.size() <= maxPlainAnswer) {
+    BudgetShare share(this->context.httpClient.answerBudget());
+    while (true) {
         auto piece = co_await stream.read(call.deadline);
         if (!piece)
             co_return std::move(piece).error();
         if (piece.value().empty())
             break;
         response.body += piece.value();
+        if (response.body.size() > maxPlainAnswer || !share.resize(response.body.size()))
+            co_return answerTooLong(peer);
     }
     this->takeAnswer(peer, std::move(response), result);
     co_return std::nullopt;
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -10,10 +10,12 @@
 
     /// Backend servers close idle connections after 5 s or more, so this client closes them earlier. A handshake within
     /// a region takes milliseconds; a server behind a network partition doesn't answer it.
-    /// Answers are held in memory until they are delivered, several at a time.
-    constexpr HttpClientLimits backendLimits {
-        .idlePerEndpoint = 16, .longestIdle = 3000ms, .maxAnswer = 8ULL * 1024 * 1024, .connectTime = 300ms
-    };
+    /// Answers are held in memory until they are delivered, several at a time. A VM may have as little as 160 MB.
+    constexpr HttpClientLimits backendLimits { .idlePerEndpoint = 16,
+        .longestIdle = 3000ms,
+        .maxAnswer = 8ULL * 1024 * 1024,
+        .maxHeld = 16UL * 1024 * 1024,
+        .connectTime = 300ms };
     constexpr HttpClientLimits storeLimits { .longestIdle = 10s, .connectTime = 500ms };
 
 } // namespace
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -98,6 +98,7 @@
     {
         auto version = context.protocol.decodeAnswer(stream.head()).version;
         SseReader reader;
+        BudgetShare share(context.httpClient.answerBudget());
         std::uint64_t count = 0;
         auto eventAt = Clock::now();
         auto nextMoveCheckAt = eventAt + moveCheckInterval;
@@ -116,7 +117,8 @@
                 stream.cancel();
                 co_return AttemptOutcome::Interrupted;
             }
-            if (reader.sinceLastEvent() > maxEventSize || reader.hasForeignText()) {
+            const auto held = reader.sinceLastEvent();
+            if (held > maxEventSize || !share.resize(held) || reader.hasForeignText()) {
                 stream.cancel();
                 logInterruption(attempt, server, "item-broke-off", "its bytes make no event");
                 co_return AttemptOutcome::Interrupted;
--- a/src/gateway/stream_forwarder.cpp
+++ b/src/gateway/stream_forwarder.cpp
@@ -393,9 +393,11 @@
     const bool isEncoded = !findHeader(response.headers, "Content-Encoding").empty();
     if (forwarding.hasBegun || isEncoded || (isServerError(response.status) && mayTryAnother))
         co_return AttemptEnd::Broken;
+    BudgetShare share(this->context.httpClient.answerBudget());
     while (true) {
         const auto piece = co_await stream.read(forwarding.deadline);
-        if (!piece || response.body.size() > maxPlainAnswer)
+        const bool isTooLong = response.body.size() > maxPlainAnswer || !share.resize(response.body.size());
+        if (!piece || isTooLong)
             co_return AttemptEnd::Broken;
         if (piece.value().empty())
             break;
@@ -450,6 +452,7 @@
         return AttemptEnd::Broken;
     };
     SseReader reader;
+    BudgetShare share(this->context.httpClient.answerBudget());
     std::uint64_t count = 0;
     auto eventAt = Clock::now();
     while (true) {
@@ -491,7 +494,7 @@
         // Such as the text of an error; the caller would find it in the middle of the stream.
         if (reader.hasForeignText())
             co_return broken("it sent text that is no event");
-        if (reader.sinceLastEvent() > maxEventSize)
+        if (reader.sinceLastEvent() > maxEventSize || !share.resize(reader.sinceLastEvent()))
             co_return broken("its bytes make no event");
         if (count > before) {
             if (before > 0) {
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -143,6 +143,7 @@
     State(asio::io_context& loop, HttpClientLimits limits)
         : loop(loop)
         , limits(limits)
+        , budget(std::make_shared<MemoryBudget>(MemoryBudget { limits.maxHeld }))
     {
     }
 
@@ -221,6 +222,7 @@
 
     asio::io_context& loop;
     HttpClientLimits limits;
+    std::shared_ptr<MemoryBudget> budget;
     std::map<Endpoint, std::vector<IdleLink>> idle;
     std::uint64_t made { 0 };
 };
@@ -385,15 +387,21 @@
 
     /// Reads the rest of an answer whose head has been read.
     asio::awaitable<std::optional<CallFailure>> readBody(
-        Link& link, http::response_parser<http::string_body>& parser, const Endpoint& endpoint)
+        Link& link, http::response_parser<http::string_body>& parser, const Endpoint& endpoint, BudgetShare& share)
     {
         boost::system::error_code problem;
         parser.eager(true);
         if (!parser.is_done() && link.buffer.size() > 0)
             problem = parseBuffered(link, parser);
-        const bool isPartial = !parser.is_done() && (!problem || problem == http::error::need_more);
-        if (isPartial)
-            std::tie(problem, std::ignore) = co_await http::async_read(link.stream, link.buffer, parser, asTuple);
+        if (problem == http::error::need_more)
+            problem = {};
+        while (!problem && !parser.is_done()) {
+            std::tie(problem, std::ignore) = co_await http::async_read_some(link.stream, link.buffer, parser, asTuple);
+            if (!share.resize(parser.get().body().size()))
+                co_return CallFailure { makeError(ErrorKind::BackendBroke,
+                                            toText(endpoint) + ": no memory for the rest of the answer"),
+                    AttemptProgress::Written };
+        }
         if (problem)
             co_return failure(problem, endpoint, AttemptProgress::Written);
         co_return std::nullopt;
@@ -417,7 +425,8 @@
         co_return std::move(read).error();
     }
     const auto parser = std::move(read).value();
-    auto wrong = co_await readBody(*link, *parser, endpoint);
+    BudgetShare share(client->budget);
+    auto wrong = co_await readBody(*link, *parser, endpoint, share);
     guard(options.control);
     if (wrong)
         co_return std::move(*wrong);
@@ -466,6 +475,8 @@
 
 std::uint64_t HttpClient::connectionsMade() const { return this->state->made; }
 
+const std::shared_ptr<MemoryBudget>& HttpClient::answerBudget() const { return this->state->budget; }
+
 asio::awaitable<CallResult<std::unique_ptr<HttpStream>>> HttpClient::open(
     Endpoint endpoint, HttpRequest request, TimePoint deadline, CallOptions options)
 {
--- a/tests/src/gateway/unit-broken_answers.cpp
+++ b/tests/src/gateway/unit-broken_answers.cpp
@@ -3,12 +3,16 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <future>
+
 using namespace topaztack;
 using namespace topaztack::test;
 using namespace std::chrono_literals;
 
 namespace {
 
+constexpr std::size_t smallestVmMemory = 160'000'000;
+
 /// A head with the fields of a sound answer to the request.
 std::string headOf(const std::string& statusLine, const std::string& id, const std::string& fields)
 {
@@ -23,12 +27,20 @@
     std::unique_ptr<TestEnvironment> env = std::make_unique<TestEnvironment>();
     std::vector<std::unique_ptr<RawWorker>> servers;
 
+    void addServer(const std::string& pool, const std::function<RawAnswer(const std::string& id)>& answer)
+    {
+        const auto name = "i-raw-" + std::to_string(this->servers.size());
+        this->servers.push_back(std::make_unique<RawWorker>(this->env->threads, name, answer));
+        this->env->store.put("servers", "", name, this->servers.back()->record(pool));
+    }
+
     /// A gateway whose plain servers and engines all answer like this.
-    RunningGateway& startGateway(std::function<RawAnswer(const std::string& id)> answer)
+    /// @param count servers of each pool.
+    RunningGateway& startGateway(const std::function<RawAnswer(const std::string& id)>& answer, int count = 1)
     {
-        for (const std::string pool : { "app", "lm" }) {
-            this->servers.push_back(std::make_unique<RawWorker>(this->env->threads, "i-" + pool + "-raw", answer));
-            this->env->store.put("servers", "", this->servers.back()->name, this->servers.back()->record(pool));
+        for (int server = 0; server < count; ++server) {
+            this->addServer("app", answer);
+            this->addServer("lm", answer);
         }
         this->env->store.remove("servers", "", this->env->booking.name);
         this->env->store.remove("servers", "", this->env->engine.name);
@@ -53,6 +65,25 @@
         }
     }
 
+    /// Sends requests at once, checks that no answer looks complete, and counts the bytes taken of the endless ones.
+    std::size_t bytesTaken(const RunningGateway& gateway, const std::string& path, int requests)
+    {
+        std::vector<std::future<ReceivedStream>> calls;
+        for (int request = 0; request < requests; ++request) {
+            const auto id = path + std::to_string(request);
+            calls.push_back(std::async(
+                std::launch::async, [&gateway, id, path] { return openStream(gateway, { .id = id, .path = path }); }));
+        }
+        for (auto& call : calls) {
+            const auto answer = call.get();
+            CHECK_TRUE(answer.status >= 500 || !answer.isComplete);
+        }
+        std::size_t bytes = 0;
+        for (const auto& server : this->servers)
+            bytes += server->repeatedBytes();
+        return bytes;
+    }
+
     static HttpResponse stream(const RunningGateway& gateway, const std::string& id, const std::string& path)
     {
         auto received = openStream(gateway, { .id = id, .path = path });
@@ -94,3 +125,26 @@
         STRCMP_EQUAL("ok", answer.body.c_str());
     }
 }
+
+// Servers send bodies without end to all requests that they are given at once. Each answer had a limit, but together
+// they were more than the memory of a VM.
+TEST(BrokenAnswers, ManyBodiesWithoutEndFitIntoTheMemoryOfASmallVm)
+{
+    auto& gateway = this->startGateway(
+        [](const std::string& id) {
+            return RawAnswer { headOf("HTTP/1.1 200 OK", id, ""), std::string(64 * 1024, 'x') };
+        },
+        3);
+    CHECK_TRUE(this->bytesTaken(gateway, "/u/1", 24) < smallestVmMemory);
+}
+
+TEST(BrokenAnswers, ManyStreamsOfBytesThatMakeNoEventFitIntoTheMemoryOfASmallVm)
+{
+    auto& gateway = this->startGateway(
+        [](const std::string& id) {
+            return RawAnswer { headOf("HTTP/1.1 200 OK", id, "Content-Type: text/event-stream\r\n"),
+                std::string(64 * 1024, 'x') };
+        },
+        24);
+    CHECK_TRUE(this->bytesTaken(gateway, "/o/1", 200) < smallestVmMemory);
+}
--- a/tests/src/standins/raw_worker.cpp
+++ b/tests/src/standins/raw_worker.cpp
@@ -21,6 +21,7 @@
 namespace {
 
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr int maxSendBuffer = 64 * 1024;
 
 } // namespace
 
@@ -58,6 +59,8 @@
 
 asio::awaitable<void> RawWorker::serve(tcp::socket socket, std::shared_ptr<Shared> shared)
 {
+    // What the socket holds would count as taken by the caller.
+    socket.set_option(tcp::socket::send_buffer_size(maxSendBuffer));
     beast::flat_buffer buffer;
     while (true) {
         http::request<http::string_body> request;
