A generation whose engine sends bytes or tokens without end is given up

What callers saw: an engine in trouble sent without end what makes no event, or events beyond the tokens that it was asked for. A node held all of it until the request's deadline (30 s and more); once its memory is used up, the requests of other callers end with it.

Cause: gateways limit what they hold of a stream without an event (1 MiB), nodes read generations with a reader of their own that had no limit, and nothing compared the tokens with the request.

Change: the bytes that make no event are limited as at gateways (maxEventSize), and count in the budget of all answers that the client reads; a chunk that goes beyond max_tokens is malformed and is not taken. The attempt ends as broken, so another engine may go on from the tokens made before.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -19,7 +19,7 @@
     set_tests_properties(unit-${library} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
 endfunction()
 
-foreach(library base policy samples control wire node platform)
+foreach(library base policy samples control wire platform)
     topaztack_test_program(${library})
 endforeach()
 # Stand-ins of the platform's store and of backend servers.
@@ -27,6 +27,7 @@
 add_library(test-standins STATIC ${standins})
 target_include_directories(test-standins PUBLIC "${PROJECT_SOURCE_DIR}/tests/src")
 target_link_libraries(test-standins PUBLIC topaztack-wire)
+topaztack_test_program(node test-standins)
 # A gateway is tested through the one protocol that there is.
 topaztack_test_program(gateway topaztack-platform test-standins)
 # A test stops and resumes a gateway that is a process of its own.
--- a/src/node/generation_attempt.cpp
+++ b/src/node/generation_attempt.cpp
@@ -1,5 +1,6 @@
 #include <topaztack/node/generation_attempt.hpp>
 
+#include <topaztack/policy/event_stream.hpp>
 #include <topaztack/wire/sse.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -94,11 +95,14 @@
     /// Reads the events of a stream that stands.
     class StreamReader {
     public:
-        StreamReader(HttpStream& stream, const GenerationRequest& request, const ChunkSink& sink, Generation& whole)
+        /// @param budget what the client may hold of all answers.
+        StreamReader(HttpStream& stream, const GenerationRequest& request, const ChunkSink& sink, Generation& whole,
+            std::shared_ptr<MemoryBudget> budget)
             : stream(stream)
             , request(request)
             , sink(sink)
             , whole(whole)
+            , share(std::move(budget))
         {
         }
 
@@ -115,6 +119,10 @@
                         AttemptEnd::Broken, makeError(ErrorKind::BackendBroke, "engine ended its stream early"));
                 this->events.feed(piece.value());
                 co_await this->takeEvents();
+                const auto held = this->events.sinceLastEvent();
+                if (!this->end && (held > maxEventSize || !this->share.resize(held)))
+                    co_return ended(AttemptEnd::Broken,
+                        makeError(ErrorKind::BackendAnswerMalformed, "engine sent bytes that make no event"));
             }
             co_return *this->end;
         }
@@ -143,6 +151,11 @@
             const bool isInterrupted = chunk.value().finishReason == interruptedReason;
             if (isInterrupted)
                 chunk.value().finishReason.clear();
+            if (this->whole.tokens.size() + chunk.value().tokens.size() > this->request.maxTokens) {
+                this->end = ended(AttemptEnd::Broken,
+                    makeError(ErrorKind::BackendAnswerMalformed, "engine sent more tokens than it was asked for"));
+                co_return;
+            }
             append(this->whole, chunk.value());
             const bool isWorthPassing = !isInterrupted || !chunk.value().tokens.empty();
             if (this->sink && isWorthPassing) {
@@ -160,6 +173,7 @@
         const ChunkSink& sink;
         Generation& whole;
         SseReader events;
+        BudgetShare share;
         std::optional<GenerationAttempt> end;
     };
 
@@ -200,7 +214,7 @@
         co_return cancelled();
     if (request.control)
         request.control->cancel = [raw = stream.get()] { raw->cancel(); };
-    StreamReader reader(*stream, request, sink, whole);
+    StreamReader reader(*stream, request, sink, whole, context.clients().backends.answerBudget());
     auto attempt = co_await reader.readAll();
     if (request.control)
         request.control->cancel = nullptr;
--- a/tests/src/standins/raw_worker.cpp
+++ b/tests/src/standins/raw_worker.cpp
@@ -41,10 +41,9 @@
 
 std::string RawWorker::record(const std::string& pool) const
 {
-    const auto port = std::to_string(this->acceptor->local_endpoint().port());
-    return json::serialize(json::object { { "service", pool }, { "address", "127.0.0.1:" + port }, { "zone", "z1" },
-        { "version", "v1" }, { "slots", 4 }, { "state", "ready" }, { "coldRemainingMs", 0 }, { "sequence", 1 },
-        { "models", json::array { json::object { { "name", "m" }, { "version", 1 } } } } });
+    return json::serialize(json::object { { "service", pool }, { "address", toText(this->endpoint()) },
+        { "zone", "z1" }, { "version", "v1" }, { "slots", 4 }, { "state", "ready" }, { "coldRemainingMs", 0 },
+        { "sequence", 1 }, { "models", json::array { json::object { { "name", "m" }, { "version", 1 } } } } });
 }
 
 asio::awaitable<void> RawWorker::accept(std::shared_ptr<tcp::acceptor> acceptor, std::shared_ptr<Shared> shared)
--- a/tests/src/standins/raw_worker.hpp
+++ b/tests/src/standins/raw_worker.hpp
@@ -33,6 +33,8 @@
     RawWorker(const RawWorker&) = delete;
     RawWorker& operator=(const RawWorker&) = delete;
 
+    Endpoint endpoint() const { return { "127.0.0.1", this->acceptor->local_endpoint().port() }; }
+
     /// @brief The record by which the server is listed in the store.
     std::string record(const std::string& pool) const;
 
