A gateway that stops answers all that is still in hand, whoever works on it

What callers saw: in a planned stop, requests that were in hand at the end of the grace were cut off with no answer, unless this VM itself had sent them to a server: requests that another VM carries for it, and calls about jobs that came late.

Cause: at the end only the attempts of the two forwarders were given up, and answered 502. Nothing ended a carried request, and a call for results waited up to a second, also past the end of the process.

Evidence: CutOff.ARequestThatAnotherVmCarriesIsAnsweredWhenItsOwnVmStops and Shutdown.ACallForResultsThatComesLateIsAnswered are new; on the code before, both callers got a closed connection. Now they get a 502 (it may have run) and a 200.

Change: HttpServer::answerPending answers, 0.1 s before the process ends, each request whose answer has not begun, in place of its handler; it knows no cause, so it covers what is added later, too. The wait for results ends with the drain.

--- a/include/topaztack/policy/drain.hpp
+++ b/include/topaztack/policy/drain.hpp
@@ -11,8 +11,10 @@
 struct DrainSchedule {
     /// The load balancer sends no new connections from here on.
     TimePoint outOfRotationAt;
-    /// Requests that still run are answered as possibly run.
+    /// Requests that still run are given up, and answered as possibly run.
     TimePoint abandonAt;
+    /// What has no answer yet, for whatever reason, gets one in place of its handler's.
+    TimePoint answerAt;
     /// The process ends.
     TimePoint endsAt;
 };
--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -81,6 +81,10 @@
     /// connection that brings no request for a while is closed. So no caller's request meets a closed connection.
     void stopAccepting();
 
+    /// @brief Answers each request whose answer has not begun, in place of its handler, whose own answer is dropped
+    /// from then on. For the end of a process: what is still in hand then would be cut off.
+    void answerPending(const HttpResponse& response);
+
     /// @brief Closes the listening socket and all connections at once, as the end of the process does.
     void abort();
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -520,8 +520,15 @@
         parts.forwarder.abandonAll();
         parts.streams.abandonAll();
     });
-    while (isAnswering() && Clock::now() < drain.endsAt)
+    const auto stopped = makeError(ErrorKind::ShuttingDown, "this VM stopped before there was an answer");
+    const auto unanswered = mayHaveRunResponse(stopped, RequestId());
+    while (isAnswering() && Clock::now() < drain.endsAt) {
         std::this_thread::sleep_for(shutdownCheckInterval);
+        if (Clock::now() < drain.answerAt)
+            continue;
+        parts.callerServer.answerPending(unanswered);
+        parts.peerServer.answerPending(unanswered);
+    }
     logEvent(LogLevel::Info, "stopped",
         { { "abandoned", std::to_string(abandoned) }, { "cut_off", std::to_string(parts.callerServer.inFlight()) } });
     parts.operatorServer.stopAccepting();
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -205,7 +205,9 @@
 /// store in each of these cases.
 asio::awaitable<Result<std::vector<ItemResult>>> JobService::waitForResults(const CallerRequest& call)
 {
-    const auto end = Clock::now() + std::min(call.wait, maxResultWait);
+    auto end = Clock::now() + std::min(call.wait, maxResultWait);
+    if (this->context.drain)
+        end = std::min<TimePoint>(end, this->context.drain->abandonAt);
     while (true) {
         const auto* seen = this->owner.lastSeenHead(call.job);
         const bool hasMore = !seen || seen->head.listed > call.position;
--- a/src/policy/drain.cpp
+++ b/src/policy/drain.cpp
@@ -12,6 +12,8 @@
     constexpr Duration balancerRemovalTime = 2500ms;
     /// For writing the answers of abandoned requests.
     constexpr Duration abandonTime = 200ms;
+    /// For writing answers in place of handlers that don't end.
+    constexpr Duration answerTime = 100ms;
     /// For ending the process before the platform kills it.
     constexpr Duration exitTime = 200ms;
 
@@ -22,6 +24,7 @@
     DrainSchedule drain;
     drain.endsAt = now + shutdownTime - exitTime;
     drain.abandonAt = drain.endsAt - abandonTime;
+    drain.answerAt = drain.endsAt - answerTime;
     drain.outOfRotationAt = std::min<TimePoint>(now + balancerRemovalTime, drain.abandonAt);
     return drain;
 }
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -62,6 +62,8 @@
 
     asio::awaitable<void> serve();
     void closeIfIdle(TimePoint now);
+    /// Answers the request in hand, if there is one whose answer has not begun.
+    void answerPending(HttpResponse response);
     /// Closes the connection whatever it is doing.
     void abort() { this->stream.tcp().close(); }
     bool belongsTo(const asio::io_context& other) const { return &this->loop == &other; }
@@ -88,6 +90,8 @@
     void startWriteTimer() { this->stream.tcp().expires_after(this->limits.idle); }
     bool settle(const boost::system::error_code& problem);
     bool beginAnswer();
+    void countRequest();
+    void uncountRequest();
 
     std::shared_ptr<HttpServer::State> server;
     asio::io_context& loop;
@@ -102,6 +106,9 @@
     bool isBusy { false };
     bool isAnswered { false };
     bool hasBegunAnswer { false };
+    /// Whether the answer is not the handler's.
+    bool isPreempted { false };
+    bool isCounted { false };
     bool isWatching { false };
     TimePoint idleSince { Clock::now() };
 };
@@ -138,6 +145,34 @@
         this->stream.tcp().cancel();
 }
 
+void HttpConnection::countRequest()
+{
+    this->server->inFlight.fetch_add(1, std::memory_order_relaxed);
+    this->isCounted = true;
+}
+
+void HttpConnection::uncountRequest()
+{
+    if (this->isCounted)
+        this->server->inFlight.fetch_sub(1, std::memory_order_relaxed);
+    this->isCounted = false;
+}
+
+void HttpConnection::answerPending(HttpResponse response)
+{
+    const auto self = this->weak_from_this().lock();
+    if (!self || !this->isBusy || this->hasBegunAnswer)
+        return;
+    this->isPreempted = true;
+    asio::co_spawn(
+        this->loop,
+        [self, response = std::move(response)]() -> asio::awaitable<void> {
+            co_await self->respond(response);
+            self->uncountRequest();
+        },
+        asio::detached);
+}
+
 asio::awaitable<void> HttpConnection::serve()
 {
     const auto self = this->shared_from_this();
@@ -148,14 +183,14 @@
         if (!co_await this->readRequest())
             break;
         this->server->requests.add();
-        this->server->inFlight.fetch_add(1, std::memory_order_relaxed);
+        this->countRequest();
         this->isBusy = true;
         this->isAnswered = false;
         this->watchCaller();
         co_await this->handle();
         this->notifyGone = nullptr;
         this->isBusy = false;
-        this->server->inFlight.fetch_sub(1, std::memory_order_relaxed);
+        this->uncountRequest();
         this->idleSince = Clock::now();
         if (!this->isAnswered)
             break;
@@ -307,7 +342,8 @@
 bool HttpConnection::beginAnswer()
 {
     if (this->hasBegunAnswer) {
-        logEvent(LogLevel::Error, "second-answer", { { "target", this->current.target } });
+        if (!this->isPreempted)
+            logEvent(LogLevel::Error, "second-answer", { { "target", this->current.target } });
         return false;
     }
     this->hasBegunAnswer = true;
@@ -387,6 +423,20 @@
 
 } // namespace
 
+void answerPendingRequests(const std::shared_ptr<HttpServer::State>& server, const HttpResponse& response)
+{
+    for (std::size_t index = 0; index < server->threads.size(); ++index) {
+        auto& loop = server->threads.at(index);
+        asio::post(loop, [server, response, &loop] {
+            const std::lock_guard guard(server->lock);
+            for (auto* connection : server->open) {
+                if (connection->belongsTo(loop))
+                    connection->answerPending(response);
+            }
+        });
+    }
+}
+
 void abortHttpConnections(const std::shared_ptr<HttpServer::State>& server)
 {
     for (std::size_t index = 0; index < server->threads.size(); ++index) {
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -46,6 +46,8 @@
     }
 }
 
+void HttpServer::answerPending(const HttpResponse& response) { answerPendingRequests(this->state, response); }
+
 void HttpServer::abort()
 {
     this->state->listener->abort();
--- a/src/wire/http_server_state.hpp
+++ b/src/wire/http_server_state.hpp
@@ -34,6 +34,9 @@
 /// @brief Serves a connection on the calling thread, or closes it if there are too many.
 void startHttpConnection(const std::shared_ptr<HttpServer::State>& server, boost::asio::ip::tcp::socket socket);
 
+/// @brief Answers the requests of all connections whose answer has not begun, each on its own thread.
+void answerPendingRequests(const std::shared_ptr<HttpServer::State>& server, const HttpResponse& response);
+
 /// @brief Closes all connections, each on its own thread, whatever they are doing.
 void abortHttpConnections(const std::shared_ptr<HttpServer::State>& server);
 
--- a/tests/src/gateway/unit-cut_off.cpp
+++ b/tests/src/gateway/unit-cut_off.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <future>
 #include <thread>
 
 using namespace topaztack;
@@ -230,3 +231,24 @@
     CHECK_TRUE(stream.isComplete);
     LONGS_EQUAL(5, stream.events.size());
 }
+
+// Only requests that a VM sent to servers itself were answered at its end; one that another VM carries was cut off.
+TEST(CutOff, ARequestThatAnotherVmCarriesIsAnsweredWhenItsOwnVmStops)
+{
+    this->startVms(this->env->refusing.add());
+    auto configuration = boost::json::parse(TestEnvironment::configuration(2)).as_object();
+    for (auto& route : configuration.at("routes").as_array())
+        route.as_object()["timeoutMs"] = 12000;
+    for (auto* store : { &this->env->store, this->cutView.get() })
+        store->put("op", "", "config", boost::json::serialize(configuration));
+    for (auto* gateway : { this->sound, this->cut })
+        CHECK_TRUE(waitFor([&] { return this->env->state(*gateway, "configuration").to_number<int>() == 2; }));
+    this->env->booking.faults.plainTime = 11s;
+    auto answer = std::async(std::launch::async, [this] {
+        return this->env->call(this->cut->callers, "POST", "/u/1",
+            { { "Topaztack-Request-Id", "r1" }, { "Topaztack-Deadline-Ms", "12000" } });
+    });
+    CHECK_TRUE(waitFor([&] { return this->env->booking.seen().size() == 1; }));
+    this->cut->gateway->shutDown();
+    LONGS_EQUAL(502, answer.get().status);
+}
--- a/tests/src/gateway/unit-shutdown.cpp
+++ b/tests/src/gateway/unit-shutdown.cpp
@@ -103,3 +103,27 @@
     CHECK_TRUE(refused.starts_with("HTTP/1.1 503"));
     CHECK_TRUE(refused.find("Retry-After: 0.000") != std::string::npos);
 }
+
+// A trainer waits for results while the VM stops. Its call was cut off at the end of the process.
+TEST(Shutdown, ACallForResultsThatComesLateIsAnswered)
+{
+    auto& gateway = this->startGateway();
+    this->env->engine.faults.isSilent = true;
+    LONGS_EQUAL(202, this->env->submit(gateway, "job", { "i1" }).status);
+    LONGS_EQUAL(0, this->env->read(gateway, "job").at("results").as_array().size());
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::socket caller(loop);
+    caller.connect({ boost::asio::ip::make_address(gateway.callers.address), gateway.callers.port });
+    boost::asio::write(
+        caller, boost::asio::buffer(std::string("GET /-/lots/job?after=0 HTTP/1.1\r\nHost: a.example\r\n")));
+    const auto stopsAt = Clock::now();
+    this->stop = std::thread([&gateway] { gateway.gateway->shutDown(); });
+    std::this_thread::sleep_until(stopsAt + 7100ms);
+    boost::asio::write(caller, boost::asio::buffer(std::string("Topaztack-Wait-Ms: 1000\r\n\r\n")));
+    boost::asio::streambuf buffer;
+    boost::system::error_code problem;
+    boost::asio::read_until(caller, buffer, "\r\n\r\n", problem);
+    this->stop.join();
+    const std::string answer(boost::asio::buffers_begin(buffer.data()), boost::asio::buffers_end(buffer.data()));
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 200"));
+}
--- a/tests/src/policy/unit-drain.cpp
+++ b/tests/src/policy/unit-drain.cpp
@@ -23,7 +23,8 @@
     const TimePoint start {};
     const auto drain = planDrain(start, 8s);
     CHECK_TRUE(drain.abandonAt >= start + 7500ms);
-    CHECK_TRUE(drain.abandonAt < drain.endsAt);
+    CHECK_TRUE(drain.abandonAt < drain.answerAt);
+    CHECK_TRUE(drain.answerAt < drain.endsAt);
     CHECK_TRUE(drain.endsAt < start + 8s);
     CHECK_TRUE(planDrain(start, 1s).outOfRotationAt <= planDrain(start, 1s).abandonAt);
 }
