A node that stops refuses bookings that it can't finish, and answers those in hand

What callers saw: a node took bookings until the end of drain_time, passed them on and cut them off when it ended, with no answer; among them bookings that may not be repeated.

Cause: completions are refused while a node stops, bookings were taken whatever time they might need, and at the end nothing answered those in hand.

Evidence: test_node_shutdown's new case, with drain_time = 4s and services that take 6 s: on the code before, the booking that came 3.2 s after the signal got no answer; now it gets 503, not-run, and reaches no service. The booking under way at the signal gets 502, unknown, before the process ends.

Change: the rule that gateways use (mayTakeRequest) decides before a booking is dispatched, at the home of its ticket, where not-run is known to be true. At the end, HttpServer::answerPending tells the callers of what is left that it may have run.

--- a/include/topaztack/node/context.hpp
+++ b/include/topaztack/node/context.hpp
@@ -7,6 +7,7 @@
 #include <topaztack/control/membership.hpp>
 #include <topaztack/control/settings.hpp>
 #include <topaztack/control/weight_view.hpp>
+#include <topaztack/policy/drain.hpp>
 #include <topaztack/wire/http_client.hpp>
 #include <topaztack/wire/io_threads.hpp>
 #include <topaztack/wire/peer_link.hpp>
@@ -70,6 +71,8 @@
     RcuCell<WeightView> weights;
     IoThreads threads;
     std::atomic<bool> isDraining { false };
+    /// Set before isDraining is.
+    DrainSchedule drain;
 
 private:
     std::vector<std::unique_ptr<ThreadClients>> clientsByThread;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -37,6 +37,9 @@
 
     constexpr auto defaultDrainTime = 30s;
     constexpr auto drainCheckInterval = 10ms;
+    /// For writing answers in place of handlers that don't end.
+    constexpr auto lastAnswerTime = 100ms;
+    constexpr unsigned statusBadGateway = 502;
     constexpr auto keyCheckInterval = 2s;
     constexpr std::size_t operatorBodyLimit = 4 * 1024 * 1024;
 
@@ -67,6 +70,7 @@
         return this->callerServer.isAccepting() || this->callerServer.openConnections() > 0 || this->inFlight() > 0;
     }
     HttpServerLimits callerLimits() const;
+    void answerPending();
 
     NodeContext context;
     ConfigKeeper config;
@@ -159,6 +163,20 @@
     return limits;
 }
 
+/// Tells the callers whose requests are still in hand that they may have run.
+void Node::Parts::answerPending()
+{
+    auto unknown = errorResponse(makeError(ErrorKind::ShuttingDown, "this VM stopped before there was an answer"));
+    unknown.status = statusBadGateway;
+    setHeader(unknown.headers, settlingHeader, "never");
+    unknown = withOutcome(std::move(unknown), Outcome::Unknown);
+    const auto end = Clock::now() + lastAnswerTime;
+    while (this->callerServer.inFlight() > 0 && Clock::now() < end) {
+        this->callerServer.answerPending(unknown);
+        std::this_thread::sleep_for(drainCheckInterval);
+    }
+}
+
 asio::awaitable<void> Node::Parts::answerText(HttpExchange& exchange, std::string contentType, std::string body)
 {
     HttpResponse response;
@@ -272,15 +290,16 @@
 void Node::shutDown()
 {
     auto& context = this->parts->context;
-    context.isDraining = true;
-    asio::co_spawn(context.threads.at(0), this->parts->members.leave(), asio::use_future).wait();
-    this->parts->callerServer.stopAccepting();
     const auto accepted = context.document();
     const auto drainTime = accepted ? std::chrono::microseconds(accepted->document.limits.drainTime)
                                     : std::chrono::microseconds(defaultDrainTime);
-    const auto end = Clock::now() + drainTime;
-    while (this->parts->isServing() && Clock::now() < end)
+    context.drain = planDrain(Clock::now(), drainTime);
+    context.isDraining = true;
+    asio::co_spawn(context.threads.at(0), this->parts->members.leave(), asio::use_future).wait();
+    this->parts->callerServer.stopAccepting();
+    while (this->parts->isServing() && Clock::now() < context.drain.answerAt)
         std::this_thread::sleep_for(drainCheckInterval);
+    this->parts->answerPending();
     asio::co_spawn(context.threads.at(0), this->parts->leases.releaseAll(), asio::use_future).wait();
     logEvent(LogLevel::Info, "stopped",
         { { "cut_off", std::to_string(this->parts->inFlight()) },
--- a/src/node/service_relay.cpp
+++ b/src/node/service_relay.cpp
@@ -211,6 +211,9 @@
     if (!pool || pool->kind != PoolKind::Service)
         co_return errorWithOutcome(
             makeError(ErrorKind::UnknownPool, "no service pool `" + poolName.value() + "`"), call.id, Outcome::NotRun);
+    if (this->context.isDraining && !mayTakeRequest(this->context.drain, Clock::now(), call.deadline))
+        co_return errorWithOutcome(makeError(ErrorKind::ShuttingDown, "this VM ends before the request's time limit"),
+            call.id, Outcome::NotRun);
     const auto hold = this->callerLimits.enter(call.caller);
     if (!hold)
         co_return errorWithOutcome(
--- a/tests/functional/test_node_shutdown.py
+++ b/tests/functional/test_node_shutdown.py
@@ -3,7 +3,9 @@
 import http.client
 import json
 import signal
+import socket
 import threading
+import time
 import unittest
 
 from support import ServiceTestCase, call, wait_until
@@ -81,5 +83,40 @@
                 self.assertTrue(text.rstrip().endswith("data: [DONE]"), text[-300:])
 
 
+class EndOfDrain(ServiceTestCase):
+    """Requests that outlive `drain_time` get an answer; those that come too late for it are not passed on."""
+
+    vm_count = 1
+    limits_lines = "drain_time = 4s\n"
+
+    def connect(self):
+        connection = socket.create_connection(("127.0.0.1", self.callers[0]), timeout=20)
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_late_bookings_are_refused_and_long_ones_answered(self):
+        for port in self.services:
+            call(port, "POST", "/standin/faults", {"delay_ms": 6000})
+        total_runs = lambda: sum(call(port, "GET", "/standin/runs").json()["total"] for port in self.services)  # noqa: E731
+        head = b"POST /v1/services/app/bookings HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+        running, late = self.connect(), self.connect()
+        late.sendall(head)
+        running.sendall(head + b"\r\n")
+        wait_until(lambda: total_runs() == 1, what="a booking under way")
+        stopped_at = time.monotonic()
+        self.cluster.signal("vm-0", signal.SIGTERM)
+        time.sleep(3.2 - (time.monotonic() - stopped_at))
+        late.sendall(b"\r\n")
+        answers = {}
+        for name, connection in (("late", late), ("running", running)):
+            response = http.client.HTTPResponse(connection)
+            response.begin()
+            answers[name] = (response.status, response.getheader("Topaztack-Outcome"))
+            response.read()
+        self.assertEqual(answers, {"late": (503, "not-run"), "running": (502, "unknown")})
+        self.assertEqual(total_runs(), 1)
+        self.assertEqual(self.cluster.processes["vm-0"].wait(10), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
