Tests: an answer that is cut short at any place is not taken for a whole one

Report: a worker stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Not found here, so only the tests are kept. HttpClient.NoBeginningOfAnAnswerIsAnAnswer sends every beginning of an answer with a length and of a chunked one, and closes; BrokenAnswers.HeadThatIsCutShortIsNotPassedOn cuts the head at three places and the body at one, behind a gateway, on each kind of route. Both pass, with the code as it was for this; callers get a 502.

--- a/tests/src/gateway/unit-broken_answers.cpp
+++ b/tests/src/gateway/unit-broken_answers.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <future>
+#include <map>
 
 using namespace topaztack;
 using namespace topaztack::test;
@@ -112,6 +113,22 @@
         this->checkNotPassedOn(gateway, name);
 }
 
+// A server stops in the middle of its head and closes the connection; a client may take such a head for a whole one,
+// without a length and thus with an empty body.
+TEST(BrokenAnswers, HeadThatIsCutShortIsNotPassedOn)
+{
+    auto& gateway = this->startGateway([](const std::string& id) {
+        const auto head = headOf("HTTP/1.1 200 OK", id, "Content-Length: 2\r\n");
+        // What is left out at the end of the head, by the request's name.
+        static const std::map<std::string, std::size_t> missing { { "half", 1 }, { "line", 2 }, { "size", 5 } };
+        const auto found = missing.find(id.substr(0, 4));
+        const auto left = found == missing.end() ? 0 : found->second;
+        return RawAnswer { head.substr(0, head.size() - left), "", true };
+    });
+    for (const std::string name : { "body", "half", "line", "size" })
+        this->checkNotPassedOn(gateway, name);
+}
+
 // An interim answer was passed on as the answer itself.
 TEST(BrokenAnswers, FinalAnswerIsPassedOnAfterAnInterimOne)
 {
--- a/tests/src/wire/unit-http_client.cpp
+++ b/tests/src/wire/unit-http_client.cpp
@@ -278,6 +278,20 @@
     checkIsNoAnswer("HTTP/1.1 200 OK\r\nA: b\r\nContent-Length : 2\r\n\r\nok");
 }
 
+// A server that stops within its answer and closes must not look as if it had answered, wherever it stops.
+TEST(HttpClient, NoBeginningOfAnAnswerIsAnAnswer)
+{
+    const std::string answers[] = { "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n5\r\nhello\r\n0\r\n\r\n" };
+    for (const auto& whole : answers) {
+        for (std::size_t size = 0; size < whole.size(); ++size)
+            CHECK_FALSE(callAnsweredWith(whole.substr(0, size)).has_value());
+        for (std::size_t size = 0; size < whole.find("\r\n\r\n") + 4; ++size)
+            CHECK_FALSE(openAnsweredWith(whole.substr(0, size)).has_value());
+        STRCMP_EQUAL("hello", callAnsweredWith(whole).value().body.c_str());
+    }
+}
+
 TEST(HttpClient, SpeaksIpv6)
 {
     ScriptedServer server("::1", { ScriptedServer::answerOnce });
