--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -202,6 +202,9 @@
             .set(static_cast<std::int64_t>(droppedLogLines()));
         this->context.metrics.gauge("topaztack_backend_connections", "Connections made to backend servers so far")
             .set(static_cast<std::int64_t>(this->context.httpClient.connectionsMade()));
+        this->context.metrics
+            .gauge("topaztack_answer_bytes_held", "Bytes of answers that are being read and not passed on")
+            .set(static_cast<std::int64_t>(this->context.httpClient.answerBudget()->used));
         return respondWithText(exchange, "text/plain; version=0.0.4", this->context.metrics.prometheusText());
     });
     this->operatorRoutes.add("GET", "/debug/state", [this](HttpExchange& exchange) {
