--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -334,6 +334,12 @@
 
     CallFailure notAccepted(const Endpoint& endpoint) { return malformed(endpoint, "answered another request"); }
 
+    CallFailure exceedsBudget(const Endpoint& endpoint)
+    {
+        return { makeError(ErrorKind::BackendBroke, toText(endpoint) + ": no memory for the rest of the answer"),
+            AttemptProgress::Written };
+    }
+
     /// What an answer's body may be.
     struct BodyRules {
         /// Nothing for no limit.
@@ -398,9 +404,7 @@
         while (!problem && !parser.is_done()) {
             std::tie(problem, std::ignore) = co_await http::async_read_some(link.stream, link.buffer, parser, asTuple);
             if (!share.resize(parser.get().body().size()))
-                co_return CallFailure { makeError(ErrorKind::BackendBroke,
-                                            toText(endpoint) + ": no memory for the rest of the answer"),
-                    AttemptProgress::Written };
+                co_return exceedsBudget(endpoint);
         }
         if (problem)
             co_return failure(problem, endpoint, AttemptProgress::Written);
