Jobs: refuse texts and scores that no row or page can hold

Reads were answered 503 for good, because one event of one generation held bytes that are no UTF-8.

Cause: the data of an event were appended to the text whatever bytes they held, and written into the JSON of the result's row. Boost.JSON writes any bytes and refuses to parse them again, so that each page with that row, and the takeover of the job, failed. The same was true of the stamp that a scoring call answers, a header value that is stored as the item's score.

Change: checkTextEvent refuses data that are no UTF-8; the text up to the last sound event is kept and the item goes on at another server. Rows that VMs of an earlier version stored no longer hide others: their item is listed as aborted, without the text.

--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -108,6 +108,8 @@
 enum class ItemState : std::uint8_t {
     Completed,
     Aborted,
+    /// Stored with a text that can't be returned. Trainers get it as aborted.
+    Unreadable,
 };
 
 /// @brief The result of an item, as returned to the trainer.
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -11,6 +11,7 @@
 #include <topaztack/base/random.hpp>
 #include <topaztack/base/rcu_cell.hpp>
 #include <topaztack/base/time.hpp>
+#include <topaztack/base/utf8.hpp>
 #include <topaztack/control/acceptance.hpp>
 #include <topaztack/control/config_check.hpp>
 #include <topaztack/control/config_sync.hpp>
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -30,19 +30,22 @@
             text.versions.push_back(version);
     }
 
-    /// @return false if the event does not follow the last one, or no version is known for it.
-    bool appendEvent(ItemProgress& text, const GenerationEvent& event, std::optional<WeightVersion>& version)
+    /// @return why the event is refused; nothing if it was appended.
+    std::optional<std::string> appendEvent(
+        ItemProgress& text, const GenerationEvent& event, std::optional<WeightVersion>& version)
     {
         if (event.version)
             version = event.version;
-        if (!isNextEvent(text.lastEvent, event.number) || !version)
-            return false;
+        if (const auto problem = checkTextEvent(text.lastEvent, event.number, event.data))
+            return std::string(*problem);
+        if (!version)
+            return "no weight version is known for it";
         addVersion(text, *version);
         if (text.lastEvent)
             text.output += '\n';
         text.output += event.data;
         text.lastEvent = event.number;
-        return true;
+        return std::nullopt;
     }
 
     void logInterruption(
@@ -77,13 +80,18 @@
 
     /// Appends the complete events that the reader holds to the text.
     /// @return false if one is malformed or out of order.
-    bool appendEvents(const GatewayContext& context, const ItemAttempt& attempt, const ServerRecord& server,
+    bool appendEvents(GatewayContext& context, const ItemAttempt& attempt, const ServerRecord& server,
         SseReader& reader, std::optional<WeightVersion>& version, std::uint64_t& count)
     {
         while (const auto event = reader.nextEvent()) {
             const auto decoded = context.protocol.decodeEvent(*event);
-            if (!decoded || !appendEvent(attempt.text, decoded.value(), version)) {
-                logInterruption(attempt, server, "event-refused", decoded ? "out of order" : decoded.error().message);
+            auto problem = decoded ? appendEvent(attempt.text, decoded.value(), version) : decoded.error().message;
+            if (problem) {
+                context.metrics
+                    .counter("topaztack_item_events_refused_total",
+                        "Events of generations that are malformed, out of order or not UTF-8")
+                    .add();
+                logInterruption(attempt, server, "event-refused", std::move(*problem));
                 return false;
             }
             ++count;
@@ -115,7 +123,7 @@
             const auto before = count;
             if (!appendEvents(context, attempt, server, reader, version, count)) {
                 stream.cancel();
-                co_return AttemptOutcome::Interrupted;
+                co_return AttemptOutcome::Malformed;
             }
             const auto held = reader.sinceLastEvent();
             if (held > maxEventSize || !share.resize(held) || reader.hasForeignText()) {
@@ -161,8 +169,8 @@
 
 std::string_view attemptOutcomeName(AttemptOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 10> names { "whole", "interrupted", "moved", "failed", "never-done",
-        "crowded", "refused", "not-admitted", "replaced", "cancelled" };
+    static constexpr std::array<std::string_view, 11> names { "whole", "interrupted", "malformed", "moved", "failed",
+        "never-done", "crowded", "refused", "not-admitted", "replaced", "cancelled" };
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -173,6 +181,7 @@
     case AttemptOutcome::NeverDone:
         return ServerOutcome::Answered;
     case AttemptOutcome::Interrupted:
+    case AttemptOutcome::Malformed:
     case AttemptOutcome::Failed:
         return ServerOutcome::Failed;
     case AttemptOutcome::Crowded:
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -17,6 +17,8 @@
     Whole,
     /// The generation broke off; the text so far is kept.
     Interrupted,
+    /// The server sent an event that can't be a part of the text; the text so far is kept.
+    Malformed,
     /// The server is slow; the rest is to be generated at another one.
     Moved,
     /// The server answered that the item failed.
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -47,6 +47,9 @@
     std::uint64_t attempts { 0 };
     /// Servers that ended under it before they made an event.
     std::size_t serverEnds { 0 };
+    /// Events in a row that could not be a part of its text, and the servers that sent them.
+    std::size_t refusedEvents { 0 };
+    std::set<BackendName> refusedServers;
     /// It is not started before this time.
     TimePoint retryAt;
     std::set<BackendName> tried;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -4,6 +4,7 @@
 
 #include <topaztack/base/log.hpp>
 #include <topaztack/policy/crash_evidence.hpp>
+#include <topaztack/policy/event_stream.hpp>
 #include <topaztack/samples/item_order.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -391,6 +392,11 @@
         if (item.route && item.failures >= item.route->maxAttempts)
             this->finish(item, ItemState::Aborted, "failed at every attempt");
         break;
+    case AttemptOutcome::Malformed:
+        item.tried.insert(server.name);
+        item.refusedServers.insert(server.name);
+        item.retryAt = Clock::now() + pauseAfterRefusedEvents(++item.refusedEvents);
+        break;
     case AttemptOutcome::Interrupted:
     case AttemptOutcome::Moved:
     case AttemptOutcome::Crowded:
@@ -432,12 +438,17 @@
             { "took_ms", std::to_string(toMilliseconds(Clock::now() - sentAt).count()) },
             { "last_event", std::to_string(item.text.lastEvent.value_or(0)) } });
     const bool hasBegun = item.text.lastEvent != lastEventBefore;
-    if (hasBegun)
+    if (hasBegun) {
         item.serverEnds = 0;
-    else if (attemptOutcome == AttemptOutcome::Interrupted && co_await this->servers.hasEnded(server))
+        item.refusedEvents = 0;
+        item.refusedServers.clear();
+    } else if (attemptOutcome == AttemptOutcome::Interrupted && co_await this->servers.hasEnded(server)) {
         item.retryAt = Clock::now() + pauseAfterEnds(++item.serverEnds);
+    }
     this->handleAttemptOutcome(item, server, attemptOutcome);
-    this->servers.finish(server, toServerOutcome(attemptOutcome), need);
+    // What several servers send in the same place is a matter of the item.
+    const bool isItemsFault = attemptOutcome == AttemptOutcome::Malformed && item.refusedServers.size() > 1;
+    this->servers.finish(server, isItemsFault ? ServerOutcome::Cancelled : toServerOutcome(attemptOutcome), need);
 }
 
 json::value JobRunner::dump() const
--- a/src/gateway/job_runner_scoring.cpp
+++ b/src/gateway/job_runner_scoring.cpp
@@ -2,6 +2,7 @@
 #include "job_runner.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/base/utf8.hpp>
 #include <topaztack/policy/crash_evidence.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -40,6 +41,15 @@
 
     bool hasScore(const ServiceCallResult& result) { return result.response && isSuccess(result.response->status); }
 
+    /// Scores are stored and returned as JSON, so an answer whose score is not UTF-8 is none.
+    ServiceCallResult withReadableScore(const GatewayProtocol& protocol, ServiceCallResult result)
+    {
+        if (!hasScore(result) || isUtf8(protocol.decodeAnswer(*result.response).serverStamp))
+            return result;
+        return { ServiceCallOutcome::Unknown, std::nullopt,
+            makeError(ErrorKind::BackendAnswerMalformed, "the score is not UTF-8") };
+    }
+
 } // namespace
 
 /// Lists an item with its complete text or, if it is scored, lets its scoring call be made first.
@@ -111,8 +121,9 @@
     auto request = this->context.protocol.encodeScoringRequest(
         *item.item->scoring, server, std::max(1ms, toMilliseconds(item.scoring.deadline - sentAt)));
     ++item.scoring.attempts;
-    const auto result = co_await callService(this->context, this->servers, std::move(request), item.item->scoring->id,
-        server, attemptDeadline, control, need);
+    auto called = co_await callService(this->context, this->servers, std::move(request), item.item->scoring->id, server,
+        attemptDeadline, control, need);
+    const auto result = withReadableScore(this->context.protocol, std::move(called));
     item.control = nullptr;
     const auto took = Clock::now() - sentAt;
     this->scoringTime.record(took);
--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -71,7 +71,15 @@
         std::vector<ResultFragment> pieces;
         for (const auto& row : rows.rows)
             pieces.push_back({ row.place.key.substr(std::min(prefix, row.place.key.size())), row.value });
-        return joinResults(position, pieces);
+        auto results = joinResults(position, pieces);
+        if (!results)
+            return results;
+        for (const auto& result : results.value()) {
+            if (result.state == ItemState::Unreadable)
+                logEvent(LogLevel::Warning, "result-unreadable",
+                    { { "job", id.value() }, { "item", result.id.value() }, { "error", "its text is not UTF-8" } });
+        }
+        return results;
     }
 
     JobWriteResult toJobWriteResult(const Result<StoreCommit>& commit, const JobHead& head)
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -1,5 +1,7 @@
 #include <topaztack/samples/job.hpp>
 
+#include <topaztack/base/utf8.hpp>
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -47,9 +49,12 @@
         return json::serialize(object);
     }
 
+    /// A result that an earlier version stored with text that is no UTF-8 keeps its place, without the text.
     ItemResult parseResult(std::string_view text)
     {
-        const auto value = json::parse(text);
+        json::parse_options options;
+        options.allow_invalid_utf8 = true;
+        const auto value = json::parse(text, {}, options);
         ItemResult result;
         result.id = ItemId(json::value_to<std::string>(value.at("id")));
         result.state = value.at("completed").as_bool() ? ItemState::Completed : ItemState::Aborted;
@@ -57,6 +62,8 @@
         result.versions = parseVersions(value.at("versions"));
         if (const auto* score = value.as_object().if_contains("score"))
             result.score = json::value_to<std::string>(*score);
+        if (!isUtf8(result.output) || !isUtf8(result.score))
+            return { std::move(result.id), ItemState::Unreadable, "", {}, "" };
         return result;
     }
 
--- a/tests/fuzzing/fuzz-platform.cpp
+++ b/tests/fuzzing/fuzz-platform.cpp
@@ -4,8 +4,10 @@
 #include <platform/records.hpp>
 #include <platform/store.hpp>
 #include <platform/workers.hpp>
+#include <topaztack/policy/event_stream.hpp>
 
 #include <CppUTest/TestHarness.h>
+#include <boost/json.hpp>
 
 using namespace topaztack;
 using namespace topaztack::fuzzing;
@@ -27,6 +29,26 @@
         CHECK_FALSE(decoded.error().message.empty());
 }
 
+/// A text of all events that may be a part of it, as an item's attempt makes it.
+ItemResult resultOfEvents(const std::string& stream)
+{
+    ItemResult result;
+    result.id = ItemId("i1");
+    std::optional<std::uint64_t> last;
+    SseReader reader;
+    reader.feed(stream);
+    while (const auto event = reader.nextEvent()) {
+        const auto decoded = platform::decodeEvent(*event);
+        if (!decoded || checkTextEvent(last, decoded.value().number, decoded.value().data))
+            break;
+        result.output += (last ? "\n" : "") + decoded.value().data;
+        last = decoded.value().number;
+        if (decoded.value().version)
+            result.versions.push_back(*decoded.value().version);
+    }
+    return result;
+}
+
 const std::string configurationText
     = R"({"version":3,"routes":[{"name":"jobs","hostname":"a.example","prefix":"/j/","type":"rollout",)"
       R"("timeoutMs":10000,"targetLatencyMs":400,"service":"lm","maxAttempts":2,"retentionS":40.0,"runTargetMs":7500},)"
@@ -98,6 +120,23 @@
     });
 }
 
+// Whatever a server sends: rows that hold it can be read at another VM, and so can a trainer read the page.
+TEST(FuzzPlatform, ResultsOfAnyEventsAreReadBackFromRowsAndPages)
+{
+    constexpr std::size_t rowBytes = 64;
+    const std::string text = "caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80";
+    fuzz({ "id: 1\ndata: " + text + "\n\ntopaztack-weight-versions: 3\nid: 2\ndata: \"" + text + "\\u00e9\n\n" },
+        [](const std::string& stream) {
+            const auto result = resultOfEvents(stream);
+            const auto rows = joinResults(0, splitResult(0, result, rowBytes));
+            CHECK_TRUE(rows.has_value() && rows.value().at(0) == result);
+            boost::system::error_code problem;
+            const auto page = boost::json::parse(platform::encodeResults({ 1, 1, { result } }).body, problem);
+            CHECK_FALSE(problem.failed());
+            CHECK_TRUE(page.at("results").at(0).at("output").as_string() == result.output);
+        });
+}
+
 TEST(FuzzPlatform, TheStoresAnswersAreReadOrRefused)
 {
     const auto& store = platform::storeProtocol();
--- a/tests/src/policy/unit-event_stream.cpp
+++ b/tests/src/policy/unit-event_stream.cpp
@@ -17,6 +17,31 @@
     CHECK_FALSE(isNextEvent(4, 6));
 }
 
+// Results are JSON: a row or page with bytes that are no UTF-8 could be written, and not be read again.
+TEST(EventStream, AnEventOfATextHoldsUtf8Only)
+{
+    CHECK_FALSE(checkTextEvent(4, 5, "caf\xc3\xa9").has_value());
+    CHECK_FALSE(checkTextEvent(std::nullopt, 1, "").has_value());
+    CHECK_TRUE(checkTextEvent(4, 5, "caf\xe9").has_value());
+    // A character that is cut off, though the next event may hold the rest: a result separates them by a line feed.
+    CHECK_TRUE(checkTextEvent(4, 5, "caf\xc3").has_value());
+    CHECK_TRUE(checkTextEvent(4, 6, "caf\xc3\xa9").has_value());
+}
+
+// All servers send an event that no text can hold in the same place: without a pause the item was sent again as fast as
+// they answered.
+TEST(EventStream, AnItemWhoseEventsAreRefusedInARowIsResumedMoreAndMoreSlowly)
+{
+    CHECK_TRUE(pauseAfterRefusedEvents(1) == 0ms);
+    Duration last = pauseAfterRefusedEvents(2);
+    CHECK_TRUE(last > 0ms);
+    for (std::size_t events = 3; events < 100; ++events) {
+        CHECK_TRUE(pauseAfterRefusedEvents(events) >= last);
+        last = pauseAfterRefusedEvents(events);
+    }
+    CHECK_TRUE(last >= 1s && last < 3s);
+}
+
 // Engines with an event each 2 s are slow, but sound; with a fixed limit of 1.5 s their streams were cut.
 TEST(EventStream, TheLimitBetweenEventsFollowsTheServersPace)
 {
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -99,6 +99,25 @@
     }
 }
 
+// A VM of an earlier version stored what an engine had sent; one such row made the whole page unreadable.
+TEST(Job, ARowWhoseTextIsNoUtf8HidesNoOther)
+{
+    auto spoiled = resultOf("b", 100);
+    spoiled.output[50] = '\xff';
+    std::vector<ResultFragment> rows;
+    std::uint64_t position = 0;
+    for (const auto& result : { resultOf("a", 100), spoiled, resultOf("c", 100) }) {
+        for (auto& fragment : splitResult(position++, result, 64))
+            rows.push_back(std::move(fragment));
+    }
+    const auto results = joinResults(0, rows);
+    CHECK_TRUE(results.has_value());
+    LONGS_EQUAL(3, results.value().size());
+    CHECK_TRUE(results.value()[0] == resultOf("a", 100));
+    CHECK_TRUE(results.value()[1] == ItemResult({ ItemId("b"), ItemState::Unreadable, "", {} }));
+    CHECK_TRUE(results.value()[2] == resultOf("c", 100));
+}
+
 TEST(Job, JoiningStopsAtAGapAndAtAnIncompleteResult)
 {
     std::vector<ResultFragment> rows = splitResult(0, resultOf("a", 5), 1000);
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -22,6 +22,8 @@
     constexpr std::chrono::milliseconds dribbleInterval { 100 };
     /// From the beginning of a request that ends the process until it ends.
     constexpr std::chrono::milliseconds crashTime { 20 };
+    /// A byte that no character begins with, and the beginning of one that is never continued.
+    constexpr std::string_view spoiledBytes = "\xff\xe2\x82";
 
     std::string headerOf(const HttpRequest& request, std::string_view name)
     {
@@ -208,8 +210,13 @@
         const auto now = this->weightVersion.load();
         const auto change = now == version ? "" : "topaztack-weight-versions:" + std::to_string(now) + "\n";
         version = now;
-        co_await exchange.writeChunk(
-            change + "id: " + std::to_string(event) + "\ndata: " + this->dataOf(id, event) + "\n\n");
+        auto data = this->dataOf(id, event);
+        const bool isSpoiled = this->faults.eventsToSpoil > 0;
+        if (isSpoiled)
+            --this->faults.eventsToSpoil;
+        if (isSpoiled || (!id.empty() && id == this->faults.spoiledItem))
+            data += spoiledBytes;
+        co_await exchange.writeChunk(change + "id: " + std::to_string(event) + "\ndata: " + data + "\n\n");
     }
     co_await exchange.endStream();
 }
@@ -272,6 +279,10 @@
         --this->faults.foreignAnswers;
         response.headers.front().value = "another";
     }
+    if (this->faults.stampsToSpoil > 0) {
+        --this->faults.stampsToSpoil;
+        response.headers.back().value += spoiledBytes;
+    }
     const auto workTime = std::max(this->options.workTime, this->faults.plainTime.load());
     if (workTime.count() > 0) {
         asio::steady_timer timer(co_await asio::this_coro::executor, workTime);
