Jobs: limit texts, writes and pages by what they take as JSON

Cause: a transaction of the store takes 1 MB. The limit of a write counted bytes of text, but a byte takes up to six as JSON and four thirds of that as base64. The store's 413 counts as a write that may have taken effect, so that the same write was repeated for ever. The limit of pages was counted in the same way, and one text had none.

Change: writes and pages count bytes of JSON (a property test compares them with what the library writes). A text has at most 512 KiB and a score 16 KiB, so that a result always fits into a transaction beside the job's head and into a page; a longer generation is begun anew at another server, with growing pauses.

--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -105,6 +105,14 @@
     WorkspaceName workspace {};
 };
 
+/// Limits for the text and the score of a result. One transaction of the store, which takes a megabyte, has to hold
+/// both as base64 beside the head of the job, and so has a page of results.
+/// @{
+/// In bytes of JSON.
+inline constexpr std::size_t maxStoredTextBytes = 512 * 1024;
+inline constexpr std::size_t maxScoreBytes = 16 * 1024;
+/// @}
+
 enum class ItemState : std::uint8_t {
     Completed,
     Aborted,
@@ -169,6 +177,14 @@
 /// @return BadFrame with a description of the problem if the text is malformed.
 Result<std::map<ItemId, ItemProgress>> parseItemProgress(std::string_view text);
 
+/// @brief Bytes of a text between the quotes of a JSON string.
+/// @complexity linear in the text.
+std::size_t jsonSize(std::string_view text);
+
+/// @brief Bytes of a result as JSON; an estimate that is never too low.
+/// @complexity linear in the result.
+std::size_t jsonSize(const ItemResult& result);
+
 /// @name Result rows
 /// A result is stored in one row or, if it is too long, in several with keys `position/fragment`. The first byte of a
 /// value tells whether the row is the last one of its result.
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -30,17 +30,35 @@
             text.versions.push_back(version);
     }
 
-    /// @return why the event is refused; nothing if it was appended.
-    std::optional<std::string> appendEvent(
-        ItemProgress& text, const GenerationEvent& event, std::optional<WeightVersion>& version)
+    struct RefusedEvent {
+        AttemptOutcome outcome { AttemptOutcome::Malformed };
+        std::string reason;
+    };
+
+    /// What an attempt keeps from one event to the next.
+    struct EventState {
+        /// The version that generates the events now.
+        std::optional<WeightVersion> version;
+        /// Bytes of the text as JSON.
+        std::size_t textBytes { 0 };
+        std::uint64_t count { 0 };
+    };
+
+    /// @return nothing if the event was appended.
+    std::optional<RefusedEvent> appendEvent(ItemProgress& text, const GenerationEvent& event, EventState& state)
     {
         if (event.version)
-            version = event.version;
+            state.version = event.version;
         if (const auto problem = checkTextEvent(text.lastEvent, event.number, event.data))
-            return std::string(*problem);
-        if (!version)
-            return "no weight version is known for it";
-        addVersion(text, *version);
+            return RefusedEvent { AttemptOutcome::Malformed, std::string(*problem) };
+        if (!state.version)
+            return RefusedEvent { AttemptOutcome::Malformed, "no weight version is known for it" };
+        const auto bytes = jsonSize(event.data) + (text.lastEvent ? jsonSize("\n") : 0);
+        if (state.textBytes + bytes > maxStoredTextBytes)
+            return RefusedEvent { AttemptOutcome::TooLong, "the text would be too long to be stored" };
+        state.textBytes += bytes;
+        ++state.count;
+        addVersion(text, *state.version);
         if (text.lastEvent)
             text.output += '\n';
         text.output += event.data;
@@ -79,35 +97,36 @@
     }
 
     /// Appends the complete events that the reader holds to the text.
-    /// @return false if one is malformed or out of order.
-    bool appendEvents(GatewayContext& context, const ItemAttempt& attempt, const ServerRecord& server,
-        SseReader& reader, std::optional<WeightVersion>& version, std::uint64_t& count)
+    /// @return the outcome of the attempt if one was refused.
+    std::optional<AttemptOutcome> appendEvents(GatewayContext& context, const ItemAttempt& attempt,
+        const ServerRecord& server, SseReader& reader, EventState& state)
     {
         while (const auto event = reader.nextEvent()) {
             const auto decoded = context.protocol.decodeEvent(*event);
-            auto problem = decoded ? appendEvent(attempt.text, decoded.value(), version) : decoded.error().message;
-            if (problem) {
+            auto refused = decoded ? appendEvent(attempt.text, decoded.value(), state)
+                                   : RefusedEvent { AttemptOutcome::Malformed, decoded.error().message };
+            if (refused) {
                 context.metrics
                     .counter("topaztack_item_events_refused_total",
-                        "Events of generations that are malformed, out of order or not UTF-8")
+                        "Events of generations that could not be appended to their text")
                     .add();
-                logInterruption(attempt, server, "event-refused", std::move(*problem));
-                return false;
+                logInterruption(attempt, server, "event-refused", std::move(refused->reason));
+                return refused->outcome;
             }
-            ++count;
             attempt.text.softwareVersion = server.softwareVersion;
             attempt.need.softwareVersion = server.softwareVersion;
         }
-        return true;
+        return std::nullopt;
     }
 
     asio::awaitable<AttemptOutcome> readEvents(GatewayContext& context, ServerTable& servers, ItemAttempt attempt,
         const ServerRecord& server, HttpStream& stream, TimePoint sentAt)
     {
-        auto version = context.protocol.decodeAnswer(stream.head()).version;
+        EventState state;
+        state.version = context.protocol.decodeAnswer(stream.head()).version;
+        state.textBytes = jsonSize(attempt.text.output);
         SseReader reader;
         BudgetShare share(context.httpClient.answerBudget());
-        std::uint64_t count = 0;
         auto eventAt = Clock::now();
         auto nextMoveCheckAt = eventAt + moveCheckInterval;
         while (true) {
@@ -120,10 +139,11 @@
                 break;
             servers.recordActivity(server.name);
             reader.feed(piece.value());
-            const auto before = count;
-            if (!appendEvents(context, attempt, server, reader, version, count)) {
+            const auto before = state.count;
+            const auto refused = appendEvents(context, attempt, server, reader, state);
+            if (refused) {
                 stream.cancel();
-                co_return AttemptOutcome::Malformed;
+                co_return *refused;
             }
             const auto held = reader.sinceLastEvent();
             if (held > maxEventSize || !share.resize(held) || reader.hasForeignText()) {
@@ -132,6 +152,7 @@
                 co_return AttemptOutcome::Interrupted;
             }
             const auto now = Clock::now();
+            const auto count = state.count;
             if (count > 0 && before == 0)
                 servers.recordFirstEvent(server, now - sentAt);
             if (count > before && before > 0)
@@ -169,8 +190,8 @@
 
 std::string_view attemptOutcomeName(AttemptOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 11> names { "whole", "interrupted", "malformed", "moved", "failed",
-        "never-done", "crowded", "refused", "not-admitted", "replaced", "cancelled" };
+    static constexpr std::array<std::string_view, 12> names { "whole", "interrupted", "malformed", "too-long", "moved",
+        "failed", "never-done", "crowded", "refused", "not-admitted", "replaced", "cancelled" };
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -182,6 +203,7 @@
         return ServerOutcome::Answered;
     case AttemptOutcome::Interrupted:
     case AttemptOutcome::Malformed:
+    case AttemptOutcome::TooLong:
     case AttemptOutcome::Failed:
         return ServerOutcome::Failed;
     case AttemptOutcome::Crowded:
--- a/src/gateway/item_attempt.hpp
+++ b/src/gateway/item_attempt.hpp
@@ -19,6 +19,8 @@
     Interrupted,
     /// The server sent an event that can't be a part of the text; the text so far is kept.
     Malformed,
+    /// The text would be too long for a result.
+    TooLong,
     /// The server is slow; the rest is to be generated at another one.
     Moved,
     /// The server answered that the item failed.
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -50,6 +50,8 @@
     /// Events in a row that could not be a part of its text, and the servers that sent them.
     std::size_t refusedEvents { 0 };
     std::set<BackendName> refusedServers;
+    /// Generations that grew too long for a result.
+    std::size_t longTexts { 0 };
     /// It is not started before this time.
     TimePoint retryAt;
     std::set<BackendName> tried;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -86,7 +86,8 @@
         run.item = &item;
         run.isSpare = place.isSpare;
         const auto text = initial.texts.find(item.id);
-        if (text == initial.texts.end())
+        // Versions that had no limit may have saved longer texts.
+        if (text == initial.texts.end() || jsonSize(text->second.output) > maxStoredTextBytes)
             continue;
         run.text = text->second;
         if (run.text.isComplete)
@@ -397,6 +398,11 @@
         item.refusedServers.insert(server.name);
         item.retryAt = Clock::now() + pauseAfterRefusedEvents(++item.refusedEvents);
         break;
+    case AttemptOutcome::TooLong:
+        item.tried.insert(server.name);
+        item.retryAt = Clock::now() + pauseAfterRefusedEvents(++item.longTexts);
+        this->restart(item, "its text would be too long to be stored");
+        break;
     case AttemptOutcome::Interrupted:
     case AttemptOutcome::Moved:
     case AttemptOutcome::Crowded:
@@ -446,8 +452,9 @@
         item.retryAt = Clock::now() + pauseAfterEnds(++item.serverEnds);
     }
     this->handleAttemptOutcome(item, server, attemptOutcome);
-    // What several servers send in the same place is a matter of the item.
-    const bool isItemsFault = attemptOutcome == AttemptOutcome::Malformed && item.refusedServers.size() > 1;
+    // What happens at several servers is a matter of the item.
+    const bool isItemsFault = (attemptOutcome == AttemptOutcome::Malformed && item.refusedServers.size() > 1)
+        || (attemptOutcome == AttemptOutcome::TooLong && item.longTexts > 1);
     this->servers.finish(server, isItemsFault ? ServerOutcome::Cancelled : toServerOutcome(attemptOutcome), need);
 }
 
--- a/src/gateway/job_runner_listing.cpp
+++ b/src/gateway/job_runner_listing.cpp
@@ -14,9 +14,10 @@
     /// Items that finish within this time are listed in one write.
     constexpr Duration listingInterval = 30ms;
     constexpr Duration retryInterval = 150ms;
-    /// Limits of one write: a transaction of the store takes at most 100 entries and one megabyte.
+    /// Limits of one write: a transaction of the store takes at most 100 entries and one megabyte. Results are JSON,
+    /// and stored as base64.
     constexpr std::size_t resultsPerWrite = 40;
-    constexpr std::size_t bytesPerWrite = 384UL * 1024;
+    constexpr std::size_t bytesPerWrite = maxStoredTextBytes;
 
 } // namespace
 
@@ -26,12 +27,13 @@
     std::vector<ItemResult> results;
     std::size_t bytes = 0;
     for (auto* item : this->finished) {
-        bytes += item->text.output.size();
+        const bool isScored = item->state == ItemState::Completed && item->item->scoring && item->text.score;
+        ItemResult result { item->item->id, item->state, item->text.output, item->text.versions,
+            isScored ? item->text.score->value : "" };
+        bytes += jsonSize(result);
         if (results.size() == resultsPerWrite || (!results.empty() && bytes > bytesPerWrite))
             break;
-        const bool isScored = item->state == ItemState::Completed && item->item->scoring && item->text.score;
-        results.push_back({ item->item->id, item->state, item->text.output, item->text.versions,
-            isScored ? item->text.score->value : "" });
+        results.push_back(std::move(result));
     }
     this->finished.erase(this->finished.begin(), this->finished.begin() + static_cast<std::ptrdiff_t>(results.size()));
     return results;
--- a/src/gateway/job_runner_scoring.cpp
+++ b/src/gateway/job_runner_scoring.cpp
@@ -41,13 +41,17 @@
 
     bool hasScore(const ServiceCallResult& result) { return result.response && isSuccess(result.response->status); }
 
-    /// Scores are stored and returned as JSON, so an answer whose score is not UTF-8 is none.
+    /// Scores are stored and returned as JSON, so an answer whose score is not UTF-8 or very long is none.
     ServiceCallResult withReadableScore(const GatewayProtocol& protocol, ServiceCallResult result)
     {
-        if (!hasScore(result) || isUtf8(protocol.decodeAnswer(*result.response).serverStamp))
+        if (!hasScore(result))
+            return result;
+        const auto score = protocol.decodeAnswer(*result.response).serverStamp;
+        if (isUtf8(score) && score.size() <= maxScoreBytes)
             return result;
         return { ServiceCallOutcome::Unknown, std::nullopt,
-            makeError(ErrorKind::BackendAnswerMalformed, "the score is not UTF-8") };
+            makeError(ErrorKind::BackendAnswerMalformed,
+                isUtf8(score) ? "the score is too long to be stored" : "the score is not UTF-8") };
     }
 
 } // namespace
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -19,7 +19,7 @@
     /// How long a write whose answer was lost is repeated to find out whether it took effect.
     constexpr Duration maxResolveTime = 5s;
     constexpr Duration retryInterval = 100ms;
-    /// Limit for the outputs in one page of results; a longer output is a page of its own.
+    /// Limit for the results in one page, in bytes of JSON; a longer result is a page of its own.
     constexpr std::size_t bytesPerPage = 700UL * 1024;
     /// Decoded submissions that are cached for reads of item bodies.
     constexpr std::size_t maxCachedSpecs = 4;
@@ -238,7 +238,7 @@
     page.total = head.value()->head.total;
     std::size_t bytes = 0;
     for (auto& result : results.value()) {
-        bytes += result.output.size();
+        bytes += jsonSize(result);
         if (!page.results.empty() && bytes > bytesPerPage)
             break;
         page.results.push_back(std::move(result));
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -15,6 +15,10 @@
     constexpr std::size_t positionDigits = 8;
     constexpr char lastFragmentMark = '.';
     constexpr char moreFragmentsMark = '+';
+    /// Names of fields, punctuation and the state of a result.
+    constexpr std::size_t resultOverhead = 128;
+    /// The digits of the largest version, and a comma.
+    constexpr std::size_t maxVersionSize = 21;
 
     std::string padded(std::uint64_t number, std::size_t digits)
     {
@@ -190,6 +194,27 @@
     }
 }
 
+std::size_t jsonSize(std::string_view text)
+{
+    static constexpr std::string_view shortEscapes = "\"\\\b\f\n\r\t";
+    constexpr std::size_t shortEscapeSize = 2;
+    constexpr std::size_t longEscapeSize = 6;
+    std::size_t size = 0;
+    for (const char character : text) {
+        if (shortEscapes.find(character) != std::string_view::npos)
+            size += shortEscapeSize;
+        else
+            size += static_cast<unsigned char>(character) < ' ' ? longEscapeSize : 1;
+    }
+    return size;
+}
+
+std::size_t jsonSize(const ItemResult& result)
+{
+    return resultOverhead + jsonSize(result.id.value()) + jsonSize(result.output) + jsonSize(result.score)
+        + maxVersionSize * result.versions.size();
+}
+
 std::string resultKey(std::uint64_t position) { return padded(position, positionDigits); }
 
 std::vector<ResultFragment> splitResult(std::uint64_t position, const ItemResult& result, std::size_t maxValueBytes)
--- a/src/wire/store_client.cpp
+++ b/src/wire/store_client.cpp
@@ -104,7 +104,11 @@
     this->latency.record(Clock::now() - started);
     if (!response)
         co_return response.error();
-    co_return this->passTimeOn(this->protocol.decodeCommit(response.value()));
+    auto commit = this->protocol.decodeCommit(response.value());
+    if (!commit)
+        logEvent(LogLevel::Warning, "store-answer-unexpected",
+            { { "call", "transaction" }, { "error", commit.error().message } });
+    co_return this->passTimeOn(std::move(commit));
 }
 
 asio::awaitable<Result<StoreRows>> StoreClient::readPage(StoreRange range)
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -1,6 +1,7 @@
 #include <topaztack/samples/job.hpp>
 
 #include <CppUTest/TestHarness.h>
+#include <boost/json.hpp>
 #include <rapidcheck.h>
 
 using namespace topaztack;
@@ -118,6 +119,22 @@
     CHECK_TRUE(results.value()[2] == resultOf("c", 100));
 }
 
+// Limits of writes and pages count bytes of JSON.
+TEST(Job, SizesAreThoseOfTheSerialisedJson)
+{
+    CHECK_TRUE(rc::check([] {
+        const auto text = *rc::gen::container<std::string>(rc::gen::inRange<char>(0, 127));
+        RC_ASSERT(jsonSize(text) + 2 == boost::json::serialize(boost::json::string(text)).size());
+        auto result = resultOf("a", 10);
+        result.output += text;
+        result.score = text;
+        std::size_t stored = 0;
+        for (const auto& fragment : splitResult(0, result, 1000))
+            stored += fragment.value.size() - 1;
+        RC_ASSERT(jsonSize(result) >= stored && jsonSize(result) < stored + 200);
+    }));
+}
+
 TEST(Job, JoiningStopsAtAGapAndAtAnIncompleteResult)
 {
     std::vector<ResultFragment> rows = splitResult(0, resultOf("a", 5), 1000);
--- a/tests/src/standins/store.cpp
+++ b/tests/src/standins/store.cpp
@@ -18,6 +18,8 @@
 namespace {
 
     constexpr auto feedCheckInterval = 5ms;
+    constexpr std::size_t maxTransactionBytes = 1'000'000;
+    constexpr std::size_t maxTransactionEntries = 100;
 
     /// The store's steady clock, in milliseconds.
     std::int64_t steadyTime() { return toMilliseconds(Clock::now().time_since_epoch()).count(); }
@@ -123,6 +125,11 @@
 {
     const auto value = json::parse(body);
     const auto& call = value.as_object();
+    std::size_t entries = 0;
+    for (const auto* list : { "expected", "puts", "remove" })
+        entries += call.at(list).as_array().size();
+    if (body.size() > maxTransactionBytes || entries > maxTransactionEntries)
+        return plain(413);
     std::vector<std::pair<Place, Row>> current;
     bool holds = true;
     for (const auto& entry : call.at("expected").as_array()) {
--- a/tests/src/standins/worker.cpp
+++ b/tests/src/standins/worker.cpp
@@ -93,7 +93,7 @@
 {
     std::string text;
     for (int event = 1; event <= this->options.events; ++event)
-        text += (event > 1 ? "\n" : "") + id + "-" + std::to_string(event);
+        text += (event > 1 ? "\n" : "") + id + "-" + std::to_string(event) + this->options.padding;
     return text;
 }
 
@@ -106,7 +106,7 @@
 
 std::string WorkerStandin::dataOf(const std::string& id, int event) const
 {
-    auto data = id + "-" + std::to_string(event);
+    auto data = id + "-" + std::to_string(event) + this->options.padding;
     if (this->runLog.is_open())
         data += "@" + std::to_string(this->weightVersion) + "@" + this->name;
     return data;
@@ -191,7 +191,8 @@
     co_await exchange.beginStream(std::move(head));
     asio::steady_timer timer(co_await asio::this_coro::executor);
     int made = 0;
-    for (int event = first; event <= this->options.events && !exchange.isCallerGone(); ++event) {
+    for (int event = first; (event <= this->options.events || this->faults.isEndless) && !exchange.isCallerGone();
+         ++event) {
         if (this->faults.breakAfter > 0 && made++ == this->faults.breakAfter)
             co_return;
         const bool isStalled = (this->faults.dribblesAfter > 0 && event - first == this->faults.dribblesAfter)
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -41,6 +41,8 @@
     std::atomic<int> eventsToSpoil { 0 };
     /// Answers to plain requests whose stamp has such bytes.
     std::atomic<int> stampsToSpoil { 0 };
+    /// Generations don't end.
+    std::atomic<bool> isEndless { false };
     /// Answers carry the id of another request.
     std::atomic<int> foreignAnswers { 0 };
     /// Each generation is answered with this status instead.
@@ -80,6 +82,8 @@
     std::string softwareVersion { "v1" };
     /// Start of the process in Unix time, which its record and its report state; 0 for none.
     std::chrono::milliseconds startedAt { 0 };
+    /// Appended to the data of each event.
+    std::string padding {};
     /// Time to load weights.
     std::chrono::milliseconds loadTime { 0 };
     /// Time for a request that is no generation.
