Messages: refuse relayed answers whose status is no final one

What callers could have seen: between nodes the range was wider than where servers' answers are read, 100 to 999. A node of an earlier version, which takes any three digits of a server, relays such an answer, and the caller's node passed it on.

Cause: the check of relayed answers was not the one of answers of servers. The fix uses the same check, and refuses interim answers, which are never relayed.

--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -33,7 +33,6 @@
     /// What a connection holds unparsed: a whole head, the header of a chunk or a trailer, and bytes that follow it.
     /// The library limits only the first of these.
     constexpr std::size_t maxBuffered = longestAnswerHeader + 16UL * 1024;
-    constexpr unsigned minFinalStatus = 200;
     constexpr int maxInterimAnswers = 16;
 
     /// A connection to a backend server and what was read beyond the last answer.
--- a/src/wire/http_head.hpp
+++ b/src/wire/http_head.hpp
@@ -45,6 +45,9 @@
 /// @param version 10 or 11.
 std::optional<Error> checkFields(const std::vector<HttpHeader>& headers, unsigned version);
 
+/// Answers with a lower status are interim ones.
+inline constexpr unsigned minFinalStatus = 200;
+
 /// @brief Checks the status of an answer, which the library accepts if it has three digits.
 /// @return what is wrong; nothing if HTTP defines its class, and it doesn't switch to another protocol, which no
 /// request asks for.
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -1,11 +1,13 @@
 #include <topaztack/wire/messages.hpp>
 
 #include "generated/topaztack_types.h"
+#include "http_head.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <limits>
 #include <stdexcept>
 
@@ -155,9 +157,10 @@
 
     HttpResponse fromWire(idl::HttpResponse&& wire)
     {
-        if (wire.status < 100 || wire.status > 999)
+        const auto status = static_cast<unsigned>(std::max(0, wire.status));
+        if (status < minFinalStatus || checkStatus(status))
             refuse("status out of range");
-        return { static_cast<unsigned>(wire.status), fromWire(std::move(wire.headers)), std::move(wire.body) };
+        return { status, fromWire(std::move(wire.headers)), std::move(wire.body) };
     }
 
     /// @name Sets the alternative of the union that stands for a message.
--- a/tests/src/wire/unit-messages.cpp
+++ b/tests/src/wire/unit-messages.cpp
@@ -67,6 +67,16 @@
 
 TEST_GROUP(Messages) {};
 
+// A VM of an earlier version relays a server's answer whatever its status. The range of statuses was wider here than
+// where answers of servers are read.
+TEST(Messages, ARelayedAnswerWithAStatusOutsideOfTheProtocolIsRefused)
+{
+    for (const unsigned status : { 200U, 404U, 599U })
+        CHECK_TRUE(decodeAnswer(encode(PeerAnswer(ForwardedAnswer { { status, {}, "" } }))).has_value());
+    for (const unsigned status : { 0U, 99U, 100U, 101U, 103U, 600U, 999U })
+        CHECK_FALSE(decodeAnswer(encode(PeerAnswer(ForwardedAnswer { { status, {}, "" } }))).has_value());
+}
+
 TEST(Messages, GossipReadsBackWhatWasWritten)
 {
     CHECK_TRUE(rc::check([] {
