Jobs: read heads whose path is no UTF-8

Cause: the same as that of unreadable results: the path of the submission is written into the JSON of the job's head, which the library refuses to parse again. Evidence: Job.AHeadIsReadWhateverBytesItsPathHas and UnreadableResults.AJobAtAPathThatIsNoUtf8IsReadAndEndedAtAnotherVm failed before and pass now.

Heads are never returned to callers, so they are parsed with the library's option for such text, which gives back the bytes as they were.

--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -53,12 +53,18 @@
         return json::serialize(object);
     }
 
-    /// A result that an earlier version stored with text that is no UTF-8 keeps its place, without the text.
-    ItemResult parseResult(std::string_view text)
+    /// The library writes text that is no UTF-8, and parses it again only with this option.
+    json::value parseAnyBytes(std::string_view text)
     {
         json::parse_options options;
         options.allow_invalid_utf8 = true;
-        const auto value = json::parse(text, {}, options);
+        return json::parse(text, {}, options);
+    }
+
+    /// A result that an earlier version stored with text that is no UTF-8 keeps its place, without the text.
+    ItemResult parseResult(std::string_view text)
+    {
+        const auto value = parseAnyBytes(text);
         ItemResult result;
         result.id = ItemId(json::value_to<std::string>(value.at("id")));
         result.state = value.at("completed").as_bool() ? ItemState::Completed : ItemState::Aborted;
@@ -145,7 +151,8 @@
 Result<JobHead> parseJobHead(std::string_view text)
 {
     try {
-        const auto value = json::parse(text);
+        // Host and path are what the caller sent.
+        const auto value = parseAnyBytes(text);
         JobHead head;
         head.owner.name = VmName(json::value_to<std::string>(value.at("owner")));
         head.owner.incarnation = Incarnation(value.at("incarnation").to_number<std::uint64_t>());
--- a/tests/src/gateway/unit-unreadable_results.cpp
+++ b/tests/src/gateway/unit-unreadable_results.cpp
@@ -34,6 +34,18 @@
     this->checkAllReadable(first, "j1", 12);
 }
 
+// The job's head holds the path. Other VMs could neither return the job's results nor end it.
+TEST(UnreadableResults, AJobAtAPathThatIsNoUtf8IsReadAndEndedAtAnotherVm)
+{
+    auto& first = this->env->startGateway("vm-1", 1);
+    auto& second = this->env->startGateway("vm-2", 2);
+    const auto submitted = this->env->call(first.callers, "POST", "/j/\xff\xe9", { { "Topaztack-Request-Id", "j1" } },
+        TestEnvironment::jobBody(itemIds(3)));
+    LONGS_EQUAL(202, submitted.status);
+    this->checkAllReadable(second, "j1", 3);
+    LONGS_EQUAL(200, this->env->call(second.callers, "DELETE", "/-/lots/j1").status);
+}
+
 // The next owner reads the results that are listed and the texts that were saved.
 TEST(UnreadableResults, AJobIsTakenOverAfterAnEngineSentNoUtf8)
 {
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -43,6 +43,16 @@
     CHECK_TRUE(parseJobHead(toText(head)).value() == head);
 }
 
+// A caller may submit a job at a path with any bytes. Its head was written and could not be read: no VM could end the
+// job, return its results or take it over.
+TEST(Job, AHeadIsReadWhateverBytesItsPathHas)
+{
+    auto head = someHead();
+    head.path = "/x/\xff\xe9";
+    const auto read = parseJobHead(toText(head));
+    CHECK_TRUE(read.has_value() && read.value() == head);
+}
+
 // A VM of an earlier version accepted the job, or it runs without workspaces.
 TEST(Job, AHeadWithoutAWorkspaceIsReadAsBefore)
 {
