Jobs: count the versions of a text in its limit

An engine in trouble may name other weights with each event; the versions of a result are stored and returned with its text, and were not counted: with empty events, 262,144 versions would have fitted into the limit, more than 5 MB of JSON. appendEvent, now in samples/, counts both.

Job.ATextOfAnyEventsHasALimitAndIsUnchangedBeyondIt appends events with and without data, each with a version of its own, up to the limit and compares the size of the result with it.

--- a/include/topaztack/samples/job.hpp
+++ b/include/topaztack/samples/job.hpp
@@ -108,7 +108,7 @@
 /// Limits for the text and the score of a result. One transaction of the store, which takes a megabyte, has to hold
 /// both as base64 beside the head of the job, and so has a page of results.
 /// @{
-/// In bytes of JSON.
+/// In bytes of JSON, with the versions that generated the text.
 inline constexpr std::size_t maxStoredTextBytes = 512 * 1024;
 inline constexpr std::size_t maxScoreBytes = 16 * 1024;
 /// @}
@@ -181,10 +181,23 @@
 /// @complexity linear in the text.
 std::size_t jsonSize(std::string_view text);
 
+/// @brief Bytes of a text and its versions as JSON; an estimate that is never too low.
+/// @complexity linear in the text.
+std::size_t jsonSize(const ItemProgress& progress);
+
 /// @brief Bytes of a result as JSON; an estimate that is never too low.
 /// @complexity linear in the result.
 std::size_t jsonSize(const ItemResult& result);
 
+/// @brief Appends the next event of a generation to its text.
+/// @param number the number that follows the last event's.
+/// @param data in UTF-8.
+/// @param size jsonSize() of the text before; updated.
+/// @return false if no result can hold so long a text, which is unchanged then.
+/// @complexity linear in the data and the versions.
+bool appendEvent(
+    ItemProgress& progress, std::uint64_t number, std::string_view data, WeightVersion version, std::size_t& size);
+
 /// @name Result rows
 /// A result is stored in one row or, if it is too long, in several with keys `position/fragment`. The first byte of a
 /// value tells whether the row is the last one of its result.
--- a/src/gateway/item_attempt.cpp
+++ b/src/gateway/item_attempt.cpp
@@ -3,7 +3,6 @@
 #include <topaztack/base/log.hpp>
 #include <topaztack/policy/event_stream.hpp>
 
-#include <algorithm>
 #include <array>
 
 namespace topaztack {
@@ -24,12 +23,6 @@
     constexpr unsigned statusServerError = 500;
     constexpr unsigned statusUnprocessable = 422;
 
-    void addVersion(ItemProgress& text, WeightVersion version)
-    {
-        if (std::find(text.versions.begin(), text.versions.end(), version) == text.versions.end())
-            text.versions.push_back(version);
-    }
-
     struct RefusedEvent {
         AttemptOutcome outcome { AttemptOutcome::Malformed };
         std::string reason;
@@ -39,13 +32,13 @@
     struct EventState {
         /// The version that generates the events now.
         std::optional<WeightVersion> version;
-        /// Bytes of the text as JSON.
+        /// Bytes of the text and its versions as JSON.
         std::size_t textBytes { 0 };
         std::uint64_t count { 0 };
     };
 
     /// @return nothing if the event was appended.
-    std::optional<RefusedEvent> appendEvent(ItemProgress& text, const GenerationEvent& event, EventState& state)
+    std::optional<RefusedEvent> takeEvent(ItemProgress& text, const GenerationEvent& event, EventState& state)
     {
         if (event.version)
             state.version = event.version;
@@ -53,16 +46,9 @@
             return RefusedEvent { AttemptOutcome::Malformed, std::string(*problem) };
         if (!state.version)
             return RefusedEvent { AttemptOutcome::Malformed, "no weight version is known for it" };
-        const auto bytes = jsonSize(event.data) + (text.lastEvent ? jsonSize("\n") : 0);
-        if (state.textBytes + bytes > maxStoredTextBytes)
+        if (!appendEvent(text, event.number, event.data, *state.version, state.textBytes))
             return RefusedEvent { AttemptOutcome::TooLong, "the text would be too long to be stored" };
-        state.textBytes += bytes;
         ++state.count;
-        addVersion(text, *state.version);
-        if (text.lastEvent)
-            text.output += '\n';
-        text.output += event.data;
-        text.lastEvent = event.number;
         return std::nullopt;
     }
 
@@ -98,12 +84,12 @@
 
     /// Appends the complete events that the reader holds to the text.
     /// @return the outcome of the attempt if one was refused.
-    std::optional<AttemptOutcome> appendEvents(GatewayContext& context, const ItemAttempt& attempt,
+    std::optional<AttemptOutcome> takeEvents(GatewayContext& context, const ItemAttempt& attempt,
         const ServerRecord& server, SseReader& reader, EventState& state)
     {
         while (const auto event = reader.nextEvent()) {
             const auto decoded = context.protocol.decodeEvent(*event);
-            auto refused = decoded ? appendEvent(attempt.text, decoded.value(), state)
+            auto refused = decoded ? takeEvent(attempt.text, decoded.value(), state)
                                    : RefusedEvent { AttemptOutcome::Malformed, decoded.error().message };
             if (refused) {
                 context.metrics
@@ -124,7 +110,7 @@
     {
         EventState state;
         state.version = context.protocol.decodeAnswer(stream.head()).version;
-        state.textBytes = jsonSize(attempt.text.output);
+        state.textBytes = jsonSize(attempt.text);
         SseReader reader;
         BudgetShare share(context.httpClient.answerBudget());
         auto eventAt = Clock::now();
@@ -140,7 +126,7 @@
             servers.recordActivity(server.name);
             reader.feed(piece.value());
             const auto before = state.count;
-            const auto refused = appendEvents(context, attempt, server, reader, state);
+            const auto refused = takeEvents(context, attempt, server, reader, state);
             if (refused) {
                 stream.cancel();
                 co_return *refused;
--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -87,7 +87,7 @@
         run.isSpare = place.isSpare;
         const auto text = initial.texts.find(item.id);
         // Versions that had no limit may have saved longer texts.
-        if (text == initial.texts.end() || jsonSize(text->second.output) > maxStoredTextBytes)
+        if (text == initial.texts.end() || jsonSize(text->second) > maxStoredTextBytes)
             continue;
         run.text = text->second;
         if (run.text.isComplete)
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -216,6 +216,29 @@
     return size;
 }
 
+std::size_t jsonSize(const ItemProgress& progress)
+{
+    return jsonSize(progress.output) + maxVersionSize * progress.versions.size();
+}
+
+bool appendEvent(
+    ItemProgress& progress, std::uint64_t number, std::string_view data, WeightVersion version, std::size_t& size)
+{
+    auto& versions = progress.versions;
+    const bool isNewVersion = std::find(versions.begin(), versions.end(), version) == versions.end();
+    const std::string_view separator = progress.lastEvent ? "\n" : "";
+    const auto added = jsonSize(separator) + jsonSize(data) + (isNewVersion ? maxVersionSize : 0);
+    if (size + added > maxStoredTextBytes)
+        return false;
+    size += added;
+    if (isNewVersion)
+        versions.push_back(version);
+    progress.output += separator;
+    progress.output += data;
+    progress.lastEvent = number;
+    return true;
+}
+
 std::size_t jsonSize(const ItemResult& result)
 {
     return resultOverhead + jsonSize(result.id.value()) + jsonSize(result.output) + jsonSize(result.score)
--- a/tests/src/samples/unit-job.cpp
+++ b/tests/src/samples/unit-job.cpp
@@ -145,6 +145,26 @@
     }));
 }
 
+// An engine may send events without end, each with other weights, too: the versions alone exceeded a transaction.
+TEST(Job, ATextOfAnyEventsHasALimitAndIsUnchangedBeyondIt)
+{
+    for (const auto& data : { std::string(), std::string("\x01\""), std::string(10'000, 'x') }) {
+        ItemProgress progress;
+        std::size_t size = 0;
+        std::uint64_t number = 0;
+        do {
+            ++number;
+            LONGS_EQUAL(size, jsonSize(progress));
+        } while (appendEvent(progress, number, data, WeightVersion(number), size));
+        LONGS_EQUAL(number - 1, *progress.lastEvent);
+        ItemResult result;
+        result.output = progress.output;
+        result.versions = progress.versions;
+        CHECK_TRUE(jsonSize(result) < maxStoredTextBytes + 200);
+        CHECK_TRUE(jsonSize(result) > maxStoredTextBytes - 20'000);
+    }
+}
+
 TEST(Job, JoiningStopsAtAGapAndAtAnIncompleteResult)
 {
     std::vector<ResultFragment> rows = splitResult(0, resultOf("a", 5), 1000);
