Jobs: find the size of a text as JSON without a search for each byte

jsonSize looked each byte up in a list of the characters with short escapes; it runs over each text when it is generated, listed and read, on VMs with as little as a tenth of a core. Comparisons do the same. The property test against the library's own output passes with 3,000 inputs; the time was not measured.

--- a/src/gateway/job_runner.cpp
+++ b/src/gateway/job_runner.cpp
@@ -86,7 +86,7 @@
         run.item = &item;
         run.isSpare = place.isSpare;
         const auto text = initial.texts.find(item.id);
-        // Versions that had no limit may have saved longer texts.
+        // An earlier release, which had no limit, may have saved a longer text.
         if (text == initial.texts.end() || jsonSize(text->second) > maxStoredTextBytes)
             continue;
         run.text = text->second;
@@ -452,7 +452,7 @@
         item.retryAt = Clock::now() + pauseAfterEnds(++item.serverEnds);
     }
     this->handleAttemptOutcome(item, server, attemptOutcome);
-    // What happens at several servers is a matter of the item.
+    // What happens at several servers is caused by the item.
     const bool isItemsFault = (attemptOutcome == AttemptOutcome::Malformed && item.refusedServers.size() > 1)
         || (attemptOutcome == AttemptOutcome::TooLong && item.longTexts > 1);
     this->servers.finish(server, isItemsFault ? ServerOutcome::Cancelled : toServerOutcome(attemptOutcome), need);
--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -203,15 +203,15 @@
 
 std::size_t jsonSize(std::string_view text)
 {
-    static constexpr std::string_view shortEscapes = "\"\\\b\f\n\r\t";
     constexpr std::size_t shortEscapeSize = 2;
     constexpr std::size_t longEscapeSize = 6;
     std::size_t size = 0;
     for (const char character : text) {
-        if (shortEscapes.find(character) != std::string_view::npos)
-            size += shortEscapeSize;
-        else
-            size += static_cast<unsigned char>(character) < ' ' ? longEscapeSize : 1;
+        // A short escape is that of a quote, a backslash, or \b, \t, \n, \f or \r.
+        const bool isShort
+            = character == '"' || character == '\\' || (character >= '\b' && character <= '\r' && character != '\v');
+        const bool isControl = static_cast<unsigned char>(character) < ' ';
+        size += isShort ? shortEscapeSize : (isControl ? longEscapeSize : 1);
     }
     return size;
 }
