--- a/src/samples/job.cpp
+++ b/src/samples/job.cpp
@@ -53,7 +53,7 @@
         return json::serialize(object);
     }
 
-    /// The library writes text that is no UTF-8, and parses it again only with this option.
+    /// The library writes text that is not UTF-8, and parses it again only with this option.
     json::value parseAnyBytes(std::string_view text)
     {
         json::parse_options options;
@@ -61,7 +61,7 @@
         return json::parse(text, {}, options);
     }
 
-    /// A result that an earlier version stored with text that is no UTF-8 keeps its place, without the text.
+    /// A result that an earlier version stored with text that is not UTF-8 keeps its place, without the text.
     ItemResult parseResult(std::string_view text)
     {
         const auto value = parseAnyBytes(text);
--- a/tests/src/policy/unit-event_stream.cpp
+++ b/tests/src/policy/unit-event_stream.cpp
@@ -17,7 +17,7 @@
     CHECK_FALSE(isNextEvent(4, 6));
 }
 
-// Results are JSON: a row or page with bytes that are no UTF-8 could be written, and not be read again.
+// Results are JSON: a row or page with bytes that are not UTF-8 could be written, and not be read again.
 TEST(EventStream, AnEventOfATextHoldsUtf8Only)
 {
     CHECK_FALSE(checkTextEvent(4, 5, "caf\xc3\xa9").has_value());
--- a/tests/src/standins/worker.hpp
+++ b/tests/src/standins/worker.hpp
@@ -37,7 +37,7 @@
     std::atomic<int> floodsAfter { 0 };
     /// The most bytes that were taken of one such stream.
     std::atomic<std::size_t> mostFlooded { 0 };
-    /// Events that are sent with bytes that are no UTF-8.
+    /// Events that are sent with bytes that are not UTF-8.
     std::atomic<int> eventsToSpoil { 0 };
     /// Answers to plain requests whose stamp has such bytes.
     std::atomic<int> stampsToSpoil { 0 };
@@ -58,7 +58,7 @@
     std::string deadlyBody;
     /// A generation that takes 500 ms an event; set before the first request.
     std::string slowItem;
-    /// A generation whose events are all sent with bytes that are no UTF-8; set before the first request.
+    /// A generation whose events are all sent with bytes that are not UTF-8; set before the first request.
     std::string spoiledItem;
 };
 
