HttpServer: limit what all connections hold together

Callers saw connections closed without an answer: a crowd of requests that stop short of their end ended the process for lack of memory.

Cause: HttpConnection limited each request, and nothing limited all of them. A stalled request kept its buffers for the idle time, and each connection the body of its last request.

ConnectionBudget counts what the connections of a port hold, from the first byte of a request on. Bodies take memory as they arrive, and ask first. What finds no room is refused with 503 and Retry-After before it is whole, so it has not run; under pressure stalled requests are refused first. While the process's other parts need more, connections may hold less (the process's memory is measured while they hold much). After a refusal input is discarded until the caller closes, at most for 2 s: a close with unread bytes resets the connection, and the refusal may be lost. New setting: memory.

Postmortem: docs/incidents/crowds-of-requests.md.

--- a/include/topaztack/base/ini.hpp
+++ b/include/topaztack/base/ini.hpp
@@ -115,7 +115,7 @@
 /// Number with a unit: `us`, `ms`, `s`, `min`, `h`. Decimals are rounded to microseconds.
 std::string readDuration(std::string_view text, std::chrono::microseconds least, std::chrono::microseconds most,
     std::chrono::microseconds& value);
-/// Whole number with an optional unit: `B`, `KiB`, `MiB`.
+/// Whole number with an optional unit: `B`, `KiB`, `MiB`, `MB`.
 std::string readSize(std::string_view text, std::uint64_t least, std::uint64_t most, std::uint64_t& value);
 /// @}
 
--- a/include/topaztack/control/settings.hpp
+++ b/include/topaztack/control/settings.hpp
@@ -74,6 +74,8 @@
     Endpoint operators;
     Endpoint peers;
     std::uint64_t threads { 0 };
+    /// Memory in bytes that this process may use.
+    std::uint64_t memory { 512ULL * 1024 * 1024 };
     LogLevel logLevel { LogLevel::Info };
     /// File with the document to use until a newer one is known; empty for none.
     std::string documentFile;
--- a/include/topaztack/topaztack.hpp
+++ b/include/topaztack/topaztack.hpp
@@ -7,6 +7,7 @@
 #include <topaztack/base/ids.hpp>
 #include <topaztack/base/ini.hpp>
 #include <topaztack/base/log.hpp>
+#include <topaztack/base/machine.hpp>
 #include <topaztack/base/metrics.hpp>
 #include <topaztack/base/random.hpp>
 #include <topaztack/base/rcu_cell.hpp>
@@ -101,6 +102,7 @@
 #include <topaztack/samples/version_span.hpp>
 #include <topaztack/samples/weight_rollout.hpp>
 #include <topaztack/wire/base64.hpp>
+#include <topaztack/wire/connection_budget.hpp>
 #include <topaztack/wire/content_digest.hpp>
 #include <topaztack/wire/http.hpp>
 #include <topaztack/wire/http_client.hpp>
@@ -111,6 +113,7 @@
 #include <topaztack/wire/messages.hpp>
 #include <topaztack/wire/peer_link.hpp>
 #include <topaztack/wire/platform_client.hpp>
+#include <topaztack/wire/server_share.hpp>
 #include <topaztack/wire/sse.hpp>
 #include <topaztack/wire/store_client.hpp>
 #include <topaztack/wire/tls.hpp>
--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -52,6 +52,10 @@
     std::size_t maxHeader { 16 * 1024 };
     std::size_t maxBody { 1024 * 1024 };
     std::size_t maxConnections { 10000 };
+    /// Bytes that all connections hold for requests and answers (ConnectionBudget).
+    std::size_t maxHeld { 256UL * 1024 * 1024 };
+    /// Bytes of the process; while its other parts need more, connections may hold less. 0 for no such limit.
+    std::size_t processMemory { 0 };
     /// Time for a whole request to arrive, and for each piece of an answer to be taken.
     std::chrono::microseconds idle { std::chrono::seconds(30) };
 };
@@ -97,6 +101,9 @@
     /// @brief Connections not closed yet, with or without a request.
     std::size_t openConnections() const;
 
+    /// @brief Bytes that connections hold for requests and answers.
+    std::size_t heldBytes() const;
+
     /// @brief The bound port, of use when the settings say port 0.
     std::uint16_t port() const;
 
--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -40,6 +40,7 @@
         Unit { "B", 1 },
         Unit { "KiB", 1024 },
         Unit { "MiB", 1024 * 1024 },
+        Unit { "MB", 1'000'000 },
     };
 
     /// Below the largest number that converts to an integer without loss of its sign.
@@ -274,7 +275,7 @@
 {
     std::uint64_t bytes = 0;
     if (!readWithUnit<std::uint64_t>(text, sizeUnits, bytes))
-        return quoted(text) + " is not a whole number with a unit (B, KiB, MiB)";
+        return quoted(text) + " is not a whole number with a unit (B, KiB, MiB, MB)";
     if (bytes < least || bytes > most)
         return quoted(text) + " is out of range";
     value = bytes;
--- /dev/null
+++ b/src/base/machine.cpp
@@ -0,0 +1,34 @@
+#include <topaztack/base/machine.hpp>
+
+#include <sys/sysinfo.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace topaztack {
+
+namespace {
+
+    constexpr std::uint64_t fallbackMemory = 64ULL * 1024 * 1024;
+
+} // namespace
+
+std::uint64_t machineMemory()
+{
+    struct sysinfo info { };
+    if (sysinfo(&info) != 0)
+        return fallbackMemory;
+    return static_cast<std::uint64_t>(info.totalram) * info.mem_unit;
+}
+
+std::uint64_t residentMemory()
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    if (!(file >> total >> resident))
+        return 0;
+    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace topaztack
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -1,7 +1,9 @@
 #include <topaztack/control/settings.hpp>
 
+#include <topaztack/base/machine.hpp>
 #include <topaztack/detail/read_id.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -12,12 +14,23 @@
 
 namespace {
 
+    constexpr std::uint64_t minMemory = 32ULL * 1024 * 1024;
+    constexpr std::uint64_t maxMemory = 1ULL << 40;
+
     std::string readFileName(std::string_view text, std::string& value)
     {
         value = text == "none" ? std::string {} : std::string(text);
         return {};
     }
 
+    std::string readMemory(std::string_view text, std::uint64_t& value)
+    {
+        if (text != "auto")
+            return readSize(text, minMemory, maxMemory, value);
+        value = std::clamp(machineMemory(), minMemory, maxMemory);
+        return {};
+    }
+
     std::string readLogLevel(std::string_view text, LogLevel& value)
     {
         static constexpr std::array<std::pair<std::string_view, LogLevel>, 4> levels { {
@@ -52,6 +65,11 @@
             [](VmSettings& vm, std::string_view text) { return readEndpoint(text, vm.peers); } },
         { "threads", "2", "threads that serve callers, 1..64",
             [](VmSettings& vm, std::string_view text) { return readWhole(text, 1, 64, vm.threads); } },
+        { "memory", "auto",
+            "memory that this process may use, 32MiB..1048576MiB, or auto for that of the machine; callers' requests "
+            "and "
+            "answers take up to 7/16 of it",
+            [](VmSettings& vm, std::string_view text) { return readMemory(text, vm.memory); } },
         { "log_level", "info", "minimum level of log lines: debug, info, warning, error",
             [](VmSettings& vm, std::string_view text) { return readLogLevel(text, vm.logLevel); } },
         { "document", "none", "document to use until a newer one is known: a file, or none",
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,7 @@
 
 #include <topaztack/base/log.hpp>
 #include <topaztack/wire/http_router.hpp>
+#include <topaztack/wire/server_share.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -70,6 +71,12 @@
         return options;
     }
 
+    json::object dumpConnections(const HttpServer& server)
+    {
+        return { { "open", server.openConnections() }, { "in_flight", server.inFlight() },
+            { "held_bytes", server.heldBytes() } };
+    }
+
     asio::awaitable<void> respondWithText(HttpExchange& exchange, std::string contentType, std::string body)
     {
         HttpResponse response;
@@ -88,6 +95,7 @@
     void applyConfiguration(const StoreRow& row);
     void applyPublishedVersion(const StoreRow& row);
     HttpServerLimits callerLimits() const;
+    HttpServerLimits limitsOf(CallOrigin origin) const;
     asio::awaitable<void> handle(HttpExchange& exchange);
     asio::awaitable<void> handlePeer(HttpExchange& exchange);
     std::optional<HttpResponse> refuseWhileDraining(const CallerRequest& call, const Route& route) const;
@@ -174,14 +182,15 @@
     , serverRows(this->context, followOptions(protocol.storeLayout.serversTable, serversFeedWait, serversFeedPause),
           [this](const std::vector<StoreRow>& rows, bool isFullTable) { this->servers.applyRows(rows, isFullTable); })
     , callerServer(
-          this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
+          this->context.threads, this->context.settings.callers, [this] { return this->limitsOf(CallOrigin::Caller); },
           [this](HttpExchange& exchange) { return this->handle(exchange); }, this->context.metrics, "callers")
     , operatorServer(
-          this->context.threads, this->context.settings.operators, [] { return HttpServerLimits {}; },
+          this->context.threads, this->context.settings.operators,
+          [this] { return limitToShare({}, ServedPort::Operators, this->context.settings); },
           [this](HttpExchange& exchange) { return this->operatorRoutes.handle(exchange); }, this->context.metrics,
           "operators")
     , peerServer(
-          this->context.threads, this->context.settings.peers, [this] { return this->callerLimits(); },
+          this->context.threads, this->context.settings.peers, [this] { return this->limitsOf(CallOrigin::Peer); },
           [this](HttpExchange& exchange) { return this->handlePeer(exchange); }, this->context.metrics, "peers")
 {
     this->addOperatorRoutes();
@@ -229,10 +238,15 @@
     json::object dump { { "vm", this->context.identity.name.value() },
         { "incarnation", toHex(this->context.identity.incarnation.value()) },
         { "configuration", this->context.routes ? this->context.routes->version.value() : 0 },
-        { "draining", this->context.isDraining }, { "servers", this->servers.dump() }, { "limits", this->quota.dump() },
-        { "queues", this->requestQueue.dump() }, { "suspects", this->crashes.dump() },
-        { "software", this->software.dump() }, { "cut_off", this->reach.dump() }, { "jobs", this->jobs.dump() },
-        { "lease", this->lease.dump() }, { "weights", this->weights.dump() }, { "peers", this->peers.dump() } };
+        { "draining", this->context.isDraining },
+        { "connections",
+            json::object { { "callers", dumpConnections(this->callerServer) },
+                { "operators", dumpConnections(this->operatorServer) },
+                { "peers", dumpConnections(this->peerServer) } } },
+        { "servers", this->servers.dump() }, { "limits", this->quota.dump() }, { "queues", this->requestQueue.dump() },
+        { "suspects", this->crashes.dump() }, { "software", this->software.dump() }, { "cut_off", this->reach.dump() },
+        { "jobs", this->jobs.dump() }, { "lease", this->lease.dump() }, { "weights", this->weights.dump() },
+        { "peers", this->peers.dump() } };
     const auto& duties = this->context.settings.duties;
     if (duties.reportsUsage || duties.ordersServers)
         dump["duties"] = json::object { { "lease", this->platformDuties.dump() }, { "counts", this->usage.dump() },
@@ -257,6 +271,12 @@
     return limits;
 }
 
+HttpServerLimits Gateway::Parts::limitsOf(CallOrigin origin) const
+{
+    const auto port = origin == CallOrigin::Caller ? ServedPort::Callers : ServedPort::Peers;
+    return limitToShare(this->callerLimits(), port, this->context.settings);
+}
+
 void Gateway::Parts::applyOperatorRows(const std::vector<StoreRow>& rows)
 {
     for (const auto& row : rows) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,7 @@
 #include <topaztack/node/status_desk.hpp>
 #include <topaztack/node/ticket_desk.hpp>
 #include <topaztack/node/trainer_desk.hpp>
+#include <topaztack/wire/server_share.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -126,12 +127,15 @@
     , trainers(this->context, this->ledgers, this->samples, this->weights)
     , peers(this->context)
     , callerServer(
-          this->context.threads, this->context.settings.callers, [this] { return this->callerLimits(); },
+          this->context.threads, this->context.settings.callers,
+          [this] { return limitToShare(this->callerLimits(), ServedPort::Callers, this->context.settings); },
           [this](HttpExchange& exchange) { return this->callerGate.handle(exchange, this->callerRoutes); },
           this->context.metrics, "callers")
     , operatorServer(
           this->context.threads, this->context.settings.operators,
-          [] { return HttpServerLimits { .maxBody = operatorBodyLimit }; },
+          [this] {
+              return limitToShare({ .maxBody = operatorBodyLimit }, ServedPort::Operators, this->context.settings);
+          },
           [this](HttpExchange& exchange) { return this->gate.handle(exchange, this->operatorRoutes); },
           this->context.metrics, "operators")
     , peerServer(
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -1,8 +1,10 @@
+#include "growing_body.hpp"
 #include "http_head.hpp"
 #include "http_server_state.hpp"
 #include "transport.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/base/machine.hpp>
 #include <topaztack/wire/tls.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,16 +12,16 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffer_ref.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <optional>
+#include <utility>
 
 namespace topaztack {
 
@@ -45,10 +47,36 @@
         return ErrorKind::BadRequest;
     }
 
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = http::request_parser<GrowingBody>;
+
+    boost::system::error_code noMemory() { return make_error_code(boost::system::errc::not_enough_memory); }
+
+    /// @return the size of the head that the bytes begin with; 0 if it isn't whole.
+    std::size_t headSize(std::string_view bytes)
+    {
+        const auto [end, isFound] = HeadEnd {}(bytes.begin(), bytes.end());
+        return isFound ? static_cast<std::size_t>(end - bytes.begin()) : 0;
+    }
 
     /// Room for what arrives beyond a head: a body's first bytes or a chunk's header with its extensions.
     constexpr std::size_t readAhead = 16UL * 1024;
+    /// Room for the first bytes of a request; what an idle connection holds.
+    constexpr std::size_t firstRead = 2UL * 1024;
+    /// Pieces in which a long body is read.
+    constexpr std::size_t bodyPiece = 16UL * 1024;
+    /// What a connection holds at all times: its state and that of the coroutine.
+    constexpr std::size_t connectionSize = 4UL * 1024;
+    /// The parser's copy of a head, and the fields that are taken from it.
+    constexpr std::size_t headCopies = 3;
+    /// How long input is discarded after the last answer. A connection that is closed with unread bytes is reset, and
+    /// the caller may lose the answer.
+    constexpr std::chrono::milliseconds lingerTime { 2000 };
+    constexpr std::size_t discardPiece = 4UL * 1024;
+    constexpr std::string_view overloadRetryAfter = "1";
+    /// The process's memory is measured while connections hold more than this part of what they may.
+    constexpr std::size_t measuredPart = 8;
+    constexpr std::chrono::milliseconds measureInterval { 20 };
+    constexpr std::chrono::milliseconds pressureLogInterval { 1000 };
     /// Of a server that is stopping: how long a connection brings no request before it is closed.
     constexpr std::chrono::milliseconds idleBeforeClose { 1000 };
     constexpr std::chrono::milliseconds idleCheckInterval { 50 };
@@ -57,7 +85,18 @@
 
 class HttpConnection final : public HttpExchange, public std::enable_shared_from_this<HttpConnection> {
 public:
-    HttpConnection(std::shared_ptr<HttpServer::State> server, asio::io_context& loop, tcp::socket socket);
+    /// Names the connection of an entry of the budget.
+    struct Use : ConnectionUse {
+        explicit Use(HttpConnection& connection)
+            : connection(connection)
+        {
+        }
+
+        HttpConnection& connection;
+    };
+
+    HttpConnection(std::shared_ptr<HttpServer::State> server, asio::io_context& loop, tcp::socket socket,
+        const HttpServerLimits& limits);
     ~HttpConnection() override;
 
     asio::awaitable<void> serve();
@@ -66,6 +105,8 @@
     void answerPending(HttpResponse response);
     /// Closes the connection whatever it is doing.
     void abort() { this->stream.tcp().close(); }
+    /// Closes a connection that was chosen for it; called on any thread.
+    void closeEvicted();
     bool belongsTo(const asio::io_context& other) const { return &this->loop == &other; }
 
     const HttpRequest& request() const override { return this->current; }
@@ -78,6 +119,22 @@
     bool isCallerGone() const override { return this->callerGone; }
 
 private:
+    /// Parts of what the connection holds, in bytes.
+    struct Held {
+        std::size_t connection { 0 };
+        std::size_t buffer { 0 };
+        std::size_t head { 0 };
+        std::size_t body { 0 };
+    };
+
+    bool hold(std::size_t& part, std::size_t size,
+        bool (*tryToHold)(ConnectionBudget&, ConnectionUse&, std::size_t) = tryHold);
+    void enter(ConnectionPhase phase);
+    void recordProgress(std::size_t bytes);
+    void releaseRequest();
+    asio::awaitable<boost::system::error_code> readSome();
+    asio::awaitable<void> linger();
+    bool hasUnread();
     asio::awaitable<bool> readRequest();
     asio::awaitable<std::optional<Error>> readHead(Parser& parser);
     asio::awaitable<std::optional<Error>> readBody(Parser& parser);
@@ -96,7 +153,9 @@
     std::shared_ptr<HttpServer::State> server;
     asio::io_context& loop;
     Transport stream;
-    HttpServerLimits limits;
+    const HttpServerLimits limits;
+    Use use { *this };
+    Held held;
     beast::flat_buffer buffer;
     HttpRequest current;
     Endpoint callerEndpoint;
@@ -110,14 +169,18 @@
     bool isPreempted { false };
     bool isCounted { false };
     bool isWatching { false };
+    /// Whether it is being closed in favour of others, before a whole request was read.
+    bool isEvicted { false };
+    bool isRefused { false };
     TimePoint idleSince { Clock::now() };
 };
 
-HttpConnection::HttpConnection(std::shared_ptr<HttpServer::State> server, asio::io_context& loop, tcp::socket socket)
+HttpConnection::HttpConnection(std::shared_ptr<HttpServer::State> server, asio::io_context& loop, tcp::socket socket,
+    const HttpServerLimits& limits)
     : server(std::move(server))
     , loop(loop)
     , stream(std::move(socket))
-    , limits(this->server->limits())
+    , limits(limits)
     , buffer(this->limits.maxHeader + readAhead)
 {
     boost::system::error_code problem;
@@ -128,6 +191,7 @@
     this->server->connections.add(1);
     const std::lock_guard guard(this->server->lock);
     this->server->open.insert(this);
+    join(this->server->budget, this->use, Clock::now());
 }
 
 HttpConnection::~HttpConnection()
@@ -135,6 +199,137 @@
     this->server->connections.add(-1);
     const std::lock_guard guard(this->server->lock);
     this->server->open.erase(this);
+    leave(this->server->budget, this->use);
+    this->server->heldBytes.set(static_cast<std::int64_t>(this->server->budget.held));
+}
+
+namespace {
+
+    /// Connections that were chosen to be closed, held so that they outlive the lock.
+    std::vector<std::shared_ptr<HttpConnection>> connectionsOf(const std::vector<ConnectionUse*>& uses)
+    {
+        std::vector<std::shared_ptr<HttpConnection>> connections;
+        for (auto* use : uses) {
+            auto connection = static_cast<HttpConnection::Use*>(use)->connection.weak_from_this().lock();
+            if (connection)
+                connections.push_back(std::move(connection));
+        }
+        return connections;
+    }
+
+    /// Measures the process's memory if connections hold much. The server's lock is held.
+    /// @param size what one of them is about to hold, in bytes.
+    void updateMaxHeld(HttpServer::State& server, const HttpServerLimits& limits, std::size_t size)
+    {
+        auto& budget = server.budget;
+        const bool isMuch = budget.held + size > limits.maxHeld / measuredPart;
+        if (limits.processMemory == 0 || !isMuch) {
+            budget.maxHeld = limits.maxHeld;
+            return;
+        }
+        const auto now = Clock::now();
+        if (now - server.measuredAt < measureInterval)
+            return;
+        server.measuredAt = now;
+        budget.maxHeld = maxHeldBeside(budget, limits.maxHeld, limits.processMemory, residentMemory());
+    }
+
+} // namespace
+
+/// Changes a part of what the connection holds. Under pressure, stalled connections are closed for it.
+/// @return false if the budget has no room.
+bool HttpConnection::hold(
+    std::size_t& part, std::size_t size, bool (*tryToHold)(ConnectionBudget&, ConnectionUse&, std::size_t))
+{
+    if (part == size)
+        return true;
+    const bool isGrowing = size > part;
+    bool isHeld = false;
+    std::vector<std::shared_ptr<HttpConnection>> stalled;
+    {
+        const std::lock_guard guard(this->server->lock);
+        auto& budget = this->server->budget;
+        if (isGrowing)
+            updateMaxHeld(*this->server, this->limits, this->use.held - part + size);
+        isHeld = tryToHold(budget, this->use, this->use.held - part + size);
+        if (isGrowing)
+            stalled = connectionsOf(evictStalled(budget, Clock::now()));
+        this->server->heldBytes.set(static_cast<std::int64_t>(budget.held));
+    }
+    if (isHeld)
+        part = size;
+    else
+        this->server->refusedForMemory.add();
+    for (const auto& connection : stalled)
+        connection->closeEvicted();
+    logPressure(*this->server, stalled.size() + (isHeld ? 0 : 1));
+    return isHeld;
+}
+
+void logPressure(HttpServer::State& server, std::size_t count)
+{
+    if (count == 0)
+        return;
+    std::size_t unlogged = 0;
+    ConnectionBudget seen;
+    {
+        const std::lock_guard guard(server.lock);
+        server.unlogged += count;
+        const auto now = Clock::now();
+        if (now - server.loggedAt < pressureLogInterval)
+            return;
+        server.loggedAt = now;
+        unlogged = std::exchange(server.unlogged, 0);
+        seen.held = server.budget.held;
+        seen.maxHeld = server.budget.maxHeld;
+        seen.connections = server.budget.connections;
+    }
+    logEvent(LogLevel::Warning, "connections-limited",
+        { { "port", server.portName }, { "refused_or_closed", std::to_string(unlogged) },
+            { "held_bytes", std::to_string(seen.held) }, { "max_held_bytes", std::to_string(seen.maxHeld) },
+            { "connections", std::to_string(seen.connections) } });
+}
+
+void HttpConnection::enter(ConnectionPhase phase)
+{
+    const std::lock_guard guard(this->server->lock);
+    changePhase(this->server->budget, this->use, phase, Clock::now());
+}
+
+void HttpConnection::recordProgress(std::size_t bytes)
+{
+    const std::lock_guard guard(this->server->lock);
+    topaztack::recordProgress(this->server->budget, this->use, bytes, Clock::now());
+}
+
+void HttpConnection::closeEvicted()
+{
+    this->server->evicted.add();
+    asio::post(this->loop, [self = this->shared_from_this()] {
+        self->keepAlive = false;
+        const auto phase = self->use.phase;
+        if (phase != self->use.evictedIn)
+            return;
+        self->isEvicted = true;
+        if (phase == ConnectionPhase::Sending || phase == ConnectionPhase::Closing)
+            self->stream.tcp().close();
+        else
+            self->stream.tcp().cancel();
+    });
+}
+
+/// Returns what was held for a request that is answered.
+void HttpConnection::releaseRequest()
+{
+    this->current = {};
+    if (this->buffer.size() == 0 && this->buffer.capacity() > firstRead)
+        this->buffer.shrink_to_fit();
+    const std::lock_guard guard(this->server->lock);
+    auto& budget = this->server->budget;
+    const auto kept = this->held.connection + std::min(this->held.buffer, this->buffer.capacity());
+    tryHold(budget, this->use, kept);
+    this->held = { .connection = this->held.connection, .buffer = kept - this->held.connection };
+    this->server->heldBytes.set(static_cast<std::int64_t>(budget.held));
 }
 
 void HttpConnection::closeIfIdle(TimePoint now)
@@ -160,10 +355,10 @@
 
 void HttpConnection::answerPending(HttpResponse response)
 {
-    const auto self = this->weak_from_this().lock();
-    if (!self || !this->isBusy || this->hasBegunAnswer)
+    if (!this->isBusy || this->hasBegunAnswer)
         return;
     this->isPreempted = true;
+    const auto self = this->shared_from_this();
     asio::co_spawn(
         this->loop,
         [self, response = std::move(response)]() -> asio::awaitable<void> {
@@ -179,27 +374,53 @@
     this->stream.tcp().expires_after(this->limits.idle);
     auto keys = serverKeysOf(this->server->tls);
     const auto problem = co_await this->stream.secure(std::move(keys), asio::ssl::stream_base::server);
-    while (!problem && this->keepAlive && !this->callerGone) {
+    const bool hasRoom = this->hold(this->held.connection, connectionSize);
+    while (!problem && hasRoom && this->keepAlive && !this->callerGone) {
         if (!co_await this->readRequest())
             break;
         this->server->requests.add();
         this->countRequest();
         this->isBusy = true;
         this->isAnswered = false;
+        this->enter(ConnectionPhase::Handling);
         this->watchCaller();
         co_await this->handle();
         this->notifyGone = nullptr;
         this->isBusy = false;
         this->uncountRequest();
+        this->releaseRequest();
+        this->enter(ConnectionPhase::Idle);
         this->idleSince = Clock::now();
         if (!this->isAnswered)
             break;
     }
     boost::system::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (this->hasUnread())
+        co_await this->linger();
     this->stream.tcp().close();
 }
 
+/// Whether bytes may be unread, or still on their way, that belong to no request that is answered.
+bool HttpConnection::hasUnread()
+{
+    boost::system::error_code problem;
+    const bool isPending = this->buffer.size() > 0 || this->stream.socket().available(problem) > 0;
+    return !this->callerGone && (this->isRefused || isPending);
+}
+
+/// Discards input until the caller closes the connection.
+asio::awaitable<void> HttpConnection::linger()
+{
+    this->enter(ConnectionPhase::Closing);
+    this->buffer.clear();
+    std::array<char, discardPiece> piece {};
+    this->stream.tcp().expires_after(lingerTime);
+    boost::system::error_code problem;
+    while (!problem)
+        std::tie(problem, std::ignore) = co_await this->stream.tcp().async_read_some(asio::buffer(piece), asTuple);
+}
+
 /// Runs the handler; one that fails before it began an answer is answered for.
 asio::awaitable<void> HttpConnection::handle()
 {
@@ -225,30 +446,61 @@
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(this->limits.maxHeader));
     parser.body_limit(this->limits.maxBody);
+    auto& body = parser.get().body();
+    body.maxSize = this->limits.maxBody;
+    body.mayGrow = [this](std::size_t size) { return !this->isEvicted && this->hold(this->held.body, size); };
     this->stream.tcp().expires_after(this->limits.idle);
     auto wrong = co_await this->readHead(parser);
     if (!wrong && !this->callerGone)
         wrong = co_await this->readBody(parser);
-    if (wrong)
+    if (wrong) {
+        body.text = {};
+        this->releaseRequest();
         co_await this->refuse(std::move(*wrong));
+    }
     co_return !wrong && !this->callerGone;
 }
 
+asio::awaitable<boost::system::error_code> HttpConnection::readSome()
+{
+    const auto room = this->buffer.max_size() - this->buffer.size();
+    const auto target = this->buffer.prepare(std::min(room, std::max(firstRead, this->buffer.size())));
+    if (this->isEvicted || !this->hold(this->held.buffer, this->buffer.capacity()))
+        co_return noMemory();
+    const auto [problem, size] = co_await this->stream.async_read_some(target, asTuple);
+    this->buffer.commit(size);
+    if (size > 0 && this->use.phase == ConnectionPhase::Idle)
+        this->enter(ConnectionPhase::Receiving);
+    this->recordProgress(size);
+    co_return problem;
+}
+
 /// Nothing, with callerGone set, if the caller left without beginning a request.
 asio::awaitable<std::optional<Error>> HttpConnection::readHead(Parser& parser)
 {
-    const auto [problem, size]
-        = co_await asio::async_read_until(this->stream, beast::ref(this->buffer), HeadEnd {}, asTuple);
-    if (problem && this->buffer.size() == 0) {
-        this->callerGone = true;
-        co_return std::nullopt;
+    std::size_t size = 0;
+    if (this->buffer.size() > 0)
+        this->enter(ConnectionPhase::Receiving);
+    while (true) {
+        const auto data = this->buffer.data();
+        size = headSize({ static_cast<const char*>(data.data()), data.size() });
+        if (size > 0)
+            break;
+        if (this->buffer.size() == this->buffer.max_size())
+            co_return this->understood(http::error::header_limit);
+        const auto problem = co_await this->readSome();
+        if (problem && this->buffer.size() == 0) {
+            this->callerGone = true;
+            co_return std::nullopt;
+        }
+        if (problem)
+            co_return this->understood(problem);
     }
-    if (problem)
-        co_return this->understood(problem);
-    const auto* bytes = static_cast<const char*>(this->buffer.data().data());
-    const auto wrong = checkHead({ bytes, size });
+    const auto wrong = checkHead({ static_cast<const char*>(this->buffer.data().data()), size });
     if (wrong)
         co_return makeError(ErrorKind::BadRequest, "request not understood: " + std::string(*wrong));
+    if (!this->hold(this->held.head, headCopies * size))
+        co_return this->understood(noMemory());
     const auto [parseProblem, parsed] = co_await http::async_read_header(this->stream, this->buffer, parser, asTuple);
     if (parseProblem)
         co_return this->understood(parseProblem);
@@ -258,12 +510,28 @@
 
 asio::awaitable<std::optional<Error>> HttpConnection::readBody(Parser& parser)
 {
-    if (!parser.is_done()) {
-        const auto [problem, size] = co_await http::async_read(this->stream, this->buffer, parser, asTuple);
-        if (problem)
-            co_return this->understood(problem);
+    parser.eager(true);
+    boost::system::error_code problem;
+    if (!parser.is_done() && this->buffer.size() > 0)
+        this->buffer.consume(parser.put(this->buffer.data(), problem));
+    if (problem == http::error::need_more)
+        problem = {};
+    // What follows the bytes that arrived with the head comes in longer pieces. The header of a chunk, or a trailer,
+    // may take the whole buffer.
+    if (!problem && !parser.is_done()) {
+        this->buffer.reserve(std::min(bodyPiece, this->buffer.max_size()));
+        const auto room = parser.chunked() ? this->buffer.max_size() : this->buffer.capacity();
+        if (!this->hold(this->held.buffer, room))
+            problem = noMemory();
+    }
+    while (!problem && !parser.is_done()) {
+        std::size_t size = 0;
+        std::tie(problem, size) = co_await http::async_read_some(this->stream, this->buffer, parser, asTuple);
+        this->recordProgress(size);
     }
-    this->current.body = std::move(parser.get().body());
+    if (problem)
+        co_return this->understood(problem);
+    this->current.body = std::move(parser.get().body().text);
     co_return std::nullopt;
 }
 
@@ -282,6 +550,8 @@
 
 std::optional<Error> HttpConnection::understood(const boost::system::error_code& problem) const
 {
+    if (this->isEvicted || problem == noMemory())
+        return makeError(ErrorKind::Overloaded, "no memory for the rest of the request");
     return makeError(kindOfParseProblem(problem), "request not understood: " + problem.message());
 }
 
@@ -289,8 +559,11 @@
 {
     this->server->refusedInput.add();
     this->keepAlive = false;
+    this->isRefused = true;
     auto response = errorResponse(error);
     response.headers.push_back({ "Topaztack-Outcome", "not-run" });
+    if (error.kind == ErrorKind::Overloaded)
+        response.headers.push_back({ "Retry-After", std::string(overloadRetryAfter) });
     co_await this->respond(std::move(response));
 }
 
@@ -398,10 +671,11 @@
 
 void startHttpConnection(const std::shared_ptr<HttpServer::State>& server, tcp::socket socket)
 {
-    if (server->connections.value() >= static_cast<std::int64_t>(server->limits().maxConnections))
+    const auto limits = server->limits();
+    if (server->connections.value() >= static_cast<std::int64_t>(limits.maxConnections))
         return;
     auto& loop = server->threads.at(IoThreads::here());
-    const auto connection = std::make_shared<HttpConnection>(server, loop, std::move(socket));
+    const auto connection = std::make_shared<HttpConnection>(server, loop, std::move(socket), limits);
     asio::co_spawn(loop, connection->serve(), [connection](const std::exception_ptr& failure) {
         if (failure)
             logEvent(LogLevel::Error, "connection-failed");
@@ -428,11 +702,18 @@
     for (std::size_t index = 0; index < server->threads.size(); ++index) {
         auto& loop = server->threads.at(index);
         asio::post(loop, [server, response, &loop] {
-            const std::lock_guard guard(server->lock);
-            for (auto* connection : server->open) {
-                if (connection->belongsTo(loop))
-                    connection->answerPending(response);
+            // A connection takes the lock while it answers.
+            std::vector<std::shared_ptr<HttpConnection>> connections;
+            {
+                const std::lock_guard guard(server->lock);
+                for (auto* connection : server->open) {
+                    auto held = connection->weak_from_this().lock();
+                    if (held && connection->belongsTo(loop))
+                        connections.push_back(std::move(held));
+                }
             }
+            for (const auto& connection : connections)
+                connection->answerPending(response);
         });
     }
 }
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -20,8 +20,14 @@
         metrics.counter("topaztack_http_requests_total", "Requests read", labels),
         metrics.counter(
             "topaztack_http_refused_input_total", "Requests refused as malformed, too large or too slow", labels),
+        metrics.counter("topaztack_http_refused_for_memory_total",
+            "Requests, answers and input sent ahead that the connections' memory had no room for", labels),
+        metrics.counter(
+            "topaztack_http_evicted_total", "Connections closed so that others find memory or a connection", labels),
         metrics.gauge("topaztack_http_connections", "Open connections", labels),
+        metrics.gauge("topaztack_http_held_bytes", "Memory that connections hold for requests and answers", labels),
     });
+    this->state->portName = portName;
     const std::weak_ptr<State> weak = this->state;
     this->state->listener = std::make_shared<Listener>(threads, endpoint, [weak](tcp::socket socket) {
         const auto server = weak.lock();
@@ -60,6 +66,8 @@
 
 std::size_t HttpServer::openConnections() const { return static_cast<std::size_t>(this->state->connections.value()); }
 
+std::size_t HttpServer::heldBytes() const { return static_cast<std::size_t>(this->state->heldBytes.value()); }
+
 std::uint16_t HttpServer::port() const { return this->state->listener->port(); }
 
 } // namespace topaztack
--- a/src/wire/http_server_state.hpp
+++ b/src/wire/http_server_state.hpp
@@ -2,6 +2,7 @@
 
 #include "listener.hpp"
 
+#include <topaztack/wire/connection_budget.hpp>
 #include <topaztack/wire/http_server.hpp>
 
 #include <atomic>
@@ -22,15 +23,29 @@
     HttpHandler handler;
     Counter& requests;
     Counter& refusedInput;
+    Counter& refusedForMemory;
+    Counter& evicted;
     Gauge& connections;
+    Gauge& heldBytes;
     std::shared_ptr<Listener> listener;
     std::atomic<bool> isStopping { false };
     std::atomic<std::size_t> inFlight { 0 };
     std::mutex lock;
     /// Of every thread; each closes its own.
     std::set<HttpConnection*> open;
+    ConnectionBudget budget {};
+    /// When the process's memory was measured last.
+    TimePoint measuredAt {};
+    /// What was refused or closed for want of memory or connections since the last log line about it, and its time.
+    std::size_t unlogged { 0 };
+    TimePoint loggedAt {};
+    std::string portName {};
 };
 
+/// @brief Logs that requests are refused or connections closed for want of room, at most once a second.
+/// @param count of them.
+void logPressure(HttpServer::State& server, std::size_t count);
+
 /// @brief Serves a connection on the calling thread, or closes it if there are too many.
 void startHttpConnection(const std::shared_ptr<HttpServer::State>& server, boost::asio::ip::tcp::socket socket);
 
--- a/tests/functional/support.py
+++ b/tests/functional/support.py
@@ -21,6 +21,7 @@
     service_count = 2
     engine_options = ("--token-time-us", "500")
     pool_lines = ""
+    vm_lines = ""
     trainer_lines = "staleness_bound = 2\nmax_tokens = 8\n"
     limits_lines = "drain_time = 10s\n"
 
@@ -54,7 +55,8 @@
                   for other in range(self.vm_count) if other != index]
         settings = self.cluster.directory / f"vm-{index}.ini"
         settings.write_text(vm_settings(f"vm-{index}", DATA_CENTRES[index % 3], self.callers[index],
-                                        self.operators[index], self.peers[index], self.platform, others))
+                                        self.operators[index], self.peers[index], self.platform, others,
+                                        extra=self.vm_lines))
         self.cluster.start(f"vm-{index}", "topaztackd", "--settings", settings)
         wait_until(lambda: call(self.operators[index], "GET", "/healthz").status == 200, what=f"VM {index} alive")
 
--- a/tests/functional/test_requests_crowd.py
+++ b/tests/functional/test_requests_crowd.py
@@ -41,7 +41,7 @@
     """A gateway, and what it holds from its start on."""
 
     limits = LIMITS
-    vm_lines = ""
+    vm_lines = f"memory = {MEMORY}B\n"
 
     def setUp(self):
         directory = tempfile.TemporaryDirectory(prefix="topaztack-")
@@ -161,6 +161,19 @@
         self.check()
 
 
+class LoadedGateway(GatewayCase):
+    """A gateway whose own state takes much of its memory."""
+
+    def test_bodies_that_stop_short_of_their_end_beside_accepted_jobs(self):
+        body = job_of(MAX_BODY)
+        for n in range(12):
+            call(self.world.callers, "POST", "/jobs/a", body, {
+                "Host": "a.example", "Topaztack-Request-Id": f"job{n}", "Topaztack-Deadline-Ms": "20000"})
+        self.gather([Sender((announced("/app/a", n), FILL), len(announced("/app/a", n)) + MAX_BODY - 1)
+                     for n in range(CROWD)])
+        self.check()
+
+
 class GatewayInCalm(GatewayCase):
     """One request at a time, of the largest size that the deployments in force allow."""
 
@@ -228,6 +241,7 @@
     vm_count = 1
     engine_count = 1
     service_count = 1
+    vm_lines = f"memory = {MEMORY}B\n"
     limits_lines = "drain_time = 10s\ncaller_idle = 60s\nmax_body = 4MiB\n"
 
     def check(self, port, request, length):
