HttpClient: send the caller's body without a copy

Cause: the request for each attempt had a copy of the caller's body. It now refers to it; the handler's request outlives the call.

--- a/include/topaztack/wire/http.hpp
+++ b/include/topaztack/wire/http.hpp
@@ -24,6 +24,8 @@
     std::string target { "/" };
     std::vector<HttpHeader> headers;
     std::string body;
+    /// Of a request to be sent: the body in place of `body`, without a copy. Its owner outlives the call.
+    std::string_view borrowedBody;
 };
 
 struct HttpResponse {
@@ -32,6 +34,9 @@
     std::string body;
 };
 
+/// @brief The body that is sent: the request's own, or the borrowed one if it has none.
+std::string_view bodyToSend(const HttpRequest& request);
+
 /// @brief The value of the first header of that name (case ignored); empty if there is none.
 std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name);
 
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -40,6 +40,11 @@
 
 } // namespace
 
+std::string_view bodyToSend(const HttpRequest& request)
+{
+    return request.body.empty() ? request.borrowedBody : std::string_view(request.body);
+}
+
 std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name)
 {
     for (const auto& header : headers) {
--- a/src/wire/http_client.cpp
+++ b/src/wire/http_client.cpp
@@ -107,10 +107,11 @@
             control->setCloser({});
     }
 
-    http::request<http::string_body> toMessage(HttpRequest request, const Endpoint& endpoint)
+    /// @return a message that refers to the request's body.
+    http::request<http::span_body<const char>> toMessage(const HttpRequest& request, const Endpoint& endpoint)
     {
         const auto verb = http::string_to_verb(request.method);
-        http::request<http::string_body> message;
+        http::request<http::span_body<const char>> message;
         message.version(11);
         if (verb == http::verb::unknown)
             message.method_string(request.method);
@@ -121,7 +122,8 @@
             message.insert(header.name, header.value);
         if (message.find(http::field::host) == message.end())
             message.set(http::field::host, toText(endpoint));
-        message.body() = std::move(request.body);
+        const auto body = bodyToSend(request);
+        message.body() = { body.data(), body.size() };
         message.prepare_payload();
         return message;
     }
@@ -208,7 +210,7 @@
         if (control && control->isCancelled())
             co_return failure(asio::error::operation_aborted, endpoint, AttemptProgress::NothingWritten);
         guard(control, *link);
-        const auto message = toMessage(std::move(request), endpoint);
+        const auto message = toMessage(request, endpoint);
         link->stream.expires_at(deadline);
         const auto [problem, size] = co_await http::async_write(link->stream, message, asTuple);
         if (problem) {
