Jobs: take the memory of a submission from the budget of its port

Callers saw a VM end while the store did not answer: 48 submissions of 4 MiB took 690 MB on, and 303 MB if they consist of empty arrays (bound 88 MB).

Cause: a submission is held as request, copy, parsed document and items, and only the first of these was limited. The copies and the parser's memory are now reserved; a submission without room gets 503 before anything is stored.

--- a/include/topaztack/gateway/protocol.hpp
+++ b/include/topaztack/gateway/protocol.hpp
@@ -216,7 +216,8 @@
     Result<CallerRequest> (*decodeCall)(const HttpRequest&);
     /// How the VM that passed a request on identified its caller; only for requests on the port between VMs.
     CallerIdentity (*decodeIdentity)(const HttpRequest&);
-    Result<JobSpec> (*decodeSubmission)(const StoredSubmission&);
+    /// `mayHold` is asked before the parsed submission grows, with its size in bytes; empty for no limit.
+    Result<JobSpec> (*decodeSubmission)(const StoredSubmission&, const std::function<bool(std::size_t)>& mayHold);
     HttpResponse (*encodeResults)(const ResultPage&);
 
     /// Builds the request to a backend server from the caller's; `timeLeft` is the time until the caller's deadline.
--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -44,6 +44,11 @@
     virtual void onCallerGone(std::function<void()> notify) = 0;
 
     virtual bool isCallerGone() const = 0;
+
+    /// @brief Sets what the handler holds for the request besides its message; returned when the request is answered.
+    /// @param size in bytes.
+    /// @return false if the memory of the server's connections has no room for it; nothing has changed then.
+    virtual bool reserve(std::size_t size) = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -345,7 +345,7 @@
 {
     auto response = this->access.admit(call, nullptr);
     if (!response)
-        response = co_await this->jobCalls.answer(exchange.request(), call, nullptr);
+        response = co_await this->jobCalls.answer(exchange, call, nullptr);
     const bool lacksKey = response->status == statusUnauthorised && call.access != AccessVerdict::Admitted;
     if (lacksKey)
         response = this->access.refuse(call);
@@ -453,7 +453,7 @@
         co_return;
     }
     if (route->kind == RouteKind::Batch && exchange.request().method == "POST") {
-        co_await exchange.respond(co_await this->jobCalls.answer(exchange.request(), call, route));
+        co_await exchange.respond(co_await this->jobCalls.answer(exchange, call, route));
         co_return;
     }
     refusal = this->refuseWhileDraining(call, *route);
--- a/src/gateway/job_calls.cpp
+++ b/src/gateway/job_calls.cpp
@@ -19,7 +19,7 @@
 bool JobCalls::isStoreAway() const { return topaztack::isStoreAway(this->context.store.contact(), Clock::now()); }
 
 asio::awaitable<HttpResponse> JobCalls::answerLocally(
-    const HttpRequest& request, const CallerRequest& call, const Route* route)
+    HttpExchange& exchange, const CallerRequest& call, const Route* route)
 {
     switch (call.action) {
     case CallerAction::Route:
@@ -31,17 +31,17 @@
     case CallerAction::EndJob:
         co_return co_await this->service.end(call);
     }
-    co_return co_await this->service.submit(request, call, *route);
+    co_return co_await this->service.submit(exchange, call, *route);
 }
 
-asio::awaitable<HttpResponse> JobCalls::answer(const HttpRequest& request, CallerRequest call, const Route* route)
+asio::awaitable<HttpResponse> JobCalls::answer(HttpExchange& exchange, CallerRequest call, const Route* route)
 {
     if (!this->isStoreAway()) {
-        auto response = co_await this->answerLocally(request, call, route);
+        auto response = co_await this->answerLocally(exchange, call, route);
         if (response.status != statusNotRun)
             co_return std::move(response);
     }
-    auto passed = co_await this->relay.relayCall(request, call);
+    auto passed = co_await this->relay.relayCall(exchange.request(), call);
     if (passed.answer)
         co_return std::move(*passed.answer);
     if (passed.mayHaveRun)
@@ -75,7 +75,7 @@
     }
     const bool isForJobs = call.action != CallerAction::Route || (route && route->kind == RouteKind::Batch);
     if (isForJobs && !this->isStoreAway()) {
-        co_await exchange.respond(co_await this->answerLocally(exchange.request(), call, route));
+        co_await exchange.respond(co_await this->answerLocally(exchange, call, route));
         co_return;
     }
     const auto error = isForJobs ? makeError(ErrorKind::PlatformUnreachable, "the store does not answer this VM either")
--- a/src/gateway/job_calls.hpp
+++ b/src/gateway/job_calls.hpp
@@ -22,14 +22,14 @@
 
     /// @brief Answers a caller. While the store doesn't answer this VM, the call is passed on to other VMs at once.
     /// @param route the route of a submission; nullptr for other calls.
-    boost::asio::awaitable<HttpResponse> answer(const HttpRequest& request, CallerRequest call, const Route* route);
+    boost::asio::awaitable<HttpResponse> answer(HttpExchange& exchange, CallerRequest call, const Route* route);
 
     /// @brief Answers a call that another VM passed on; it is not passed on again.
     boost::asio::awaitable<void> handlePeer(HttpExchange& exchange);
 
 private:
     boost::asio::awaitable<HttpResponse> answerLocally(
-        const HttpRequest& request, const CallerRequest& call, const Route* route);
+        HttpExchange& exchange, const CallerRequest& call, const Route* route);
     bool isStoreAway() const;
 
     GatewayContext& context;
--- a/src/gateway/job_owner.cpp
+++ b/src/gateway/job_owner.cpp
@@ -250,7 +250,7 @@
         logEvent(LogLevel::Warning, "job-not-read", { { "job", id.value() }, { "error", error.message } });
         co_return;
     }
-    auto job = this->context.protocol.decodeSubmission(submission.value());
+    auto job = this->context.protocol.decodeSubmission(submission.value(), {});
     if (!job) {
         logEvent(LogLevel::Error, "job-refused", { { "job", id.value() }, { "error", job.error().message } });
         co_return;
--- a/src/gateway/job_service.cpp
+++ b/src/gateway/job_service.cpp
@@ -23,6 +23,10 @@
     constexpr std::size_t bytesPerPage = 700UL * 1024;
     /// Decoded submissions that are cached for reads of item bodies.
     constexpr std::size_t maxCachedSpecs = 4;
+    /// What a submission takes besides the request, in sizes of its body: the copy that is stored and the items; while
+    /// it is stored, an object too.
+    constexpr std::size_t copiesWhileDecoding = 2;
+    constexpr std::size_t copiesWhileStoring = 3;
 
     HttpResponse emptyResponse(unsigned status)
     {
@@ -109,15 +113,24 @@
     return notRunResponse(error, id, storeRetryAfter);
 }
 
-asio::awaitable<HttpResponse> JobService::submit(const HttpRequest& request, CallerRequest call, Route route)
+asio::awaitable<HttpResponse> JobService::submit(HttpExchange& exchange, CallerRequest call, Route route)
 {
+    const auto& request = exchange.request();
+    const auto size = request.body.size();
+    if (!exchange.reserve(copiesWhileDecoding * size))
+        co_return this->unavailable("submit", makeError(ErrorKind::Overloaded, "no memory for the job"), call.id);
+    const auto mayHold
+        = [&exchange, size](std::size_t decoded) { return exchange.reserve(copiesWhileDecoding * size + decoded); };
     StoredSubmission submission;
     submission.id = JobId(call.id.value());
     submission.host = call.host;
     submission.path = std::string(targetPath(request.target));
     submission.body = request.body;
     submission.workspace = call.workspace;
-    auto job = this->context.protocol.decodeSubmission(submission);
+    auto job = this->context.protocol.decodeSubmission(submission, mayHold);
+    const bool hasRoom = exchange.reserve(copiesWhileStoring * size);
+    if (!hasRoom || (!job && job.error().kind == ErrorKind::Overloaded))
+        co_return this->unavailable("submit", makeError(ErrorKind::Overloaded, "no memory for the job"), call.id);
     if (!job || submission.id.value().empty()) {
         const auto error = job ? makeError(ErrorKind::BadRequest, "the job has no id") : job.error();
         logEvent(LogLevel::Warning, "job-refused", { { "job", call.id.value() }, { "error", error.message } });
@@ -267,7 +280,7 @@
     auto submission = co_await this->store.readSubmission(id, head.value()->head);
     if (!submission)
         co_return std::move(submission).error();
-    auto job = this->context.protocol.decodeSubmission(submission.value());
+    auto job = this->context.protocol.decodeSubmission(submission.value(), {});
     if (!job)
         co_return std::move(job).error();
     std::shared_ptr<const JobSpec> spec = std::make_shared<JobSpec>(std::move(job).value());
--- a/src/gateway/job_service.hpp
+++ b/src/gateway/job_service.hpp
@@ -22,7 +22,7 @@
 public:
     JobService(GatewayContext& context, JobStore& store, JobOwner& owner);
 
-    boost::asio::awaitable<HttpResponse> submit(const HttpRequest& request, CallerRequest call, Route route);
+    boost::asio::awaitable<HttpResponse> submit(HttpExchange& exchange, CallerRequest call, Route route);
     boost::asio::awaitable<HttpResponse> readResults(CallerRequest call);
     boost::asio::awaitable<HttpResponse> readItemBody(CallerRequest call);
     boost::asio::awaitable<HttpResponse> end(CallerRequest call);
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -117,6 +117,7 @@
     asio::awaitable<bool> endStream() override;
     void onCallerGone(std::function<void()> notify) override { this->notifyGone = std::move(notify); }
     bool isCallerGone() const override { return this->callerGone; }
+    bool reserve(std::size_t size) override { return this->hold(this->held.reserved, size); }
 
 private:
     /// Parts of what the connection holds, in bytes.
@@ -125,6 +126,7 @@
         std::size_t buffer { 0 };
         std::size_t head { 0 };
         std::size_t body { 0 };
+        std::size_t reserved { 0 };
     };
 
     bool hold(std::size_t& part, std::size_t size,
--- a/tests/src/gateway/unit-request_queue.cpp
+++ b/tests/src/gateway/unit-request_queue.cpp
@@ -38,6 +38,7 @@
     asio::awaitable<bool> beginStream(HttpResponse) override { co_return false; }
     asio::awaitable<bool> writeChunk(std::string_view) override { co_return false; }
     asio::awaitable<bool> endStream() override { co_return false; }
+    bool reserve(std::size_t) override { return true; }
     void onCallerGone(std::function<void()> notify) override { this->notify = std::move(notify); }
     bool isCallerGone() const override { return this->isGone; }
 
