HttpServer: bound the bytes that the kernel holds unread

Requests sent behind one that is not answered stayed in the kernel, which counts as memory: 1,200 callers took 188 MB on (bound 88 MB).

Cause: receive buffers grow by the kernel's own estimate, and nothing is read while a request is in hand. Listening sockets now have buffers of a fixed size by the process's memory, and connections are limited so that all of them fit. Input that waits behind a request counts in the budget; beyond half of it, input is discarded and the connection closes after its answer.

--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -61,6 +61,8 @@
     std::size_t maxHeld { 256UL * 1024 * 1024 };
     /// Bytes of the process; while its other parts need more, connections may hold less. 0 for no such limit.
     std::size_t processMemory { 0 };
+    /// Bytes that the kernel holds of a connection, in each direction; read when the server starts.
+    std::size_t socketBuffer { 64UL * 1024 };
     /// Time for a whole request to arrive, and for each piece of an answer to be taken.
     std::chrono::microseconds idle { std::chrono::seconds(30) };
 };
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -68,7 +68,7 @@
         { "memory", "auto",
             "memory that this process may use, 32MiB..1048576MiB, or auto for that of the machine; callers' requests "
             "and "
-            "answers take up to 7/16 of it",
+            "answers take up to 7/16 of it, the kernel's buffers of their connections 3/16",
             [](VmSettings& vm, std::string_view text) { return readMemory(text, vm.memory); } },
         { "log_level", "info", "minimum level of log lines: debug, info, warning, error",
             [](VmSettings& vm, std::string_view text) { return readLogLevel(text, vm.logLevel); } },
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -68,6 +68,8 @@
     constexpr std::size_t connectionSize = 4UL * 1024;
     /// The parser's copy of a head, and the fields that are taken from it.
     constexpr std::size_t headCopies = 3;
+    /// The kernel takes up to twice the size of a receive buffer that it was given.
+    constexpr std::size_t kernelOverhead = 2;
     /// How long input is discarded after the last answer. A connection that is closed with unread bytes is reset, and
     /// the caller may lose the answer.
     constexpr std::chrono::milliseconds lingerTime { 2000 };
@@ -127,6 +129,7 @@
         std::size_t head { 0 };
         std::size_t body { 0 };
         std::size_t reserved { 0 };
+        std::size_t unread { 0 };
     };
 
     bool hold(std::size_t& part, std::size_t size,
@@ -135,6 +138,8 @@
     void recordProgress(std::size_t bytes);
     void releaseRequest();
     asio::awaitable<boost::system::error_code> readSome();
+    void limitUnread();
+    asio::awaitable<void> discardInput();
     asio::awaitable<void> linger();
     bool hasUnread();
     asio::awaitable<bool> readRequest();
@@ -174,6 +179,7 @@
     /// Whether it is being closed in favour of others, before a whole request was read.
     bool isEvicted { false };
     bool isRefused { false };
+    bool isDiscarding { false };
     TimePoint idleSince { Clock::now() };
 };
 
@@ -408,7 +414,7 @@
 {
     boost::system::error_code problem;
     const bool isPending = this->buffer.size() > 0 || this->stream.socket().available(problem) > 0;
-    return !this->callerGone && (this->isRefused || isPending);
+    return !this->callerGone && (this->isRefused || this->isDiscarding || isPending);
 }
 
 /// Discards input until the caller closes the connection.
@@ -572,8 +578,12 @@
 /// While a request is in hand its connection is watched: end of input means that the caller is gone.
 void HttpConnection::watchCaller()
 {
-    if (this->isWatching || this->buffer.size() > 0)
+    if (this->isWatching)
         return;
+    if (this->buffer.size() > 0) {
+        this->limitUnread();
+        return;
+    }
     this->isWatching = true;
     const std::weak_ptr<HttpConnection> weak = this->weak_from_this();
     this->stream.socket().async_wait(tcp::socket::wait_read, [weak](const boost::system::error_code& problem) {
@@ -587,6 +597,8 @@
         boost::system::error_code peekProblem;
         self->stream.socket().non_blocking(true, peekProblem);
         const auto size = self->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekProblem);
+        if (!peekProblem && size > 0)
+            self->limitUnread();
         if (peekProblem == asio::error::would_block || (!peekProblem && size > 0))
             return;
         self->callerGone = true;
@@ -595,6 +607,35 @@
     });
 }
 
+/// The caller sends before it has its answer. What the kernel may hold of that counts; if there is no room for it, the
+/// connection is closed after the answer, and what arrives until then is discarded.
+void HttpConnection::limitUnread()
+{
+    if (this->hold(this->held.unread, kernelOverhead * this->limits.socketBuffer, tryHoldOptional))
+        return;
+    this->keepAlive = false;
+    this->isDiscarding = true;
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
+    this->hold(this->held.buffer, 0);
+    asio::co_spawn(
+        this->loop, [self = this->shared_from_this()]() -> asio::awaitable<void> { co_await self->discardInput(); },
+        asio::detached);
+}
+
+asio::awaitable<void> HttpConnection::discardInput()
+{
+    std::array<char, discardPiece> piece {};
+    boost::system::error_code problem;
+    while (!problem)
+        std::tie(problem, std::ignore) = co_await this->stream.socket().async_read_some(asio::buffer(piece), asTuple);
+    if (!this->isBusy)
+        co_return;
+    this->callerGone = true;
+    if (this->notifyGone)
+        this->notifyGone();
+}
+
 /// What the head says of the connection is what is done with it.
 http::response<http::string_body> HttpConnection::makeHead(HttpResponse& response)
 {
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -38,7 +38,7 @@
 
 HttpServer::~HttpServer() = default;
 
-Result<void> HttpServer::start() { return this->state->listener->start(); }
+Result<void> HttpServer::start() { return this->state->listener->start(this->state->limits().socketBuffer); }
 
 void HttpServer::announceClose() { this->state->isStopping = true; }
 
--- a/src/wire/listener.cpp
+++ b/src/wire/listener.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-Result<void> Listener::start()
+Result<void> Listener::start(std::optional<std::size_t> socketBuffer)
 {
     boost::system::error_code problem;
     const tcp::endpoint address(asio::ip::make_address(this->endpoint.address, problem), this->endpoint.port);
@@ -56,6 +56,11 @@
         this->acceptor.open(address.protocol(), problem);
     if (!problem)
         this->acceptor.set_option(tcp::acceptor::reuse_address(true), problem);
+    // Accepted sockets inherit the sizes, which the kernel then doesn't change by its own estimate.
+    if (!problem && socketBuffer)
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(*socketBuffer)), problem);
+    if (!problem && socketBuffer)
+        this->acceptor.set_option(asio::socket_base::send_buffer_size(static_cast<int>(*socketBuffer)), problem);
     if (!problem)
         this->acceptor.bind(address, problem);
     if (!problem)
--- a/src/wire/listener.hpp
+++ b/src/wire/listener.hpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 
 /// @file
 /// Accepts connections at one address and deals them out to the threads in turn.
@@ -30,8 +31,10 @@
     }
 
     /// @brief Binds and starts to accept.
+    /// @param socketBuffer bytes that the kernel holds of an accepted connection, in each direction; nothing for its
+    /// own choice.
     /// @return ErrorKind::BadSettings if the address can't be bound.
-    Result<void> start();
+    Result<void> start(std::optional<std::size_t> socketBuffer = std::nullopt);
 
     /// @brief Stops accepting; may be called on any thread. A connection whose handshake was done is still taken: new
     /// handshakes are dropped first, what is queued is accepted, and only then is the socket closed.
--- a/src/wire/server_share.cpp
+++ b/src/wire/server_share.cpp
@@ -7,15 +7,21 @@
 namespace {
 
     constexpr std::uint64_t parts = 32;
+    constexpr std::uint64_t kibibyte = 1024;
+    constexpr std::uint64_t minSocketBuffer = 16 * kibibyte;
+    constexpr std::uint64_t maxSocketBuffer = 256 * kibibyte;
+
     /// Parts of the process's memory.
     struct Share {
         /// For requests and answers.
         std::uint64_t memory;
+        /// For bytes that the kernel has received and that are not read yet.
+        std::uint64_t unread;
     };
 
-    constexpr Share callersShare { .memory = 14 };
-    constexpr Share operatorsShare { .memory = 2 };
-    constexpr Share peersShare { .memory = 2 };
+    constexpr Share callersShare { .memory = 14, .unread = 6 };
+    constexpr Share operatorsShare { .memory = 2, .unread = 1 };
+    constexpr Share peersShare { .memory = 2, .unread = 2 };
 
     constexpr Share shareOf(ServedPort port)
     {
@@ -39,6 +45,9 @@
     const auto share = shareOf(port);
     limits.maxHeld = partOf(settings.memory, share.memory);
     limits.processMemory = settings.memory;
+    const auto unread = partOf(settings.memory, share.unread);
+    limits.maxConnections = std::min<std::size_t>({ limits.maxConnections, unread / minSocketBuffer });
+    limits.socketBuffer = std::clamp(unread / limits.maxConnections, minSocketBuffer, maxSocketBuffer);
     return limits;
 }
 
