HttpServer: count answers until they are written

Answers of 7 MiB to 48 callers that don't read took 366 MB on (bound 88 MB).

Cause: the budget of answers ended when an answer had been read from its server.

--- a/include/topaztack/wire/server_share.hpp
+++ b/include/topaztack/wire/server_share.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <topaztack/control/settings.hpp>
+#include <topaztack/wire/http_client.hpp>
 #include <topaztack/wire/http_server.hpp>
 
 /// @file
@@ -18,4 +19,7 @@
 /// @brief Limits the memory of a server's connections, and their number, to its part of the process's.
 HttpServerLimits limitToShare(HttpServerLimits limits, ServedPort port, const VmSettings& settings);
 
+/// @brief Limits the memory of answers that clients are reading to their part of the process's.
+HttpClientLimits limitToShare(HttpClientLimits limits, const VmSettings& settings);
+
 } // namespace topaztack
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,6 +1,7 @@
 #include "context.hpp"
 
 #include <topaztack/base/log.hpp>
+#include <topaztack/wire/server_share.hpp>
 
 namespace topaztack {
 
@@ -26,7 +27,7 @@
     , protocol(protocol)
     , threads(1)
     , random(this->identity.incarnation.value())
-    , httpClient(this->threads.at(0), backendLimits)
+    , httpClient(this->threads.at(0), limitToShare(backendLimits, this->settings))
     , storeHttpClient(this->threads.at(0), storeLimits)
     , store(this->storeHttpClient, this->settings.platform, this->settings.platformTimeout, *protocol.store,
           this->metrics)
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -70,6 +70,8 @@
     constexpr std::size_t headCopies = 3;
     /// The kernel takes up to twice the size of a receive buffer that it was given.
     constexpr std::size_t kernelOverhead = 2;
+    /// An answer up to this size is written even if there is no memory for it.
+    constexpr std::size_t smallAnswer = 16UL * 1024;
     /// How long input is discarded after the last answer. A connection that is closed with unread bytes is reset, and
     /// the caller may lose the answer.
     constexpr std::chrono::milliseconds lingerTime { 2000 };
@@ -130,6 +132,7 @@
         std::size_t body { 0 };
         std::size_t reserved { 0 };
         std::size_t unread { 0 };
+        std::size_t answer { 0 };
     };
 
     bool hold(std::size_t& part, std::size_t size,
@@ -666,17 +669,40 @@
     return true;
 }
 
+namespace {
+
+    /// In place of an answer that there is no memory for: the request may have run.
+    HttpResponse undeliverable()
+    {
+        auto response
+            = errorResponse(makeError(ErrorKind::BackendBroke, "no memory for the answer", "ask again later"));
+        response.headers.push_back({ "Topaztack-Outcome", "unknown" });
+        return response;
+    }
+
+} // namespace
+
 asio::awaitable<bool> HttpConnection::respond(HttpResponse response)
 {
     if (!this->beginAnswer())
         co_return false;
+    const bool hasRoom = this->hold(this->held.answer, response.body.size());
+    if (!hasRoom && response.body.size() > smallAnswer)
+        response = undeliverable();
+    this->enter(ConnectionPhase::Sending);
     auto message = this->makeHead(response);
     message.body() = std::move(response.body);
     message.prepare_payload();
     if (this->current.method == "HEAD")
         message.body().clear();
     this->startWriteTimer();
-    const auto [problem, size] = co_await http::async_write(this->stream, message, asTuple);
+    http::response_serializer<http::string_body> serializer(message);
+    boost::system::error_code problem;
+    while (!problem && !serializer.is_done()) {
+        std::size_t size = 0;
+        std::tie(problem, size) = co_await http::async_write_some(this->stream, serializer, asTuple);
+        this->recordProgress(size);
+    }
     this->isAnswered = !problem;
     co_return this->settle(problem);
 }
--- a/src/wire/server_share.cpp
+++ b/src/wire/server_share.cpp
@@ -22,6 +22,7 @@
     constexpr Share callersShare { .memory = 14, .unread = 6 };
     constexpr Share operatorsShare { .memory = 2, .unread = 1 };
     constexpr Share peersShare { .memory = 2, .unread = 2 };
+    constexpr std::uint64_t answersMemory = 4;
 
     constexpr Share shareOf(ServedPort port)
     {
@@ -51,4 +52,10 @@
     return limits;
 }
 
+HttpClientLimits limitToShare(HttpClientLimits limits, const VmSettings& settings)
+{
+    limits.maxHeld = std::min<std::size_t>(limits.maxHeld, partOf(settings.memory, answersMemory));
+    return limits;
+}
+
 } // namespace topaztack
