HttpServer: limit connections by the process's descriptors

400 connections that send nothing, or a part of a request, took 417 and 418 descriptors on (bound 256, set by the test).

Cause: a fixed limit of 10,000 connections a port, above what the process may have open. The limit now follows the setting descriptors, and a new connection takes the place of a stalled or idle one.

--- a/include/topaztack/control/settings.hpp
+++ b/include/topaztack/control/settings.hpp
@@ -74,8 +74,9 @@
     Endpoint operators;
     Endpoint peers;
     std::uint64_t threads { 0 };
-    /// Memory in bytes that this process may use.
+    /// Memory in bytes and descriptors that this process may use.
     std::uint64_t memory { 512ULL * 1024 * 1024 };
+    std::uint64_t descriptors { 4096 };
     LogLevel logLevel { LogLevel::Info };
     /// File with the document to use until a newer one is known; empty for none.
     std::string documentFile;
--- a/include/topaztack/wire/http_server.hpp
+++ b/include/topaztack/wire/http_server.hpp
@@ -56,6 +56,7 @@
 struct HttpServerLimits {
     std::size_t maxHeader { 16 * 1024 };
     std::size_t maxBody { 1024 * 1024 };
+    /// A connection beyond these takes the place of one that is stalled or idle, and is closed if there is none.
     std::size_t maxConnections { 10000 };
     /// Bytes that all connections hold for requests and answers (ConnectionBudget).
     std::size_t maxHeld { 256UL * 1024 * 1024 };
--- a/include/topaztack/wire/server_share.hpp
+++ b/include/topaztack/wire/server_share.hpp
@@ -5,7 +5,7 @@
 #include <topaztack/wire/http_server.hpp>
 
 /// @file
-/// The parts of a process's memory that its servers and clients may use. What is left is for the
+/// The parts of a process's memory and descriptors that its servers and clients may use. What is left is for the
 /// process's own state.
 
 namespace topaztack {
--- a/src/base/machine.cpp
+++ b/src/base/machine.cpp
@@ -1,5 +1,6 @@
 #include <topaztack/base/machine.hpp>
 
+#include <sys/resource.h>
 #include <sys/sysinfo.h>
 #include <unistd.h>
 
@@ -10,6 +11,7 @@
 namespace {
 
     constexpr std::uint64_t fallbackMemory = 64ULL * 1024 * 1024;
+    constexpr std::uint64_t fallbackDescriptors = 1024;
 
 } // namespace
 
@@ -31,4 +33,12 @@
     return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t maxDescriptors()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return fallbackDescriptors;
+    return limit.rlim_cur;
+}
+
 } // namespace topaztack
--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -16,6 +16,8 @@
 
     constexpr std::uint64_t minMemory = 32ULL * 1024 * 1024;
     constexpr std::uint64_t maxMemory = 1ULL << 40;
+    constexpr std::uint64_t minDescriptors = 64;
+    constexpr std::uint64_t largestDescriptors = 1'000'000;
 
     std::string readFileName(std::string_view text, std::string& value)
     {
@@ -31,6 +33,14 @@
         return {};
     }
 
+    std::string readDescriptors(std::string_view text, std::uint64_t& value)
+    {
+        if (text != "auto")
+            return readWhole(text, minDescriptors, largestDescriptors, value);
+        value = std::clamp(maxDescriptors(), minDescriptors, largestDescriptors);
+        return {};
+    }
+
     std::string readLogLevel(std::string_view text, LogLevel& value)
     {
         static constexpr std::array<std::pair<std::string_view, LogLevel>, 4> levels { {
@@ -70,6 +80,10 @@
             "and "
             "answers take up to 7/16 of it, the kernel's buffers of their connections 3/16",
             [](VmSettings& vm, std::string_view text) { return readMemory(text, vm.memory); } },
+        { "descriptors", "auto",
+            "descriptors that this process may have open, 64..1000000, or auto for the limit of the system; callers' "
+            "connections take up to 6/16 of them",
+            [](VmSettings& vm, std::string_view text) { return readDescriptors(text, vm.descriptors); } },
         { "log_level", "info", "minimum level of log lines: debug, info, warning, error",
             [](VmSettings& vm, std::string_view text) { return readLogLevel(text, vm.logLevel); } },
         { "document", "none", "document to use until a newer one is known: a file, or none",
--- a/src/wire/http_connection.cpp
+++ b/src/wire/http_connection.cpp
@@ -738,10 +738,38 @@
     co_return this->settle(problem);
 }
 
+namespace {
+
+    /// How many connections more than the limit may be open while evicted ones are closed.
+    constexpr std::size_t closingConnections = 16;
+
+    /// Makes room for a new connection, if needed in place of another one.
+    /// @return false if there is none.
+    bool makeRoom(HttpServer::State& server, const HttpServerLimits& limits)
+    {
+        std::vector<std::shared_ptr<HttpConnection>> evicted;
+        {
+            const std::lock_guard guard(server.lock);
+            auto& budget = server.budget;
+            if (budget.connections - budget.evictedConnections < limits.maxConnections)
+                return budget.connections < limits.maxConnections + closingConnections;
+            auto* use = evictForNewConnection(budget, Clock::now());
+            if (!use)
+                return false;
+            evicted = connectionsOf({ use });
+        }
+        for (const auto& connection : evicted)
+            connection->closeEvicted();
+        logPressure(server, evicted.size());
+        return true;
+    }
+
+} // namespace
+
 void startHttpConnection(const std::shared_ptr<HttpServer::State>& server, tcp::socket socket)
 {
     const auto limits = server->limits();
-    if (server->connections.value() >= static_cast<std::int64_t>(limits.maxConnections))
+    if (!makeRoom(*server, limits))
         return;
     auto& loop = server->threads.at(IoThreads::here());
     const auto connection = std::make_shared<HttpConnection>(server, loop, std::move(socket), limits);
--- a/src/wire/server_share.cpp
+++ b/src/wire/server_share.cpp
@@ -11,17 +11,19 @@
     constexpr std::uint64_t minSocketBuffer = 16 * kibibyte;
     constexpr std::uint64_t maxSocketBuffer = 256 * kibibyte;
 
-    /// Parts of the process's memory.
+    /// Parts of the process's memory and descriptors.
     struct Share {
         /// For requests and answers.
         std::uint64_t memory;
         /// For bytes that the kernel has received and that are not read yet.
         std::uint64_t unread;
+        std::uint64_t descriptors;
     };
 
-    constexpr Share callersShare { .memory = 14, .unread = 6 };
-    constexpr Share operatorsShare { .memory = 2, .unread = 1 };
-    constexpr Share peersShare { .memory = 2, .unread = 2 };
+    /// A caller's request may need another descriptor for its backend server.
+    constexpr Share callersShare { .memory = 14, .unread = 6, .descriptors = 12 };
+    constexpr Share operatorsShare { .memory = 2, .unread = 1, .descriptors = 2 };
+    constexpr Share peersShare { .memory = 2, .unread = 2, .descriptors = 8 };
     constexpr std::uint64_t answersMemory = 4;
 
     constexpr Share shareOf(ServedPort port)
@@ -47,7 +49,8 @@
     limits.maxHeld = partOf(settings.memory, share.memory);
     limits.processMemory = settings.memory;
     const auto unread = partOf(settings.memory, share.unread);
-    limits.maxConnections = std::min<std::size_t>({ limits.maxConnections, unread / minSocketBuffer });
+    limits.maxConnections = std::min<std::size_t>(
+        { limits.maxConnections, settings.descriptors * share.descriptors / parts, unread / minSocketBuffer });
     limits.socketBuffer = std::clamp(unread / limits.maxConnections, minSocketBuffer, maxSocketBuffer);
     return limits;
 }
--- a/tests/functional/test_requests_crowd.py
+++ b/tests/functional/test_requests_crowd.py
@@ -204,7 +204,7 @@
 class Descriptors(unittest.TestCase):
     """More connections than the process may have descriptors."""
 
-    vm_lines = ""
+    vm_lines = f"descriptors = {DESCRIPTORS}\n"
 
     def check(self, data, port="callers"):
         directory = tempfile.TemporaryDirectory(prefix="topaztack-")
