Gateway: let one route have half of the connections

Requests in hand are never closed in favour of others, so those at a server that doesn't answer could take all connections; no caller of another route was answered until they ended. Requests of a route beyond half of the connections are now refused at once, not run.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 #include "pool_scaler.hpp"
 #include "request_queue.hpp"
 #include "request_quota.hpp"
+#include "requests_in_hand.hpp"
 #include "server_identity.hpp"
 #include "server_reach.hpp"
 #include "server_table.hpp"
@@ -60,6 +61,7 @@
     constexpr Duration expiryInterval = 100ms;
     constexpr unsigned statusUnauthorised = 401;
     constexpr Duration shutdownCheckInterval = 10ms;
+    constexpr std::chrono::milliseconds overloadRetryAfter { 1000 };
 
     FollowOptions followOptions(std::string table, std::chrono::milliseconds wait, std::chrono::milliseconds pause)
     {
@@ -137,6 +139,7 @@
     PoolScaler scaler;
     PeerRelay peerRelay;
     JobCalls jobCalls;
+    RequestsInHand requestsInHand;
     TableFollower operatorRows;
     TableFollower serverRows;
     HttpRouter operatorRoutes;
@@ -414,6 +417,13 @@
 asio::awaitable<void> Gateway::Parts::forward(
     HttpExchange& exchange, const CallerRequest& call, const Route& route, CallOrigin origin)
 {
+    const RequestsInHand::Entry entry(this->requestsInHand, route.name, this->limitsOf(origin).maxConnections);
+    if (!entry.isAdmitted()) {
+        co_await exchange.respond(
+            notRunResponse(makeError(ErrorKind::Overloaded, "too many requests of the route are in hand"), call.id,
+                overloadRetryAfter));
+        co_return;
+    }
     if (route.kind == RouteKind::Streaming)
         co_await this->streams.handle(exchange, call, route, origin);
     else
--- a/tests/functional/test_requests_crowd.py
+++ b/tests/functional/test_requests_crowd.py
@@ -206,13 +206,15 @@
 
     vm_lines = f"descriptors = {DESCRIPTORS}\n"
 
-    def check(self, data, port="callers"):
+    def check(self, data, port="callers", has_mute=False):
         directory = tempfile.TemporaryDirectory(prefix="topaztack-")
         self.addCleanup(directory.cleanup)
         world = GatewayWorld(directory.name, LIMITS, self.vm_lines)
         self.addCleanup(world.stop)
         watch = Watch(world.pid, [world.callers])
         self.addCleanup(watch.stop)
+        if has_mute:
+            self.addCleanup(SilentServer(world.mute).stop)
         crowd = Crowd(getattr(world, port), [Sender(data) for _ in range(400)])
         self.addCleanup(crowd.close)
         crowd.run()
@@ -231,6 +233,9 @@
     def test_connections_that_send_a_part_of_a_body(self):
         self.check(announced("/app/a", 0, 1000) + b"x")
 
+    def test_requests_at_a_server_that_does_not_answer(self):
+        self.check(head("/mute/a", "crowd", "Content-Length: 0"), has_mute=True)
+
     def test_connections_to_the_operators_port(self):
         self.check(b"", port="operators")
 
