--- a/src/wire/growing_body.hpp
+++ b/src/wire/growing_body.hpp
@@ -19,7 +19,7 @@
 
 /// @brief Meets Beast's Body concept. Reading fails with errc::not_enough_memory if it may not grow.
 struct GrowingBody {
-    struct value_type {
+    struct Value {
         std::string text;
         /// Asked before the text's buffer grows, with its new size in bytes.
         std::function<bool(std::size_t)> mayGrow;
@@ -27,10 +27,10 @@
         std::size_t maxSize { 0 };
     };
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields>& /*head*/, value_type& body)
+        Reader(boost::beast::http::header<isRequest, Fields>& /*head*/, Value& body)
             : body(body)
         {
         }
@@ -77,8 +77,14 @@
             return true;
         }
 
-        value_type& body;
+        Value& body;
     };
+
+    /// @name Names of the concept
+    /// @{
+    using value_type = Value;
+    using reader = Reader;
+    /// @}
 };
 
 } // namespace topaztack
