Jobs: name the cause when a submission finds no memory

A job that a VM could not hold, and that no other VM took, got 503 'no VM that was asked reaches the store': the reply of the VM itself was dropped once the call was passed on.

Tests that were found wanting beside it: unread answers of 4 MiB, since those of 7 MiB are not taken from the server any more and so no longer reached the code that counts written answers.

--- a/src/control/settings.cpp
+++ b/src/control/settings.cpp
@@ -77,8 +77,7 @@
             [](VmSettings& vm, std::string_view text) { return readWhole(text, 1, 64, vm.threads); } },
         { "memory", "auto",
             "memory that this process may use, 32MiB..1048576MiB, or auto for that of the machine; callers' requests "
-            "and "
-            "answers take up to 7/16 of it, the kernel's buffers of their connections 3/16",
+            "and answers take up to 7/16 of it, the kernel's buffers of their connections 3/16",
             [](VmSettings& vm, std::string_view text) { return readMemory(text, vm.memory); } },
         { "descriptors", "auto",
             "descriptors that this process may have open, 64..1000000, or auto for the limit of the system; callers' "
--- a/src/gateway/job_calls.cpp
+++ b/src/gateway/job_calls.cpp
@@ -2,6 +2,8 @@
 
 #include "error_responses.hpp"
 
+#include <optional>
+
 namespace topaztack {
 
 namespace asio = boost::asio;
@@ -36,10 +38,11 @@
 
 asio::awaitable<HttpResponse> JobCalls::answer(HttpExchange& exchange, CallerRequest call, const Route* route)
 {
+    std::optional<HttpResponse> refusal;
     if (!this->isStoreAway()) {
-        auto response = co_await this->answerLocally(exchange, call, route);
-        if (response.status != statusNotRun)
-            co_return std::move(response);
+        refusal = co_await this->answerLocally(exchange, call, route);
+        if (refusal->status != statusNotRun)
+            co_return std::move(*refusal);
     }
     auto passed = co_await this->relay.relayCall(exchange.request(), call);
     if (passed.answer)
@@ -47,6 +50,8 @@
     if (passed.mayHaveRun)
         co_return mayHaveRunResponse(
             makeError(ErrorKind::PlatformAmbiguous, "neither the store nor another VM answered"), call.id);
+    if (refusal)
+        co_return std::move(*refusal);
     co_return notRunResponse(
         makeError(ErrorKind::PlatformUnreachable, "no VM that was asked reaches the store"), call.id, storeRetryAfter);
 }
--- a/tests/functional/test_requests_crowd.py
+++ b/tests/functional/test_requests_crowd.py
@@ -142,9 +142,9 @@
         self.gather([Sender(announced("/jobs/a", n, len(body)) + body) for n in range(CROWD)])
         self.check()
 
-    def test_answers_that_are_not_read(self):
+    def check_unread_answers(self, size):
         """The requests come one after the other, so that each answer is read from the server alone."""
-        server = LargeAnswers(self.world.bulk, 7 * MEBIBYTE)
+        server = LargeAnswers(self.world.bulk, size)
         self.addCleanup(server.stop)
         for n in range(CROWD):
             crowd = Crowd(self.world.callers, [Sender(head("/bulk/a", f"crowd{n}", "Content-Length: 0"), reads=False)],
@@ -153,6 +153,12 @@
             crowd.run(quiet=0.1)
         self.check()
 
+    def test_answers_that_are_not_read(self):
+        self.check_unread_answers(7 * MEBIBYTE)
+
+    def test_answers_of_a_size_that_is_passed_on_and_that_are_not_read(self):
+        self.check_unread_answers(4 * MEBIBYTE)
+
     def test_bodies_at_the_operators_port_that_stop_short_of_their_end(self):
         request = head("/v1/config", "o", f"Content-Length: {MEBIBYTE}")
         self.gather([Sender((request, FILL), len(request) + MEBIBYTE - 1) for _ in range(4 * CROWD)],
@@ -193,13 +199,28 @@
         body = chunked(32 * MEBIBYTE, 65536) + b"0\r\n\r\n"
         self.check_forwarded(Sender(head("/mute/a", "crowd0", "Transfer-Encoding: chunked") + body))
 
-    def test_a_job_is_accepted(self):
-        body = job_of(MAX_BODY)
-        answer = call(self.world.callers, "POST", "/jobs/a", body, {
+    def submit(self, body):
+        return call(self.world.callers, "POST", "/jobs/a", body, {
             "Host": "a.example", "Topaztack-Request-Id": "job", "Topaztack-Deadline-Ms": "20000"})
+
+    def check_accepted(self, body):
+        answer = self.submit(body)
         self.assertEqual(answer.status, 202, answer.body)
         self.check()
 
+    def test_a_job_is_accepted(self):
+        self.check_accepted(job_of(MAX_BODY))
+
+    def test_a_job_of_the_largest_size_is_accepted(self):
+        self.check_accepted(job_of(32 * MEBIBYTE))
+
+    def test_a_job_that_finds_no_memory_is_refused_with_the_cause(self):
+        answer = self.submit(b'{"step":0,"items":[' + b"[]," * (8 * MEBIBYTE) + b"[]]}")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertIn(b"no memory for the job", answer.body)
+        self.check()
+
 
 class Descriptors(unittest.TestCase):
     """More connections than the process may have descriptors."""
