--- a/tests/functional/crowd.py
+++ b/tests/functional/crowd.py
@@ -1,6 +1,7 @@
 """Callers that don't behave, and what a process holds while they are connected."""
 
 import base64
+import itertools
 import json
 import pathlib
 import selectors
@@ -102,12 +103,14 @@
         return [int(sender.answer.split(b" ")[1]) for sender in self.senders if sender.answer.startswith(b"HTTP/1.1 ")]
 
 
-def unread_bytes(ports):
-    """Bytes that the kernel has received for connections of these local ports and that no process has read."""
+def unread_bytes(ports, servers):
+    """Bytes that the kernel has received for connections of these local ports, or to servers at these, and that no process
+    has read."""
     unread = 0
     for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if int(fields[1].split(":")[1], 16) in ports and fields[3] != "0A":  # not the listening socket
+        local, remote = (int(fields[place].split(":")[1], 16) for place in (1, 2))
+        if (local in ports or remote in servers) and fields[3] != "0A":  # not the listening socket
             unread += int(fields[4].split(":")[1], 16)
     return unread
 
@@ -115,9 +118,10 @@
 class Watch:
     """Samples a process's resident memory, the bytes that it has not read yet, and its open descriptors."""
 
-    def __init__(self, pid, ports):
+    def __init__(self, pid, ports, servers=()):
         self.pid = pid
         self.ports = set(ports)
+        self.servers = set(servers)
         self.most_memory = 0
         self.most_descriptors = 0
         self.is_stopped = threading.Event()
@@ -139,7 +143,7 @@
         return 0
 
     def sample(self):
-        held = self.status("VmRSS") + unread_bytes(self.ports)
+        held = self.status("VmRSS") + unread_bytes(self.ports, self.servers)
         self.most_memory = max(self.most_memory, held)
         descriptors = len(list(pathlib.Path(f"/proc/{self.pid}/fd").iterdir()))
         self.most_descriptors = max(self.most_descriptors, descriptors)
@@ -224,18 +228,44 @@
                     request += piece
                 name = next(line.split(b":", 1)[1].strip() for line in request.split(b"\r\n")
                             if line.lower().startswith(b"topaztack-request-id:"))
-                connection.sendall(b"HTTP/1.1 200 OK\r\nTopaztack-Request-Id: " + name + b"\r\nTopaztack-Server-Stamp: s"
-                                   + f"\r\nContent-Length: {self.size}\r\n\r\n".encode() + b"x" * self.size)
+                self.send(connection, b"HTTP/1.1 200 OK\r\nTopaztack-Request-Id: " + name
+                          + b"\r\nTopaztack-Server-Stamp: s\r\n")
         except OSError:
             pass
 
+    def send(self, connection, first):
+        connection.sendall(first + f"Content-Length: {self.size}\r\n\r\n".encode() + b"x" * self.size)
+
     def stop(self):
         for connection in [*self.connections, self.listener]:
             connection.close()
 
 
+class EndlessStreams(LargeAnswers):
+    """A backend server whose answers are streams without end; `size` is that of an event."""
+
+    def __init__(self, port, size):
+        super().__init__(port, size)
+        self.sent = 0
+
+    def send(self, connection, first):
+        connection.sendall(first + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for number in itertools.count(1):
+            event = f"id: {number}\ndata: ".encode() + b"x" * self.size + b"\n\n"
+            connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            self.sent += 1
+
+    def wait_until_stalled(self):
+        """Until no stream takes another event."""
+        seen = -1
+        while self.sent != seen:
+            seen = self.sent
+            time.sleep(1)
+
+
 class GatewayWorld:
-    """A store, one gateway, and servers of the pools `app` (answers), `mute` (never answers) and `bulk` (large answers)."""
+    """A store, one gateway, and servers of the pools `app` (answers), `mute` (never answers) and `bulk` (large answers,
+    or streams)."""
 
     def __init__(self, directory, limits, vm_lines="", vm_name="vm-0"):
         self.cluster = Cluster(directory)
@@ -280,7 +310,8 @@
 
         return {"version": 1, "limits": limits,
                 "routes": [route("app", "/app/", "safe", "app"), route("mute", "/mute/", "unsafe", "mute"),
-                           route("bulk", "/bulk/", "safe", "bulk"), route("jobs", "/jobs/", "rollout", "mute")],
+                           route("bulk", "/bulk/", "safe", "bulk"), route("jobs", "/jobs/", "rollout", "mute"),
+                           route("streams", "/streams/", "streaming", "bulk")],
                 "services": [{"name": "app"}, {"name": "bulk"}, {"name": "mute"}]}
 
     @property
--- a/tests/functional/test_requests_crowd.py
+++ b/tests/functional/test_requests_crowd.py
@@ -7,7 +7,7 @@
 import tempfile
 import unittest
 
-from crowd import Crowd, GatewayWorld, LargeAnswers, Sender, SilentServer, Watch, head
+from crowd import Crowd, EndlessStreams, GatewayWorld, LargeAnswers, Sender, SilentServer, Watch, head
 from support import ServiceTestCase, call, wait_until
 
 MEMORY = 88 * 1000 * 1000
@@ -48,7 +48,7 @@
         self.addCleanup(directory.cleanup)
         self.world = GatewayWorld(directory.name, self.limits, self.vm_lines)
         self.addCleanup(self.world.stop)
-        self.watch = Watch(self.world.pid, [self.world.callers, self.world.operators, self.world.peers])
+        self.watch = Watch(self.world.pid, [self.world.callers, self.world.operators, self.world.peers], [self.world.bulk])
         self.addCleanup(self.watch.stop)
 
     def start_mute(self, **options):
@@ -159,6 +159,14 @@
     def test_answers_of_a_size_that_is_passed_on_and_that_are_not_read(self):
         self.check_unread_answers(4 * MEBIBYTE)
 
+    def test_streams_that_are_not_read(self):
+        server = EndlessStreams(self.world.bulk, 1000)
+        self.addCleanup(server.stop)
+        self.gather([Sender(head("/streams/a", f"crowd{n}", "Content-Length: 0"), reads=False) for n in range(600)],
+                    receive_buffer=4096)
+        server.wait_until_stalled()
+        self.check()
+
     def test_bodies_at_the_operators_port_that_stop_short_of_their_end(self):
         request = head("/v1/config", "o", f"Content-Length: {MEBIBYTE}")
         self.gather([Sender((request, FILL), len(request) + MEBIBYTE - 1) for _ in range(4 * CROWD)],
